--- a/src/bin/sedgejunction-drill.rs
+++ b/src/bin/dewladder-benchlink.rs
@@ -6,15 +6,15 @@
 use std::io::{stdin, stdout, BufReader, BufWriter};
 use std::process::ExitCode;
 
-use sedgejunction::interface::{Action, Micros};
-use sedgejunction::wire::{write_reply, Batch, BatchReader, Message, WireError};
-use sedgejunction::Router;
+use dewladder::interface::{Action, Micros};
+use dewladder::wire::{write_reply, Batch, BatchReader, Message, WireError};
+use dewladder::Router;
 
 fn main() -> ExitCode {
     match serve() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("sedgejunction-drill: {error}");
+            eprintln!("dewladder-benchlink: {error}");
             ExitCode::FAILURE
         }
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -4,8 +4,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use sedgejunction::interface::*;
-use sedgejunction::Router;
+use dewladder::interface::*;
+use dewladder::Router;
 
 pub const SECOND: Micros = 1_000_000;
 
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -4,7 +4,7 @@
 
 use common::*;
 use proptest::prelude::*;
-use sedgejunction::interface::*;
+use dewladder::interface::*;
 
 const OUTCOMES: [Outcome; 10] = [
     Outcome::Read,
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -2,8 +2,8 @@
 
 use std::io::Cursor;
 
-use sedgejunction::interface::*;
-use sedgejunction::wire::{write_reply, Batch, BatchReader, Message};
+use dewladder::interface::*;
+use dewladder::wire::{write_reply, Batch, BatchReader, Message};
 
 fn read(text: &str) -> Result<Vec<(u32, Message)>, String> {
     let mut batch = Batch::default();
