--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::*;
-use proptest::prelude::*;
 use dewladder::interface::*;
+use proptest::prelude::*;
 
 const OUTCOMES: [Outcome; 10] = [
     Outcome::Read,
