Serve the platform: a reducer round the module, axum in front, hyper-util behind

The module is unchanged; the reader of its settings now also takes pairs that did not come by the wire.

--- /dev/null
+++ b/src/edge/clients/mod.rs
@@ -0,0 +1,4 @@
+//! Clients: what all fronts share, and a module for each protocol that clients speak.
+
+pub mod listener;
+pub mod platform;
--- /dev/null
+++ b/src/edge/clients/platform.rs
@@ -0,0 +1,180 @@
+//! The platform's front: a thin one. Headers tell all that the decisions need.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::body::Body;
+use axum::extract::State;
+use axum::http::header::{CONTENT_TYPE, RETRY_AFTER};
+use axum::http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use axum::routing::{get, post};
+use axum::Router;
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, LengthLimitError, Limited};
+use tokio::time::timeout_at;
+
+use crate::edge::balancers;
+use crate::edge::clock::{micros, Clock};
+use crate::edge::driver::{Reply, Sender};
+use crate::edge::servers::{header, Payload};
+use crate::edge::settings::{Config, Lane};
+use crate::interface::{Call, Key, Micros, RequestId};
+
+/// A body holds this many bytes at most.
+pub const MOST_BODY: usize = 256 << 10;
+const MOST_ID: usize = 64;
+/// The longest that a client may say that it waits.
+const MOST_REMAINING: f64 = 3_600.0;
+const CHARACTERS_A_TOKEN: usize = 4;
+
+/// What the handlers share.
+#[derive(Clone)]
+struct Front {
+    clock: Clock,
+    lanes: Arc<[Lane]>,
+    driver: Sender,
+}
+
+/// The front's routes.
+pub fn front(config: &Config, clock: Clock, driver: Sender) -> Router {
+    let state = Front { clock, lanes: config.lanes.clone().into(), driver };
+    Router::new()
+        .route("/v1/chat/completions", post(complete))
+        .with_state(state)
+        .route("/health/ready", get(balancers::ready))
+        .route("/health/live", get(balancers::live))
+}
+
+async fn complete(State(front): State<Front>, request: Request<Body>) -> Response<Body> {
+    let now = front.clock.now();
+    let (head, body) = request.into_parts();
+    let asked = match Asked::read(&head.headers, &front.lanes, now) {
+        Ok(asked) => asked,
+        Err(what) => return short(StatusCode::BAD_REQUEST, what),
+    };
+    let body = match body_within(body, front.clock, asked.not_after).await {
+        Ok(body) => body,
+        Err((status, what)) => return short(status, what),
+    };
+    let target = head.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
+    let call = asked.call(body.len());
+    let payload = Arc::new(Payload { txn: asked.txn, target, body });
+    match front.driver.ask(call, payload).await {
+        Reply::Stream(relay) => {
+            let mut response = Response::new(Body::new(relay));
+            response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+            response
+        }
+        Reply::Refused { retry_in } => {
+            let mut response = short(StatusCode::SERVICE_UNAVAILABLE, "refused");
+            let seconds = format!("{:.3}", Duration::from_micros(retry_in).as_secs_f64());
+            if let Ok(value) = HeaderValue::from_str(&seconds) {
+                response.headers_mut().insert(RETRY_AFTER, value);
+            }
+            response
+        }
+        Reply::Failed { .. } => short(StatusCode::BAD_GATEWAY, "failed"),
+    }
+}
+
+/// A short answer of the dispatcher's own.
+#[must_use]
+pub fn short(status: StatusCode, what: &'static str) -> Response<Body> {
+    let mut response = Response::new(Body::from(format!("{what}\n")));
+    *response.status_mut() = status;
+    response
+}
+
+/// A request's body, if it is not too long and comes in time.
+///
+/// # Errors
+/// The status and the words to answer with.
+pub async fn body_within(
+    body: Body,
+    clock: Clock,
+    until: Micros,
+) -> Result<Bytes, (StatusCode, &'static str)> {
+    match timeout_at(clock.instant(until), Limited::new(body, MOST_BODY).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is longer than 256 KiB"))
+        }
+        Ok(Err(_)) => Err((StatusCode::BAD_REQUEST, "the body can't be read")),
+        Err(_) => Err((StatusCode::REQUEST_TIMEOUT, "the body came too late")),
+    }
+}
+
+/// What a request's headers tell.
+#[derive(Debug)]
+struct Asked {
+    txn: String,
+    class: u32,
+    session: Option<Key>,
+    not_after: Micros,
+    shared: Option<Key>,
+    prompt_tokens: Option<u64>,
+    shared_tokens: u64,
+    max_tokens: u64,
+}
+
+impl Asked {
+    fn read(headers: &HeaderMap, lanes: &[Lane], now: Micros) -> Result<Self, &'static str> {
+        let txn = header(headers, "x-txn").ok_or("X-Txn is missing")?;
+        let plain = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.');
+        if txn.is_empty() || txn.len() > MOST_ID || !txn.bytes().all(plain) {
+            return Err("X-Txn is no id");
+        }
+        let lane = header(headers, "x-lane").ok_or("X-Lane is missing")?;
+        let class = lanes.iter().position(|known| known.name == lane).ok_or("X-Lane is not known")?;
+        let waits = match header(headers, "x-remaining") {
+            None => lanes[class].give_up,
+            Some(text) => {
+                let seconds = text.parse::<f64>().ok().filter(|at| (0.0..=MOST_REMAINING).contains(at));
+                Duration::from_secs_f64(seconds.ok_or("X-Remaining is no time")?)
+            }
+        };
+        let mut asked = Self {
+            txn: txn.to_owned(),
+            class: class as u32,
+            session: header(headers, "x-entity").filter(|text| !text.is_empty()).map(Key::from_text),
+            not_after: now + micros(waits),
+            shared: None,
+            prompt_tokens: None,
+            shared_tokens: 0,
+            max_tokens: 0,
+        };
+        let labels = header(headers, "x-labels").unwrap_or("");
+        for (name, value) in labels.split(',').filter_map(|label| label.trim().split_once('=')) {
+            let number = || value.parse().map_err(|_| "X-Labels holds a length that is no number");
+            match name {
+                "prefix" if !value.is_empty() => asked.shared = Some(Key::from_text(value)),
+                "prompt_len" => asked.prompt_tokens = Some(number()?),
+                "prefix_len" => asked.shared_tokens = number()?,
+                "max_out" => asked.max_tokens = number()?,
+                _ => {}
+            }
+        }
+        Ok(asked)
+    }
+
+    fn call(&self, body_bytes: usize) -> Call {
+        Call {
+            id: request_id(&self.txn),
+            class: self.class,
+            session: self.session,
+            shared: self.shared,
+            shared_tokens: self.shared_tokens,
+            prompt_tokens: self.prompt_tokens.unwrap_or((body_bytes / CHARACTERS_A_TOKEN) as u64),
+            max_tokens: self.max_tokens,
+            hint: None,
+            not_after: self.not_after,
+        }
+    }
+}
+
+/// The number of an id's text: its 16 hex digits, or a hash of any other text.
+fn request_id(text: &str) -> RequestId {
+    let number = Some(text).filter(|text| text.len() == 16);
+    let number = number.and_then(|text| u64::from_str_radix(text, 16).ok());
+    RequestId(number.unwrap_or_else(|| Key::from_text(text).0))
+}
--- /dev/null
+++ b/src/edge/core.rs
@@ -0,0 +1,417 @@
+//! The reducer: all state of requests, attempts and of what is held for them, and the one function that
+//! changes it. It owns the [`Router`], turns its actions into effects, and is the last guard for the rules:
+//! one final answer for each request, and nothing sent after the client has left or the stream has begun.
+//! It knows of no wire; inputs come from, and effects go to, `driver.rs`.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use crate::interface::{
+    Action, Call, Ended, EngineId, Entry, Event, ListKind, Micros, Outcome, Report, RequestId, Role,
+    Settings, TimerToken,
+};
+use crate::Router;
+
+/// What has happened outside.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Input {
+    /// News of the list of servers.
+    Listed {
+        /// How to read the entries.
+        how: ListKind,
+        /// The entries.
+        entries: Vec<Entry>,
+    },
+    /// A client asks.
+    Arrived(Call),
+    /// The first event of an attempt's stream is here; it waits to be passed on.
+    Began {
+        /// The request.
+        id: RequestId,
+        /// Which attempt.
+        attempt: u32,
+    },
+    /// An attempt has ended by itself.
+    Finished {
+        /// The request.
+        id: RequestId,
+        /// Which attempt.
+        attempt: u32,
+        /// How it ended.
+        ending: Ending,
+    },
+    /// An attempt has been stopped as asked for.
+    Stopped {
+        /// The request.
+        id: RequestId,
+        /// Which attempt.
+        attempt: u32,
+        /// Whether its last byte may have been written.
+        written: bool,
+    },
+    /// The client has left.
+    ClientGone(RequestId),
+    /// Time has passed: what is due is dealt with.
+    Tick,
+}
+
+/// How an attempt ended by itself.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Ending {
+    /// The outcome.
+    pub outcome: Outcome,
+    /// Prompt tokens that the server found kept.
+    pub kept_tokens: u64,
+    /// The load report, if one came along.
+    pub report: Option<Report>,
+}
+
+impl From<Outcome> for Ending {
+    fn from(outcome: Outcome) -> Self {
+        Self { outcome, kept_tokens: 0, report: None }
+    }
+}
+
+/// What is to be done outside.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Send the request to a server; a stop comes at `until` at the latest.
+    Send {
+        /// The request.
+        id: RequestId,
+        /// Which attempt.
+        attempt: u32,
+        /// The server.
+        engine: EngineId,
+        /// When the attempt is given up.
+        until: Micros,
+    },
+    /// Give an attempt up; `Stopped` is to follow.
+    Stop {
+        /// The request.
+        id: RequestId,
+        /// Which attempt.
+        attempt: u32,
+    },
+    /// Pass an attempt's stream on to the client.
+    Relay {
+        /// The request.
+        id: RequestId,
+        /// Which attempt.
+        attempt: u32,
+    },
+    /// Final answer: refused.
+    Refuse {
+        /// The request.
+        id: RequestId,
+        /// When the client may come again.
+        retry_in: Micros,
+    },
+    /// Final answer: failed.
+    Fail {
+        /// The request.
+        id: RequestId,
+        /// Whether an attempt may have run.
+        may_have_run: bool,
+    },
+    /// Let go of all that is held for the request.
+    Release {
+        /// The request.
+        id: RequestId,
+        /// Servers that hold or may hold something.
+        holders: Vec<EngineId>,
+    },
+    /// The request is over and nothing of it is out: it can be forgotten.
+    Forget(RequestId),
+}
+
+/// Where the client of a request stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Client {
+    /// It waits for its answer.
+    Waiting,
+    /// It is given the stream of this attempt.
+    Streaming(u32),
+    /// It has its final answer or has left.
+    Done,
+}
+
+#[derive(Debug)]
+struct Out {
+    engine: EngineId,
+    reads: bool,
+    sent: Micros,
+    until: Micros,
+    /// The outcome to report once the stop that was asked for has been carried out.
+    stopping: Option<Outcome>,
+}
+
+#[derive(Debug)]
+struct Request {
+    client: Client,
+    not_after: Micros,
+    attempts: u32,
+    out: BTreeMap<u32, Out>,
+    held: Vec<EngineId>,
+    may_have_run: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Timer {
+    Attempt(RequestId, u32),
+    Router(TimerToken),
+}
+
+/// The reducer. See the [module](self).
+#[derive(Debug)]
+pub struct Core {
+    router: Router,
+    roles: Vec<Role>,
+    servers: BTreeMap<EngineId, Role>,
+    requests: BTreeMap<RequestId, Request>,
+    timers: BTreeSet<(Micros, Timer)>,
+    most_open: usize,
+    retry_in: Micros,
+    /// What the router is still to be told in this step.
+    events: VecDeque<Event>,
+    effects: Vec<Effect>,
+    now: Micros,
+}
+
+impl Core {
+    /// One that has just started; it holds `most_open` requests at most.
+    #[must_use]
+    pub fn new(settings: Settings, seed: u64, now: Micros, most_open: usize) -> Self {
+        Self {
+            roles: settings.kinds.iter().map(|kind| kind.role).collect(),
+            retry_in: settings.max_retry_after,
+            router: Router::new(settings, seed, now),
+            servers: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            timers: BTreeSet::new(),
+            most_open,
+            events: VecDeque::new(),
+            effects: Vec::new(),
+            now,
+        }
+    }
+
+    /// Takes what has happened and returns what is to be done, in order.
+    pub fn step(&mut self, now: Micros, input: Input) -> Vec<Effect> {
+        // The router subtracts times from one another: its clock must never go back.
+        self.now = self.now.max(now);
+        match input {
+            Input::Listed { how, entries } => self.listed(how, entries),
+            Input::Arrived(call) => self.arrived(call),
+            Input::Began { id, attempt } => self.began(id, attempt),
+            Input::Finished { id, attempt, ending } => self.finished(id, attempt, ending),
+            Input::Stopped { id, attempt, written } => self.stopped(id, attempt, written),
+            Input::ClientGone(id) => self.client_gone(id),
+            Input::Tick => {}
+        }
+        self.consult();
+        while let Some(&(at, timer)) = self.timers.first().filter(|&&(at, _)| at <= self.now) {
+            self.timers.remove(&(at, timer));
+            match timer {
+                Timer::Attempt(id, attempt) => self.stop(id, attempt, Outcome::Timeout),
+                Timer::Router(token) => self.events.push_back(Event::Due(token)),
+            }
+            self.consult();
+        }
+        std::mem::take(&mut self.effects)
+    }
+
+    /// When the next step is due although nothing happens.
+    #[must_use]
+    pub fn next_due(&self) -> Option<Micros> {
+        self.timers.first().map(|&(at, _)| at)
+    }
+
+    /// Requests whose clients still wait or are being streamed to, or of which an attempt is out.
+    #[must_use]
+    pub fn open(&self) -> usize {
+        self.requests.len()
+    }
+
+    fn listed(&mut self, how: ListKind, entries: Vec<Entry>) {
+        for entry in &entries {
+            let role = self.roles.get(entry.kind as usize).copied().unwrap_or(Role::Mixed);
+            self.servers.insert(entry.engine, role);
+        }
+        self.events.push_back(Event::Roster { how, entries });
+    }
+
+    fn arrived(&mut self, call: Call) {
+        let (id, not_after) = (call.id, call.not_after);
+        if self.requests.contains_key(&id) {
+            return;
+        }
+        if self.requests.len() >= self.most_open {
+            self.effects.push(Effect::Refuse { id, retry_in: self.retry_in });
+            self.effects.push(Effect::Forget(id));
+            return;
+        }
+        let (client, out, held) = (Client::Waiting, BTreeMap::new(), Vec::new());
+        self.requests.insert(id, Request { client, not_after, attempts: 0, out, held, may_have_run: false });
+        self.events.push_back(Event::Call(call));
+    }
+
+    fn began(&mut self, id: RequestId, number: u32) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let Some(out) = request.out.get(&number).filter(|out| out.stopping.is_none()) else { return };
+        if request.client != Client::Waiting {
+            return self.stop(id, number, Outcome::Cancelled);
+        }
+        request.client = Client::Streaming(number);
+        request.may_have_run = true;
+        request.held.clear(); // with the first token all that is held goes by itself
+        self.timers.remove(&(out.until, Timer::Attempt(id, number)));
+        self.effects.push(Effect::Relay { id, attempt: number });
+        self.events.push_back(Event::Begun { id, attempt: number, taken: self.now - out.sent });
+    }
+
+    fn finished(&mut self, id: RequestId, number: u32, ending: Ending) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let Some(out) = request.out.remove(&number) else { return };
+        self.timers.remove(&(out.until, Timer::Attempt(id, number)));
+        let Ending { outcome, kept_tokens, report } = ending;
+        // A read that was cut short may have ended well all the same: what it left counts as held.
+        if out.reads && (outcome == Outcome::Read || outcome.may_have_run()) {
+            request.held.push(out.engine);
+        }
+        request.may_have_run |= !out.reads && outcome.may_have_run();
+        if request.client == Client::Streaming(number) {
+            request.client = Client::Done;
+        }
+        let last = request.client == Client::Done;
+        self.events.push_back(Event::Ended(Ended {
+            id,
+            attempt: number,
+            engine: out.engine,
+            taken: self.now - out.sent,
+            outcome,
+            kept_tokens,
+            last,
+            report,
+        }));
+    }
+
+    /// A stop that came before the last byte was written proves that the attempt never ran.
+    fn stopped(&mut self, id: RequestId, number: u32, written: bool) {
+        let out = self.requests.get(&id).and_then(|request| request.out.get(&number));
+        let Some(wanted) = out.and_then(|out| out.stopping) else { return };
+        let outcome = match wanted {
+            outcome if written => outcome,
+            Outcome::Timeout => Outcome::ConnectFailed,
+            _ => Outcome::Moot,
+        };
+        self.finished(id, number, outcome.into());
+    }
+
+    fn client_gone(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        match std::mem::replace(&mut request.client, Client::Done) {
+            Client::Done => {}
+            Client::Waiting => self.events.push_back(Event::Hangup(id)),
+            Client::Streaming(number) => {
+                self.events.push_back(Event::Hangup(id));
+                self.finished(id, number, Outcome::Cancelled.into());
+            }
+        }
+    }
+
+    fn stop(&mut self, id: RequestId, number: u32, outcome: Outcome) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        if request.client == Client::Streaming(number) {
+            return; // the attempt belongs to the client
+        }
+        let Some(out) = request.out.get_mut(&number).filter(|out| out.stopping.is_none()) else { return };
+        out.stopping = Some(outcome);
+        self.effects.push(Effect::Stop { id, attempt: number });
+    }
+
+    /// Tells the router what it has to know, carries out what it wants, and tidies up after it.
+    fn consult(&mut self) {
+        let mut actions = Vec::new();
+        let mut touched = Vec::new();
+        while let Some(event) = self.events.pop_front() {
+            if let Event::Ended(Ended { id, .. }) | Event::Hangup(id) = event {
+                touched.push(id);
+            }
+            self.router.handle(self.now, event, &mut actions);
+            for action in actions.drain(..) {
+                if let Action::Refuse { id, .. } | Action::GiveUp(id) = action {
+                    touched.push(id);
+                }
+                self.act(action);
+            }
+        }
+        for id in touched {
+            self.tidy(id);
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Assign { id, engine, patience } => self.assign(id, engine, patience),
+            Action::Refuse { id, retry_in } => {
+                if self.answered(id) {
+                    self.effects.push(Effect::Refuse { id, retry_in });
+                }
+            }
+            Action::GiveUp(id) => {
+                if self.answered(id) {
+                    let may_have_run = self.requests.get(&id).is_some_and(|request| request.may_have_run);
+                    self.effects.push(Effect::Fail { id, may_have_run });
+                }
+            }
+            Action::Revoke { id, attempt } => self.stop(id, attempt, Outcome::Cancelled),
+            Action::LetGo(id) => self.let_go(id),
+            Action::Defer { delay, token } => {
+                self.timers.insert((self.now + delay.max(1), Timer::Router(token)));
+            }
+            // The list is watched all the time: there is nothing to ask for.
+            Action::Subscribe => {}
+        }
+    }
+
+    /// Whether the request's one final answer is still to be given; it is taken to be given now.
+    fn answered(&mut self, id: RequestId) -> bool {
+        let waiting = self.requests.get_mut(&id).filter(|request| request.client == Client::Waiting);
+        waiting.map(|request| request.client = Client::Done).is_some()
+    }
+
+    fn assign(&mut self, id: RequestId, engine: EngineId, patience: Micros) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let attempt = request.attempts;
+        request.attempts += 1;
+        let (sent, until) = (self.now, request.not_after.min(self.now + patience));
+        // Guards against a send after the final answer, a hangup or the first event.
+        if request.client != Client::Waiting {
+            let (outcome, kept_tokens, last, report) = (Outcome::Moot, 0, true, None);
+            let ended = Ended { id, attempt, engine, taken: 0, outcome, kept_tokens, last, report };
+            return self.events.push_back(Event::Ended(ended));
+        }
+        let reads = self.servers.get(&engine) == Some(&Role::Reader);
+        request.out.insert(attempt, Out { engine, reads, sent, until, stopping: None });
+        self.timers.insert((until, Timer::Attempt(id, attempt)));
+        self.effects.push(Effect::Send { id, attempt, engine, until });
+    }
+
+    fn let_go(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let holders = std::mem::take(&mut request.held);
+        if !holders.is_empty() {
+            self.effects.push(Effect::Release { id, holders });
+        }
+    }
+
+    /// Forgets a request that is over once nothing of it is out, and lets go of what may still be held.
+    fn tidy(&mut self, id: RequestId) {
+        let over = |request: &&Request| request.client == Client::Done && request.out.is_empty();
+        if self.requests.get(&id).filter(over).is_some() {
+            self.let_go(id);
+            self.requests.remove(&id);
+            self.effects.push(Effect::Forget(id));
+        }
+    }
+}
--- /dev/null
+++ b/src/edge/mod.rs
@@ -0,0 +1,11 @@
+//! The real dispatcher: a reducer that deals in requests, attempts and outcomes (`core`), the loop that
+//! feeds it (`driver`), and a module for each peer that is spoken to.
+
+pub mod balancers;
+pub mod clients;
+pub mod clock;
+pub mod core;
+pub mod driver;
+pub mod list;
+pub mod servers;
+pub mod settings;
--- /dev/null
+++ b/src/edge/servers.rs
@@ -0,0 +1,380 @@
+//! Servers: attempts, the relay of their streams, and the release of what they hold.
+
+use std::future::Future as _;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use http_body_util::{BodyExt as _, Empty, Limited};
+use hyper::body::Incoming;
+use hyper::header::{HeaderMap, HeaderValue, CONTENT_TYPE};
+use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use log::{debug, warn};
+use tokio::time::{sleep_until, timeout_at, Instant, Sleep};
+
+use crate::edge::core::Ending;
+use crate::edge::driver::Sender;
+use crate::edge::settings::Config;
+use crate::interface::{Outcome, Report, RequestId};
+
+const LOAD: &str = "x-pressure";
+const TURNED_AWAY: &str = "x-turned-away";
+/// A stream is cut before its client has been left without an event for 5 s.
+const STALLED: Duration = Duration::from_millis(4_600);
+/// An answer that is no stream is this long at most.
+const MOST_ANSWER: usize = 64 << 10;
+/// A release waits so long for one server's answer before it turns to the next, and goes on for so long.
+const RELEASE_TRY: Duration = Duration::from_millis(120);
+const RELEASE_FOR: Duration = Duration::from_secs(3);
+/// The end of a stream that tells of kept tokens and load.
+const TAIL: usize = 512;
+
+/// A client without any repeats of its own.
+pub type Plain<B> = Client<HttpConnector, B>;
+
+/// A client that sends each request once: hyper-util would by itself send a request again that a closed
+/// connection gave back, which could book a slot twice.
+pub fn plain_client<B>(config: &Config) -> Plain<B>
+where
+    B: Body + Send + 'static,
+    B::Data: Send,
+{
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(config.connect_timeout));
+    Client::builder(TokioExecutor::new())
+        .retry_canceled_requests(false)
+        .pool_timer(TokioTimer::new())
+        .timer(TokioTimer::new())
+        // Servers close idle connections at `keepalive` at the latest; what is written then is a reset.
+        .pool_idle_timeout(config.keepalive.mul_f64(0.6))
+        .pool_max_idle_per_host(config.most_idle())
+        .build(connector)
+}
+
+/// What is sent on for a request, unchanged.
+#[derive(Debug)]
+pub struct Payload {
+    /// The id's text, for `X-Txn`.
+    pub txn: String,
+    /// Path and query.
+    pub target: String,
+    /// The body, shared by all attempts.
+    pub body: Bytes,
+}
+
+/// Whether an attempt's last byte may have been written. Until its body has been asked for it can't have
+/// been; one that is called off before that must never be written later, whatever still holds it.
+#[derive(Debug, Default)]
+pub struct Progress(AtomicU8);
+
+const UNTOUCHED: u8 = 0;
+const WRITTEN: u8 = 1;
+const CALLED_OFF: u8 = 2;
+
+impl Progress {
+    fn move_on(&self, to: u8) -> u8 {
+        let moved = self.0.compare_exchange(UNTOUCHED, to, Ordering::Relaxed, Ordering::Relaxed);
+        moved.map_or_else(|now| now, |_| to)
+    }
+
+    fn written(&self) -> bool {
+        self.0.load(Ordering::Relaxed) == WRITTEN
+    }
+
+    /// Calls the attempt off; whether its last byte may have been written.
+    pub fn call_off(&self) -> bool {
+        self.move_on(CALLED_OFF) == WRITTEN
+    }
+}
+
+/// An attempt's body: it notes when it is asked for, and refuses once the attempt has been called off.
+pub struct Marked {
+    body: Option<Bytes>,
+    progress: Arc<Progress>,
+}
+
+/// A body that was asked for after its attempt had been called off.
+#[derive(Debug, thiserror::Error)]
+#[error("called off")]
+pub struct CalledOff;
+
+impl Body for Marked {
+    type Data = Bytes;
+    type Error = CalledOff;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<std::result::Result<Frame<Bytes>, CalledOff>>> {
+        if self.progress.move_on(WRITTEN) == CALLED_OFF {
+            return Poll::Ready(Some(Err(CalledOff)));
+        }
+        Poll::Ready(self.body.take().map(|body| Ok(Frame::data(body))))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.body.as_ref().map_or(0, |body| body.len() as u64))
+    }
+}
+
+/// The client for attempts.
+pub type Servers = Plain<Marked>;
+
+/// A stream whose first event is here.
+#[derive(Debug)]
+pub struct Opened {
+    first: Option<Bytes>,
+    rest: Incoming,
+}
+
+/// What an attempt comes to.
+#[derive(Debug)]
+pub enum Result {
+    /// A stream has begun.
+    Opened(Box<Opened>),
+    /// It has ended.
+    Ended(Ending),
+}
+
+/// Sends a request once. `waits` is how long the dispatcher will wait, for the server to know; dropping the
+/// future gives the attempt up.
+pub async fn attempt(
+    servers: Servers,
+    address: String,
+    payload: Arc<Payload>,
+    waits: Duration,
+    progress: Arc<Progress>,
+) -> Result {
+    let body = Marked { body: Some(payload.body.clone()), progress: progress.clone() };
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(format!("http://{address}{}", payload.target))
+        .header("x-txn", &payload.txn)
+        .header("x-remaining", format!("{:.3}", waits.as_secs_f64()))
+        .header(CONTENT_TYPE, "application/json")
+        .body(body);
+    let Ok(request) = request else { return Result::Ended(Outcome::ConnectFailed.into()) };
+    let response = match servers.request(request).await {
+        Ok(response) => response,
+        Err(error) => {
+            // Only a connection that never came up, or a body that nobody asked for, proves that it never ran.
+            let never = error.is_connect() || !progress.written();
+            debug!("server {address}: {error}; never ran: {never}");
+            let outcome = if never { Outcome::ConnectFailed } else { Outcome::Reset };
+            return Result::Ended(outcome.into());
+        }
+    };
+    answered(response).await
+}
+
+async fn answered(response: Response<Incoming>) -> Result {
+    let (head, mut body) = response.into_parts();
+    let report = head.headers.get(LOAD).and_then(|text| text.to_str().ok()).and_then(load_report);
+    let turned_away = head.headers.get(TURNED_AWAY).is_some_and(|value| value == "1");
+    let outcome = match head.status {
+        StatusCode::OK => match first_event(&mut body).await {
+            Some(first) => return Result::Opened(Box::new(Opened { first, rest: body })),
+            None => Outcome::Reset,
+        },
+        StatusCode::ACCEPTED => {
+            let kept = Limited::new(body, MOST_ANSWER).collect().await;
+            let kept_tokens = kept.map_or(0, |body| number_after(&body.to_bytes(), b"\"cached_tokens\""));
+            return Result::Ended(Ending { outcome: Outcome::Read, kept_tokens, report });
+        }
+        StatusCode::GONE if turned_away => Outcome::NoState,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if turned_away => Outcome::Full,
+        _ => Outcome::Error,
+    };
+    if outcome != Outcome::Reset {
+        // Read to its end so that the connection can be used again, but what it proves is told at once.
+        tokio::spawn(timeout_at(Instant::now() + STALLED, async move {
+            Limited::new(body, MOST_ANSWER).collect().await.map(drop)
+        }));
+    }
+    Result::Ended(Ending { outcome, kept_tokens: 0, report })
+}
+
+/// The first piece of a stream; `Some(None)` for one that ended in good order without any, `None` if it broke.
+async fn first_event(body: &mut Incoming) -> Option<Option<Bytes>> {
+    loop {
+        match body.frame().await {
+            None => return Some(None),
+            Some(Err(_)) => return None,
+            Some(Ok(frame)) => match frame.into_data() {
+                Ok(data) if !data.is_empty() => return Some(Some(data)),
+                _ => {}
+            },
+        }
+    }
+}
+
+/// Passes a server's stream on, byte for byte and as it comes. It ends without error only if the server's
+/// stream did; one that breaks or stalls is an error, so that the client's connection is cut.
+#[derive(Debug)]
+pub struct Relay {
+    first: Option<Bytes>,
+    rest: Incoming,
+    tail: Vec<u8>,
+    stall: Pin<Box<Sleep>>,
+    /// Where the end is told; taken then.
+    end: Option<Sender>,
+    id: RequestId,
+    attempt: u32,
+}
+
+/// Why a relay was cut.
+#[derive(Debug, thiserror::Error)]
+pub enum Cut {
+    /// The server's connection broke.
+    #[error("the server's stream broke")]
+    Broken,
+    /// The server fell silent.
+    #[error("the server's stream stalled")]
+    Stalled,
+}
+
+impl Relay {
+    /// The relay of an attempt's stream; its end goes to `end`.
+    #[must_use]
+    pub fn new(opened: Opened, id: RequestId, attempt: u32, end: Sender) -> Self {
+        let stall = Box::pin(sleep_until(Instant::now() + STALLED));
+        let Opened { first, rest } = opened;
+        Self { first, rest, tail: Vec::new(), stall, end: Some(end), id, attempt }
+    }
+
+    fn keep_tail(&mut self, data: &Bytes) {
+        let new = &data[data.len().saturating_sub(TAIL)..];
+        let over = (self.tail.len() + new.len()).saturating_sub(TAIL);
+        self.tail.drain(..over.min(self.tail.len()));
+        self.tail.extend_from_slice(new);
+    }
+
+    fn ended(&mut self, outcome: Outcome) {
+        let Some(end) = self.end.take() else { return };
+        let kept_tokens = number_after(&self.tail, b"\"cached_tokens\"");
+        let text = String::from_utf8_lossy(&self.tail);
+        let report = text.lines().find_map(|line| line.strip_prefix(": X-Pressure:")).and_then(load_report);
+        end.finished(self.id, self.attempt, Ending { outcome, kept_tokens, report });
+    }
+}
+
+impl Drop for Relay {
+    /// Dropped before its end: the client has left.
+    fn drop(&mut self) {
+        if let Some(end) = self.end.take() {
+            end.client_gone(self.id);
+        }
+    }
+}
+
+impl Body for Relay {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<std::result::Result<Frame<Bytes>, Cut>>> {
+        if let Some(first) = self.first.take() {
+            self.keep_tail(&first);
+            return Poll::Ready(Some(Ok(Frame::data(first))));
+        }
+        loop {
+            match Pin::new(&mut self.rest).poll_frame(context) {
+                Poll::Ready(Some(Ok(frame))) => {
+                    let Ok(data) = frame.into_data() else { continue };
+                    self.keep_tail(&data);
+                    self.stall.as_mut().reset(Instant::now() + STALLED);
+                    return Poll::Ready(Some(Ok(Frame::data(data))));
+                }
+                Poll::Ready(Some(Err(error))) => {
+                    warn!("request {:016x}: stream broke: {error}", self.id.0);
+                    self.ended(Outcome::Reset);
+                    return Poll::Ready(Some(Err(Cut::Broken)));
+                }
+                Poll::Ready(None) => {
+                    self.ended(Outcome::Served);
+                    return Poll::Ready(None);
+                }
+                Poll::Pending => {
+                    if self.stall.as_mut().poll(context).is_pending() {
+                        return Poll::Pending;
+                    }
+                    warn!("request {:016x}: stream stalled, cut", self.id.0);
+                    self.ended(Outcome::Timeout);
+                    return Poll::Ready(Some(Err(Cut::Stalled)));
+                }
+            }
+        }
+    }
+}
+
+/// Has everything that is held for a request let go: the holder is asked first, then, as any server takes
+/// the call, the others, until one has answered.
+pub async fn release(client: Plain<Empty<Bytes>>, txn: String, addresses: Vec<String>) {
+    let end = Instant::now() + RELEASE_FOR;
+    for address in addresses.iter().cycle() {
+        let start = Instant::now();
+        let request = Request::builder()
+            .method(Method::DELETE)
+            .uri(format!("http://{address}/kv/leases/{txn}"))
+            .body(Empty::new());
+        let Ok(request) = request else { return };
+        match timeout_at(start + RELEASE_TRY, client.request(request)).await {
+            Ok(Ok(response)) => {
+                let drained = Limited::new(response.into_body(), MOST_ANSWER).collect();
+                let _ = timeout_at(start + RELEASE_TRY, drained).await;
+                return;
+            }
+            Ok(Err(error)) => debug!("server {address}: release of {txn}: {error}"),
+            Err(_) => debug!("server {address}: release of {txn}: no answer"),
+        }
+        if Instant::now() >= end {
+            warn!("request {txn}: nobody took the release of what is held");
+            return;
+        }
+        // One that refuses at once must not be asked in a tight loop.
+        sleep_until(start + RELEASE_TRY / 6).await;
+    }
+}
+
+/// Whether an address can stand in a URI.
+#[must_use]
+pub fn is_address(address: &str) -> bool {
+    address.parse::<hyper::http::uri::Authority>().is_ok() && Uri::try_from(address).is_ok()
+}
+
+/// A load report's text: `TEXT name=value, name=value`.
+fn load_report(text: &str) -> Option<Report> {
+    let pairs = text.trim().strip_prefix("TEXT")?;
+    let mut report = Report::default();
+    for (name, value) in pairs.split(',').filter_map(|pair| pair.split_once('=')) {
+        if name.trim() == "x0" {
+            report.memory_share = value.trim().parse().ok();
+        }
+    }
+    Some(report)
+}
+
+/// The number that follows a JSON name the last time it stands there; 0 if none does.
+fn number_after(text: &[u8], name: &[u8]) -> u64 {
+    let Some(at) = text.windows(name.len()).rposition(|window| window == name) else { return 0 };
+    let digits = text[at + name.len()..].iter().skip_while(|byte| matches!(byte, b':' | b' '));
+    digits
+        .take_while(|byte| byte.is_ascii_digit())
+        .fold(0u64, |number, digit| number.saturating_mul(10).saturating_add(u64::from(digit - b'0')))
+}
+
+/// A header's text, if it is there and readable.
+#[must_use]
+pub fn header<'a>(headers: &'a HeaderMap<HeaderValue>, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok()).map(str::trim)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 #![warn(missing_docs)]
 
 pub mod control;
+pub mod edge;
 mod figures;
 pub mod interface;
 mod state;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -340,13 +340,22 @@
 }
 
 fn settings(parts: &mut Parts) -> Result<Settings, WireError> {
-    let mut pairs = Pairs { values: HashMap::new(), line: parts.line };
+    let mut values = HashMap::new();
     while let Some(pair) = parts.next() {
         let Some((path, value)) = pair.split_once('=') else {
             return Err(parts.bad("settings", &format!("'{pair}' is no path=value pair")));
         };
-        pairs.values.insert(path, value);
+        values.insert(path, value);
     }
+    settings_from_pairs(values, parts.line)
+}
+
+/// Reads settings from their `path=value` pairs; `line` is named in errors. Unknown paths are skipped.
+///
+/// # Errors
+/// A value that can't be read.
+pub fn settings_from_pairs(values: HashMap<&str, &str>, line: u64) -> Result<Settings, WireError> {
+    let pairs = Pairs { values, line };
     let lanes = pairs.get("lanes.count", 0)?;
     let balancers: u32 = pairs.get("balancers", 1)?;
     Ok(Settings {
