--- a/src/edge/balancers.rs
+++ b/src/edge/balancers.rs
@@ -1,13 +1,93 @@
-//! Balancers in front of the dispatcher: what they ask about its health.
+//! Balancers in front of the dispatcher: health checks by HTTP, and the line that HAProxy's agent check
+//! reads from a plain TCP connection.
 
+use std::time::Duration;
+
+use axum::extract::State;
 use axum::http::StatusCode;
+use axum::routing::get;
+use axum::Router;
+use log::warn;
+use tokio::io::AsyncWriteExt as _;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::{timeout_at, Instant};
+
+use crate::edge::clients::listener::Phase;
+use crate::edge::driver::Figures;
+
+/// A balancer that does not read its line by then is not waited for.
+const WRITE: Duration = Duration::from_secs(1);
+
+/// What the dispatcher's health is told from.
+#[derive(Clone, Debug)]
+pub struct Health {
+    figures: Figures,
+    phase: watch::Receiver<Phase>,
+    most_open: usize,
+}
+
+impl Health {
+    /// Told from these; `most_open` requests are a full load.
+    #[must_use]
+    pub fn new(figures: Figures, phase: watch::Receiver<Phase>, most_open: usize) -> Self {
+        Self { figures, phase, most_open }
+    }
+
+    fn leaving(&self) -> bool {
+        *self.phase.borrow() > Phase::Serving
+    }
+
+    /// The agent check's line: `drain` once told to end, `down` without servers, else `up` with the share
+    /// of requests that there still is room for, 1% at the least.
+    #[must_use]
+    pub fn line(&self) -> String {
+        if self.leaving() {
+            return "drain\n".to_owned();
+        }
+        if self.figures.servers() == 0 {
+            return "down #no servers\n".to_owned();
+        }
+        let open = self.figures.open().min(self.most_open);
+        let room = 100 * (self.most_open - open) / self.most_open.max(1);
+        format!("ready up {}%\n", room.max(1))
+    }
+}
+
+/// `GET /health/ready` (whether clients may come) and `GET /health/live` (whether the program runs).
+pub fn routes(health: Health) -> Router {
+    Router::new()
+        .route("/health/ready", get(ready))
+        .route("/health/live", get(|| async { StatusCode::OK }))
+        .with_state(health)
+}
+
+async fn ready(State(health): State<Health>) -> StatusCode {
+    if health.leaving() || health.figures.servers() == 0 {
+        StatusCode::SERVICE_UNAVAILABLE
+    } else {
+        StatusCode::OK
+    }
+}
 
-/// Whether clients may come: from the start on, as the list that was last held is known by then.
-pub async fn ready() -> StatusCode {
-    StatusCode::OK
+/// Answers agent checks, one after the other: each is one short line.
+pub async fn agent_check(listener: TcpListener, health: Health) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => tell(stream, &health.line()).await,
+            Err(error) => {
+                warn!("agent check: can't accept: {error}");
+                tokio::time::sleep(WRITE).await;
+            }
+        }
+    }
 }
 
-/// Whether the program runs.
-pub async fn live() -> StatusCode {
-    StatusCode::OK
+async fn tell(mut stream: TcpStream, line: &str) {
+    let write = async {
+        stream.write_all(line.as_bytes()).await?;
+        stream.shutdown().await
+    };
+    // A balancer that has left has no use for the line.
+    let _ = timeout_at(Instant::now() + WRITE, write).await;
 }
--- /dev/null
+++ b/src/edge/clients/chat.rs
@@ -0,0 +1,458 @@
+//! The chat front: an OpenAI-style chat API with streamed events, for apps that speak no platform headers.
+//! It derives from the messages what the platform's headers would tell; decisions and rules are the same.
+//! It listens where the fronts file says, and not at all without one.
+
+use std::collections::HashMap;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::task::{Context, Poll};
+
+use axum::body::Body;
+use axum::extract::State;
+use axum::http::header::{AUTHORIZATION, CACHE_CONTROL, CONTENT_TYPE, RETRY_AFTER};
+use axum::http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
+use axum::routing::{get, post};
+use axum::Router;
+use bytes::Bytes;
+use http_body::{Body as HttpBody, Frame};
+use http_body_util::BodyExt as _;
+use serde::Deserialize;
+use serde_json::{json, Value};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+use crate::edge::clients::platform::body_within;
+use crate::edge::clock::Clock;
+use crate::edge::driver::{Reply, Sender};
+use crate::edge::servers::{header, Cut, Payload, Relay};
+use crate::edge::settings::{ChatSettings, Config};
+use crate::figures::mix;
+use crate::interface::{Call, Effect, Key, Micros, RequestId, Settings};
+
+const TARGET: &str = "/v1/chat/completions";
+const CHARACTERS_A_TOKEN: u64 = 4;
+/// The most that is put together for a client that wants no stream, or kept of an event not yet whole.
+const MOST_ANSWER: usize = 1 << 20;
+const SHOULD_RETRY: HeaderName = HeaderName::from_static("x-should-retry");
+const RETRY_AFTER_MS: HeaderName = HeaderName::from_static("retry-after-ms");
+const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+
+/// A model that clients can name.
+struct Model {
+    class: u32,
+    /// A request of it that may have run must not be sent again.
+    once: bool,
+}
+
+struct Tenant {
+    name: String,
+    open: Arc<Semaphore>,
+}
+
+struct Front {
+    clock: Clock,
+    driver: Sender,
+    settings: Settings,
+    give_up: Vec<Micros>,
+    models: HashMap<String, Model>,
+    listed: Bytes,
+    /// By bearer token; empty where none is asked for.
+    tenants: HashMap<String, Tenant>,
+    anyone: Tenant,
+    max_tokens: u64,
+    ids: Ids,
+}
+
+/// Mints ids: no two alike in one life, and by the seed and the start time none of another life either.
+struct Ids {
+    base: u64,
+    next: AtomicU64,
+}
+
+impl Ids {
+    fn mint(&self) -> RequestId {
+        RequestId(mix(self.base.wrapping_add(self.next.fetch_add(1, Ordering::Relaxed))))
+    }
+}
+
+/// The front's routes.
+///
+/// # Errors
+/// A model whose class the settings do not know.
+pub fn front(chat: &ChatSettings, config: &Config, clock: Clock, driver: Sender) -> Result<Router, String> {
+    let mut models = HashMap::new();
+    for (name, lane) in &chat.models {
+        let class = config.lanes.iter().position(|known| known.name == *lane);
+        let class = class.ok_or_else(|| format!("model {name}: no class is named {lane}"))?;
+        let once = config.settings.classes[class].effect == Effect::AtMostOnce;
+        models.insert(name.clone(), Model { class: class as u32, once });
+    }
+    let tenant =
+        |name: &str| Tenant { name: name.to_owned(), open: Arc::new(Semaphore::new(chat.most_open)) };
+    let data: Vec<Value> = chat
+        .models
+        .keys()
+        .map(|name| json!({"id": name, "object": "model", "created": 0, "owned_by": "dewladder"}))
+        .collect();
+    let front = Front {
+        clock,
+        driver,
+        settings: config.settings.clone(),
+        give_up: config.lanes.iter().map(|lane| crate::edge::clock::micros(lane.give_up)).collect(),
+        models,
+        listed: Bytes::from(json!({"object": "list", "data": data}).to_string()),
+        tenants: chat.tenants.iter().map(|(token, name)| (token.clone(), tenant(name))).collect(),
+        anyone: tenant(""),
+        max_tokens: chat.max_tokens,
+        ids: Ids { base: mix(config.seed ^ mix(clock.now())), next: AtomicU64::new(0) },
+    };
+    let unknown =
+        || async { Problem::new(StatusCode::NOT_FOUND, "not_found", "there is no such path").answer() };
+    Ok(Router::new()
+        .route(TARGET, post(complete))
+        .route("/v1/models", get(models_list))
+        .fallback(unknown)
+        .with_state(Arc::new(front)))
+}
+
+async fn models_list(State(front): State<Arc<Front>>, headers: HeaderMap) -> Response<Body> {
+    match front.tenant(&headers) {
+        Ok(_) => json_answer(StatusCode::OK, front.listed.clone()),
+        Err(problem) => problem.answer(),
+    }
+}
+
+async fn complete(State(front): State<Arc<Front>>, request: Request<Body>) -> Response<Body> {
+    match front.complete(request).await {
+        Ok(response) => response,
+        Err(problem) => problem.answer(),
+    }
+}
+
+impl Front {
+    async fn complete(&self, request: Request<Body>) -> Result<Response<Body>, Problem> {
+        let now = self.clock.now();
+        let (head, body) = request.into_parts();
+        let tenant = self.tenant(&head.headers)?;
+        let shortest = self.give_up.iter().copied().min().unwrap_or(0);
+        let body = body_within(body, self.clock, now + shortest).await;
+        let body = body.map_err(|(status, what)| Problem::new(status, "invalid_request_error", what))?;
+        let chat = Chat::read(&body)?;
+        let model = self.models.get(&chat.model).ok_or_else(|| {
+            Problem::new(StatusCode::NOT_FOUND, "model_not_found", "the model does not exist")
+        })?;
+        let permit = tenant.open.clone().try_acquire_owned().map_err(|_| Problem {
+            retry_in: Some(self.settings.max_retry_after),
+            ..Problem::new(StatusCode::TOO_MANY_REQUESTS, "rate_limit_exceeded", "too many requests at once")
+        })?;
+        let id = self.ids.mint();
+        let call = self.call(id, &chat, model.class, tenant, now);
+        let body = if chat.stream { body } else { streamed(&body)? };
+        let payload = Payload { txn: format!("{:016x}", id.0), target: TARGET.to_owned(), body };
+        match self.driver.ask(call, Arc::new(payload)).await {
+            Reply::Refused { retry_in } => Err(Problem {
+                retry_in: Some(retry_in),
+                ..Problem::new(
+                    StatusCode::SERVICE_UNAVAILABLE,
+                    "overloaded",
+                    "refused for now, come again later",
+                )
+            }),
+            Reply::Failed { may_have_run } => Err(Problem {
+                never_again: model.once && may_have_run,
+                ..Problem::new(StatusCode::GATEWAY_TIMEOUT, "server_error", "no server answered in time")
+            }),
+            Reply::Stream(relay) if chat.stream => {
+                let mut response = Response::new(Body::new(Events::new(relay, permit)));
+                let headers = response.headers_mut();
+                headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+                headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+                with_id(headers, id);
+                Ok(response)
+            }
+            Reply::Stream(relay) => {
+                let whole = whole(relay, id, &chat.model, self.clock.now()).await;
+                let whole = whole.map_err(|what| Problem {
+                    never_again: model.once,
+                    ..Problem::new(StatusCode::BAD_GATEWAY, "server_error", what)
+                })?;
+                let mut response = json_answer(StatusCode::OK, Bytes::from(whole.to_string()));
+                with_id(response.headers_mut(), id);
+                Ok(response)
+            }
+        }
+    }
+
+    fn tenant(&self, headers: &HeaderMap) -> Result<&Tenant, Problem> {
+        if self.tenants.is_empty() {
+            return Ok(&self.anyone);
+        }
+        let told = header(headers, AUTHORIZATION.as_str()).and_then(|text| text.strip_prefix("Bearer "));
+        told.and_then(|token| self.tenants.get(token.trim())).ok_or_else(|| {
+            Problem::new(StatusCode::UNAUTHORIZED, "invalid_api_key", "the API key is not known")
+        })
+    }
+
+    /// The call that the messages make: lengths at four characters a token, the first message as the opening
+    /// that it may share with other conversations, and the conversation by what it began with.
+    fn call(&self, id: RequestId, chat: &Chat, class: u32, tenant: &Tenant, now: Micros) -> Call {
+        let tokens = |text: &str| (text.chars().count() as u64).div_ceil(CHARACTERS_A_TOKEN);
+        let prompt_tokens = chat.messages.iter().map(|(_, text)| tokens(text)).sum();
+        let key = |parts: &[&str]| Key::from_text(&parts.join("\u{1f}"));
+        let opens = |role: &str| matches!(role, "system" | "developer");
+        let opening = chat.messages.first().filter(|(role, _)| opens(role)).map(|(_, text)| text.as_str());
+        let first = chat.messages.iter().find(|(role, _)| !opens(role)).map_or("", |(_, text)| text.as_str());
+        let begins = opening.unwrap_or("");
+        let class_settings = &self.settings.classes[class as usize];
+        // The deadline grows twice as fast with the prompt as the aim does.
+        let longer = 2 * class_settings.aim_per_1000_tokens * prompt_tokens / 1_000;
+        Call {
+            id,
+            class,
+            session: Some(key(&[&tenant.name, &chat.model, begins, first])),
+            shared: opening.map(|text| key(&[&chat.model, text])),
+            shared_tokens: opening.map_or(0, tokens),
+            prompt_tokens,
+            max_tokens: chat.max_tokens.unwrap_or(self.max_tokens).min(self.max_tokens),
+            hint: None,
+            not_after: now + self.give_up[class as usize] + longer,
+        }
+    }
+}
+
+/// What the front needs to know of a request's body.
+struct Chat {
+    model: String,
+    stream: bool,
+    max_tokens: Option<u64>,
+    /// Roles and texts.
+    messages: Vec<(String, String)>,
+}
+
+#[derive(Deserialize)]
+struct ChatBody {
+    model: String,
+    messages: Vec<ChatMessage>,
+    #[serde(default)]
+    stream: Option<bool>,
+    max_tokens: Option<u64>,
+    max_completion_tokens: Option<u64>,
+    n: Option<u64>,
+}
+
+#[derive(Deserialize)]
+struct ChatMessage {
+    role: String,
+    #[serde(default)]
+    content: Value,
+}
+
+impl Chat {
+    fn read(body: &[u8]) -> Result<Self, Problem> {
+        let bad = |what: String| Problem::new(StatusCode::BAD_REQUEST, "invalid_request_error", what);
+        let body: ChatBody = serde_json::from_slice(body).map_err(|error| bad(error.to_string()))?;
+        if body.messages.is_empty() {
+            return Err(bad("messages: at least one is needed".to_owned()));
+        }
+        if body.n.is_some_and(|n| n != 1) {
+            return Err(bad("n: only 1 answer can be asked for".to_owned()));
+        }
+        Ok(Self {
+            model: body.model,
+            stream: body.stream.unwrap_or(false),
+            max_tokens: body.max_completion_tokens.or(body.max_tokens),
+            messages: body
+                .messages
+                .into_iter()
+                .map(|message| (message.role, text(&message.content)))
+                .collect(),
+        })
+    }
+}
+
+/// A message's text: plain, or the text parts of a list.
+fn text(content: &Value) -> String {
+    match content {
+        Value::String(text) => text.clone(),
+        Value::Array(parts) => parts.iter().filter_map(|part| part["text"].as_str()).collect(),
+        _ => String::new(),
+    }
+}
+
+/// The body of a request that wants no stream, asking for one: servers answer in streams only.
+fn streamed(body: &[u8]) -> Result<Bytes, Problem> {
+    let bad = |error: serde_json::Error| {
+        Problem::new(StatusCode::BAD_REQUEST, "invalid_request_error", error.to_string())
+    };
+    let mut body: Value = serde_json::from_slice(body).map_err(bad)?;
+    body["stream"] = Value::Bool(true);
+    Ok(Bytes::from(body.to_string()))
+}
+
+/// Puts a stream's events together into one answer.
+async fn whole(mut relay: Relay, id: RequestId, model: &str, now: Micros) -> Result<Value, &'static str> {
+    let mut read = Vec::new();
+    while let Some(frame) = relay.frame().await {
+        let frame = frame.map_err(|cut| match cut {
+            Cut::Broken => "the server's stream broke",
+            Cut::Stalled => "the server's stream stalled",
+        })?;
+        read.extend_from_slice(&frame.into_data().unwrap_or_default());
+        if read.len() > MOST_ANSWER {
+            return Err("the answer is too long");
+        }
+    }
+    let (mut content, mut finish, mut usage) = (String::new(), Value::Null, Value::Null);
+    for line in String::from_utf8_lossy(&read).lines() {
+        let Some(event) = line.strip_prefix("data:").map(str::trim).filter(|event| *event != "[DONE]") else {
+            continue;
+        };
+        let event: Value = serde_json::from_str(event).map_err(|_| "the server sent what is no event")?;
+        let choice = &event["choices"][0];
+        content.push_str(choice["delta"]["content"].as_str().unwrap_or(""));
+        if !choice["finish_reason"].is_null() {
+            finish = choice["finish_reason"].clone();
+        }
+        if !event["usage"].is_null() {
+            usage = event["usage"].clone();
+        }
+    }
+    Ok(json!({
+        "id": format!("chatcmpl-{:016x}", id.0),
+        "object": "chat.completion",
+        "created": now / 1_000_000,
+        "model": model,
+        "choices": [{
+            "index": 0,
+            "message": {"role": "assistant", "content": content},
+            "finish_reason": finish,
+        }],
+        "usage": usage,
+    }))
+}
+
+/// A relay in whole events: where the server's stream breaks or stalls, one error event ends it, and no
+/// half event stands before that.
+struct Events {
+    relay: Relay,
+    partial: Vec<u8>,
+    over: bool,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl Events {
+    fn new(relay: Relay, permit: OwnedSemaphorePermit) -> Self {
+        Self { relay, partial: Vec::new(), over: false, _permit: permit }
+    }
+
+    /// The events that are whole by now. Comments are the servers' load reports: no business of clients.
+    fn whole(&mut self, data: &Bytes) -> Option<Bytes> {
+        if self.partial.is_empty() && data.ends_with(b"\n\n") && !data.starts_with(b":") {
+            let comment = data.windows(3).any(|window| window == b"\n\n:");
+            if !comment {
+                return Some(data.clone());
+            }
+        }
+        self.partial.extend_from_slice(data);
+        let end = self.partial.windows(2).rposition(|window| window == b"\n\n")? + 2;
+        let rest = self.partial.split_off(end);
+        let ready = std::mem::replace(&mut self.partial, rest);
+        let (mut events, mut alone) = (Vec::with_capacity(ready.len()), false);
+        for line in ready.split_inclusive(|&byte| byte == b'\n') {
+            if line.starts_with(b":") {
+                alone = events.is_empty() || events.ends_with(b"\n\n");
+            } else if !std::mem::take(&mut alone) || line != b"\n" {
+                events.extend_from_slice(line);
+            }
+        }
+        Some(Bytes::from(events)).filter(|events| !events.is_empty())
+    }
+}
+
+impl HttpBody for Events {
+    type Data = Bytes;
+    type Error = std::convert::Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        while !self.over {
+            let what = match std::task::ready!(Pin::new(&mut self.relay).poll_frame(context)) {
+                None => {
+                    self.over = true;
+                    let rest = std::mem::take(&mut self.partial);
+                    if rest.is_empty() || rest.starts_with(b":") {
+                        break;
+                    }
+                    return Poll::Ready(Some(Ok(Frame::data(Bytes::from(rest)))));
+                }
+                Some(Ok(frame)) => {
+                    let data = frame.into_data().unwrap_or_default();
+                    if self.partial.len() + data.len() <= MOST_ANSWER {
+                        match self.whole(&data) {
+                            Some(events) => return Poll::Ready(Some(Ok(Frame::data(events)))),
+                            None => continue,
+                        }
+                    }
+                    "the server sent an event that is too long".to_owned()
+                }
+                Some(Err(cut)) => cut.to_string(),
+            };
+            self.over = true;
+            let error = json!({"error": {"message": what, "type": "server_error", "param": null, "code": "stream_cut"}});
+            return Poll::Ready(Some(Ok(Frame::data(Bytes::from(format!("data: {error}\n\n"))))));
+        }
+        Poll::Ready(None)
+    }
+}
+
+/// An error as clients of such an API expect it.
+struct Problem {
+    status: StatusCode,
+    code: &'static str,
+    what: String,
+    retry_in: Option<Micros>,
+    /// Clients must not send it again by themselves.
+    never_again: bool,
+}
+
+impl Problem {
+    fn new(status: StatusCode, code: &'static str, what: impl Into<String>) -> Self {
+        Self { status, code, what: what.into(), retry_in: None, never_again: false }
+    }
+
+    fn answer(self) -> Response<Body> {
+        let kind = match self.status {
+            StatusCode::TOO_MANY_REQUESTS => "rate_limit_error",
+            StatusCode::UNAUTHORIZED => "authentication_error",
+            status if status.is_client_error() => "invalid_request_error",
+            _ => "server_error",
+        };
+        let error = json!({"error": {"message": self.what, "type": kind, "param": null, "code": self.code}});
+        let mut response = json_answer(self.status, Bytes::from(error.to_string()));
+        let headers = response.headers_mut();
+        if let Some(retry_in) = self.retry_in {
+            // Whole seconds are what all clients understand; the exact time is for those that know the name.
+            headers.insert(RETRY_AFTER, HeaderValue::from(retry_in.div_ceil(1_000_000).max(1)));
+            headers.insert(RETRY_AFTER_MS, HeaderValue::from(retry_in.div_ceil(1_000)));
+        }
+        if self.never_again {
+            headers.insert(SHOULD_RETRY, HeaderValue::from_static("false"));
+        }
+        response
+    }
+}
+
+fn json_answer(status: StatusCode, body: Bytes) -> Response<Body> {
+    let mut response = Response::new(Body::from(body));
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
+fn with_id(headers: &mut HeaderMap, id: RequestId) {
+    if let Ok(value) = HeaderValue::from_str(&format!("{:016x}", id.0)) {
+        headers.insert(REQUEST_ID, value);
+    }
+}
--- a/src/edge/clients/mod.rs
+++ b/src/edge/clients/mod.rs
@@ -1,4 +1,5 @@
 //! Clients: what all fronts share, and a module for each protocol that clients speak.
 
+pub mod chat;
 pub mod listener;
 pub mod platform;
--- a/src/edge/clients/platform.rs
+++ b/src/edge/clients/platform.rs
@@ -7,13 +7,12 @@
 use axum::extract::State;
 use axum::http::header::{CONTENT_TYPE, RETRY_AFTER};
 use axum::http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
-use axum::routing::{get, post};
+use axum::routing::post;
 use axum::Router;
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use tokio::time::timeout_at;
 
-use crate::edge::balancers;
 use crate::edge::clock::{micros, Clock};
 use crate::edge::driver::{Reply, Sender};
 use crate::edge::servers::{header, Payload};
@@ -38,11 +37,7 @@
 /// The front's routes.
 pub fn front(config: &Config, clock: Clock, driver: Sender) -> Router {
     let state = Front { clock, lanes: config.lanes.clone().into(), driver };
-    Router::new()
-        .route("/v1/chat/completions", post(complete))
-        .with_state(state)
-        .route("/health/ready", get(balancers::ready))
-        .route("/health/live", get(balancers::live))
+    Router::new().route("/v1/chat/completions", post(complete)).with_state(state)
 }
 
 async fn complete(State(front): State<Front>, request: Request<Body>) -> Response<Body> {
--- /dev/null
+++ b/src/edge/connections.rs
@@ -0,0 +1,125 @@
+//! Connections to servers: opened in time, never used for a repeat, and closed beyond doubt when an attempt
+//! is given up.
+
+use std::future::Future;
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use http_body::Body;
+use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper::Uri;
+use hyper_util::client::legacy::connect::{Connected, Connection, HttpConnector};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+use crate::edge::settings::Config;
+
+/// A client without any repeats of its own.
+pub type Plain<B> = Client<Connector, B>;
+
+/// A client that sends each request once: hyper-util would by itself send a request again that a closed
+/// connection gave back, which could book a slot twice.
+pub fn plain_client<B>(config: &Config) -> Plain<B>
+where
+    B: Body + Send + 'static,
+    B::Data: Send,
+{
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(config.connect_timeout));
+    Client::builder(TokioExecutor::new())
+        .retry_canceled_requests(false)
+        .pool_timer(TokioTimer::new())
+        .timer(TokioTimer::new())
+        // Servers close idle connections at `keepalive` at the latest; what is written then is a reset.
+        .pool_idle_timeout(config.keepalive.mul_f64(0.6))
+        .pool_max_idle_per_host(config.most_idle())
+        .build(Connector(connector))
+}
+
+/// Opens connections that tell when they have been closed.
+#[derive(Clone)]
+pub struct Connector(HttpConnector);
+
+type Opening = Pin<Box<dyn Future<Output = Result<Told, Box<dyn std::error::Error + Send + Sync>>> + Send>>;
+
+impl tower_service::Service<Uri> for Connector {
+    type Response = Told;
+    type Error = Box<dyn std::error::Error + Send + Sync>;
+    type Future = Opening;
+
+    fn poll_ready(&mut self, context: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
+        self.0.poll_ready(context).map_err(Into::into)
+    }
+
+    fn call(&mut self, uri: Uri) -> Self::Future {
+        let opening = tower_service::Service::call(&mut self.0, uri);
+        Box::pin(async move { Ok(Told { io: opening.await?, open: watch::channel(()).0 }) })
+    }
+}
+
+/// A connection; `open` is dropped once it has been closed, so the fields must stay in this order.
+pub struct Told {
+    io: TokioIo<TcpStream>,
+    open: watch::Sender<()>,
+}
+
+/// Tells when a connection has been closed. It travels with what hyper-util says of the connection.
+#[derive(Clone)]
+pub struct Closing(watch::Receiver<()>);
+
+impl Closing {
+    /// Waits until it has been closed.
+    pub async fn closed(mut self) {
+        while self.0.changed().await.is_ok() {}
+    }
+}
+
+impl Connection for Told {
+    fn connected(&self) -> Connected {
+        self.io.inner().connected().extra(Closing(self.open.subscribe()))
+    }
+}
+
+impl Read for Told {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        into: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_read(context, into)
+    }
+}
+
+impl Write for Told {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.io).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_shutdown(context)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.io.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.io).poll_write_vectored(context, parts)
+    }
+}
--- /dev/null
+++ b/src/edge/dispatcher.rs
@@ -0,0 +1,110 @@
+//! The dispatcher put together: its parts, their start and their end.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use log::{error, info};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use crate::edge::balancers::{self, Health};
+use crate::edge::clients::listener::{self, Bounds, Phase};
+use crate::edge::clients::{chat, platform};
+use crate::edge::clock::Clock;
+use crate::edge::driver::{Driver, Figures, Message, Sender};
+use crate::edge::list;
+use crate::edge::settings::{Config, Fronts};
+use crate::interface::ListKind;
+
+/// After SIGTERM new connections go on coming for up to 0.4 s; only then are idle ones closed.
+const LEAVE: Duration = Duration::from_millis(600);
+const LOOK: Duration = Duration::from_millis(20);
+
+/// A dispatcher that listens and is ready to run.
+pub struct Dispatcher {
+    config: Config,
+    driver: Driver,
+    to_driver: Sender,
+    figures: Figures,
+    phase: watch::Sender<Phase>,
+    fronts: Vec<(TcpListener, axum::Router)>,
+    agent: Option<TcpListener>,
+    health: Health,
+}
+
+impl Dispatcher {
+    /// Binds all addresses.
+    ///
+    /// # Errors
+    /// One plain line that says what can't be.
+    pub fn bind(config: Config, settings: &Fronts) -> Result<Self, String> {
+        let clock = Clock::start();
+        let (driver, to_driver) = Driver::new(&config, clock);
+        let figures = driver.figures();
+        let (phase, phases) = watch::channel(Phase::Serving);
+        let health = Health::new(figures.clone(), phases, config.most_clients());
+        let listen = |address: SocketAddr| {
+            listener::listen(address).map_err(|error| format!("can't listen on {address}: {error}"))
+        };
+        let platform = platform::front(&config, clock, to_driver.clone());
+        let platform = platform.merge(balancers::routes(health.clone()));
+        let mut fronts = vec![(listen(config.listen)?, platform)];
+        if let Some(chat) = settings.chat.as_ref().filter(|chat| chat.enabled) {
+            let front = chat::front(chat, &config, clock, to_driver.clone())?;
+            fronts.push((listen(chat.listen)?, front.merge(balancers::routes(health.clone()))));
+        }
+        let agent = settings.agent_check.as_ref().filter(|agent| agent.enabled);
+        let agent = agent.map(|agent| listen(agent.listen)).transpose()?;
+        Ok(Self { config, driver, to_driver, figures, phase, fronts, agent, health })
+    }
+
+    /// Where the fronts listen: the platform's, then the chat front, if it is on; last the agent check.
+    #[must_use]
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        let listeners = self.fronts.iter().map(|(listener, _)| listener).chain(&self.agent);
+        listeners.filter_map(|listener| listener.local_addr().ok()).collect()
+    }
+
+    /// Serves until `end` comes, then finishes what is held.
+    ///
+    /// # Errors
+    /// One plain line that says which part ended by itself.
+    pub async fn run(self, end: impl std::future::Future<Output = ()>) -> Result<(), String> {
+        let Self { config, driver, to_driver, figures, phase, fronts, agent, health } = self;
+        let known = list::entries(&config.known, &config.names);
+        info!("{}: serving on {}, {} servers known", config.name, config.listen, known.len());
+        to_driver.send(Message::Listed { how: ListKind::StaleCopy, entries: known });
+        let driver = tokio::spawn(driver.run());
+        let watching = tokio::spawn(list::watch(config.clone(), to_driver));
+        let bounds = Bounds::new(config.most_clients());
+        let agent = agent.map(|listener| tokio::spawn(balancers::agent_check(listener, health)));
+        let serving: Vec<_> = fronts
+            .into_iter()
+            .map(|(listener, front)| {
+                tokio::spawn(listener::serve(listener, front, bounds.clone(), phase.subscribe()))
+            })
+            .collect();
+        tokio::select! {
+            () = end => {}
+            ended = driver => return Err(format!("the driver ended: {ended:?}")),
+            ended = watching => return Err(format!("the watch of the list ended: {ended:?}")),
+        }
+        info!("told to end: clients are asked to leave");
+        phase.send_replace(Phase::Leaving);
+        tokio::time::sleep(LEAVE).await;
+        phase.send_replace(Phase::Closing);
+        for front in serving {
+            if let Err(panic) = front.await {
+                error!("a front ended badly: {panic}");
+            }
+        }
+        while !figures.nothing_held() {
+            tokio::time::sleep(LOOK).await;
+        }
+        if let Some(agent) = agent {
+            agent.abort();
+        }
+        info!("nothing is held any more: ending");
+        Ok(())
+    }
+}
--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -10,12 +10,12 @@
 use http_body_util::Empty;
 use log::{debug, info};
 use tokio::sync::{mpsc, oneshot};
-use tokio::task::AbortHandle;
 use tokio::time::timeout_at;
 
 use crate::edge::clock::Clock;
+use crate::edge::connections::{plain_client, Plain};
 use crate::edge::core::{Core, Effect, Ending, Input};
-use crate::edge::servers::{self, Opened, Payload, Plain, Progress, Relay, Servers};
+use crate::edge::servers::{self, Opened, Payload, Progress, Relay, Servers};
 use crate::edge::settings::Config;
 use crate::interface::{Call, EngineId, Entry, Health, ListKind, Micros, Outcome, RequestId};
 
@@ -61,6 +61,15 @@
         /// How.
         ending: Ending,
     },
+    /// An attempt has been stopped.
+    Stopped {
+        /// The request.
+        id: RequestId,
+        /// Which attempt.
+        attempt: u32,
+        /// Whether its last byte may have been written.
+        written: bool,
+    },
 }
 
 /// What a client gets.
@@ -123,15 +132,27 @@
     }
 }
 
-/// What is still to be finished before the program may end.
+/// Figures of the driver that others may see: open requests, releases under way, and servers that are ready.
 #[derive(Clone, Debug, Default)]
-pub struct Held(Arc<[AtomicUsize; 2]>);
+pub struct Figures(Arc<[AtomicUsize; 3]>);
+
+impl Figures {
+    /// Requests that are open.
+    #[must_use]
+    pub fn open(&self) -> usize {
+        self.0[0].load(Ordering::Relaxed)
+    }
+
+    /// Servers that take work, by the list.
+    #[must_use]
+    pub fn servers(&self) -> usize {
+        self.0[2].load(Ordering::Relaxed)
+    }
 
-impl Held {
     /// Whether neither a request is open nor a release under way.
     #[must_use]
-    pub fn nothing(&self) -> bool {
-        self.0.iter().all(|count| count.load(Ordering::Relaxed) == 0)
+    pub fn nothing_held(&self) -> bool {
+        self.open() == 0 && self.0[1].load(Ordering::Relaxed) == 0
     }
 }
 
@@ -141,8 +162,9 @@
 }
 
 struct Flying {
-    task: AbortHandle,
     progress: Arc<Progress>,
+    /// Taken once the attempt has been told to stop.
+    stop: Option<oneshot::Sender<()>>,
     opened: Option<Box<Opened>>,
 }
 
@@ -157,7 +179,8 @@
     addresses: BTreeMap<EngineId, (String, bool)>,
     clients: HashMap<RequestId, Waiting>,
     flying: HashMap<(RequestId, u32), Flying>,
-    held: Held,
+    figures: Figures,
+    stalled_after: Duration,
 }
 
 impl Driver {
@@ -172,20 +195,21 @@
             clock,
             inbox,
             to_self: to_self.clone(),
-            servers: servers::plain_client(config),
-            releases: servers::plain_client(config),
+            servers: plain_client(config),
+            releases: plain_client(config),
             addresses: BTreeMap::new(),
             clients: HashMap::new(),
             flying: HashMap::new(),
-            held: Held::default(),
+            figures: Figures::default(),
+            stalled_after: config.stall,
         };
         (driver, to_self)
     }
 
-    /// What is still to be finished.
+    /// What others may see.
     #[must_use]
-    pub fn held(&self) -> Held {
-        self.held.clone()
+    pub fn figures(&self) -> Figures {
+        self.figures.clone()
     }
 
     /// Runs for ever.
@@ -224,14 +248,23 @@
                 Input::Listed { how, entries }
             }
             Message::Opened { id, attempt, opened } => {
-                // One that was stopped in the meantime is no more: its stream is dropped here.
-                self.flying.get_mut(&(id, attempt))?.opened = Some(opened);
+                let flying = self.flying.get_mut(&(id, attempt))?;
+                if flying.stop.is_none() {
+                    // It began just as it was told to stop: its stream is dropped here.
+                    self.flying.remove(&(id, attempt));
+                    return Some(Input::Stopped { id, attempt, written: true });
+                }
+                flying.opened = Some(opened);
                 Input::Began { id, attempt }
             }
             Message::Finished { id, attempt, ending } => {
                 self.flying.remove(&(id, attempt));
                 Input::Finished { id, attempt, ending }
             }
+            Message::Stopped { id, attempt, written } => {
+                self.flying.remove(&(id, attempt));
+                Input::Stopped { id, attempt, written }
+            }
         })
     }
 
@@ -246,7 +279,10 @@
             };
             entry
         });
-        listed.collect()
+        let listed = listed.collect();
+        let ready = self.addresses.values().filter(|(_, ready)| *ready).count();
+        self.figures.0[2].store(ready, Ordering::Relaxed);
+        listed
     }
 
     fn step(&mut self, input: Input) {
@@ -256,24 +292,18 @@
                 inputs.extend(self.carry_out(effect));
             }
         }
-        self.held.0[0].store(self.core.open(), Ordering::Relaxed);
+        self.figures.0[0].store(self.core.open(), Ordering::Relaxed);
     }
 
     fn carry_out(&mut self, effect: Effect) -> Option<Input> {
         debug!("{effect:?}");
         match effect {
             Effect::Send { id, attempt, engine, until } => self.send(id, attempt, engine, until),
-            Effect::Stop { id, attempt } => {
-                let written = self.flying.remove(&(id, attempt)).is_some_and(|flying| {
-                    flying.task.abort();
-                    flying.progress.call_off()
-                });
-                Some(Input::Stopped { id, attempt, written })
-            }
+            Effect::Stop { id, attempt } => self.stop(id, attempt),
             Effect::Relay { id, attempt } => {
                 let opened = self.flying.remove(&(id, attempt)).and_then(|flying| flying.opened);
                 if let Some(opened) = opened {
-                    let relay = Relay::new(*opened, id, attempt, self.to_self.clone());
+                    let relay = Relay::new(*opened, id, attempt, self.to_self.clone(), self.stalled_after);
                     self.reply(id, Reply::Stream(relay));
                 }
                 None
@@ -312,16 +342,32 @@
         };
         let waits = Duration::from_micros(until.saturating_sub(self.clock.now()));
         let progress = Arc::new(Progress::default());
+        let (stop, stopped) = oneshot::channel();
         let (servers, payload) = (self.servers.clone(), client.payload.clone());
         let (address, marks, to) = (address.clone(), progress.clone(), self.to_self.clone());
-        let task = tokio::spawn(async move {
-            match servers::attempt(servers, address, payload, waits, marks).await {
+        tokio::spawn(async move {
+            match servers::attempt(servers, address, payload, waits, marks, stopped).await {
                 servers::Result::Opened(opened) => to.send(Message::Opened { id, attempt, opened }),
                 servers::Result::Ended(ending) => to.finished(id, attempt, ending),
+                servers::Result::Stopped { written } => to.send(Message::Stopped { id, attempt, written }),
             }
         });
-        let task = task.abort_handle();
-        self.flying.insert((id, attempt), Flying { task, progress, opened: None });
+        self.flying.insert((id, attempt), Flying { progress, stop: Some(stop), opened: None });
+        None
+    }
+
+    /// Stops an attempt. That it has stopped is told once its connection is closed, or at once where its
+    /// stream lies here and goes with it; one that has just ended tells that instead.
+    fn stop(&mut self, id: RequestId, attempt: u32) -> Option<Input> {
+        let flying = self.flying.get_mut(&(id, attempt))?;
+        if flying.opened.is_some() {
+            self.flying.remove(&(id, attempt));
+            return Some(Input::Stopped { id, attempt, written: true });
+        }
+        flying.progress.call_off();
+        if let Some(stop) = flying.stop.take() {
+            let _ = stop.send(());
+        }
         None
     }
 
@@ -333,11 +379,12 @@
         for holder in holders {
             let first = self.addresses.get(holder).map(|(address, _)| address);
             let addresses: Vec<String> = first.into_iter().chain(others.clone()).cloned().collect();
-            let (client, txn, held) = (self.releases.clone(), client.payload.txn.clone(), self.held.clone());
-            held.0[1].fetch_add(1, Ordering::Relaxed);
+            let (client, txn) = (self.releases.clone(), client.payload.txn.clone());
+            let figures = self.figures.clone();
+            figures.0[1].fetch_add(1, Ordering::Relaxed);
             tokio::spawn(async move {
                 servers::release(client, txn, addresses).await;
-                held.0[1].fetch_sub(1, Ordering::Relaxed);
+                figures.0[1].fetch_sub(1, Ordering::Relaxed);
             });
         }
     }
--- a/src/edge/list.rs
+++ b/src/edge/list.rs
@@ -9,8 +9,8 @@
 use serde::Deserialize;
 use tokio::time::{timeout_at, Instant};
 
+use crate::edge::connections::{plain_client, Plain};
 use crate::edge::driver::{Message, Sender};
-use crate::edge::servers::{self, Plain};
 use crate::edge::settings::{Config, Names};
 use crate::interface::{CellId, EngineId, Entry, Health, Key, ListKind, ZoneId};
 
@@ -104,7 +104,7 @@
 /// Follows the list for ever: the whole list first, then a watch that is called again at once after every
 /// answer. While the agent is silent the old list stands and the agent is asked again.
 pub async fn watch(config: Config, to: Sender) {
-    let client: Plain<Empty<Bytes>> = servers::plain_client(&config);
+    let client: Plain<Empty<Bytes>> = plain_client(&config);
     let base = format!("http://{}/registry/instances", config.discovery);
     let mut revision = None;
     let mut silent = false;
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -4,7 +4,9 @@
 pub mod balancers;
 pub mod clients;
 pub mod clock;
+pub mod connections;
 pub mod core;
+pub mod dispatcher;
 pub mod driver;
 pub mod list;
 pub mod servers;
--- a/src/edge/servers.rs
+++ b/src/edge/servers.rs
@@ -12,22 +12,24 @@
 use http_body_util::{BodyExt as _, Empty, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderValue, CONTENT_TYPE};
-use hyper::{Method, Request, Response, StatusCode, Uri};
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::client::legacy::Client;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
+use hyper::http::Extensions;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::client::legacy::connect::{capture_connection, CaptureConnection};
 use log::{debug, warn};
+use tokio::sync::oneshot;
 use tokio::time::{sleep_until, timeout_at, Instant, Sleep};
 
+use crate::edge::connections::{Closing, Plain};
 use crate::edge::core::Ending;
 use crate::edge::driver::Sender;
-use crate::edge::settings::Config;
 use crate::interface::{Outcome, Report, RequestId};
 
 const LOAD: &str = "x-pressure";
 const TURNED_AWAY: &str = "x-turned-away";
-/// A stream is cut before its client has been left without an event for 5 s.
-const STALLED: Duration = Duration::from_millis(4_600);
+/// How long the closing of a connection is waited for at most.
+const CLOSE: Duration = Duration::from_millis(30);
+/// What is left of an answer whose meaning is known is read for so long.
+const DRAIN: Duration = Duration::from_secs(2);
 /// An answer that is no stream is this long at most.
 const MOST_ANSWER: usize = 64 << 10;
 /// A release waits so long for one server's answer before it turns to the next, and goes on for so long.
@@ -36,29 +38,6 @@
 /// The end of a stream that tells of kept tokens and load.
 const TAIL: usize = 512;
 
-/// A client without any repeats of its own.
-pub type Plain<B> = Client<HttpConnector, B>;
-
-/// A client that sends each request once: hyper-util would by itself send a request again that a closed
-/// connection gave back, which could book a slot twice.
-pub fn plain_client<B>(config: &Config) -> Plain<B>
-where
-    B: Body + Send + 'static,
-    B::Data: Send,
-{
-    let mut connector = HttpConnector::new();
-    connector.set_nodelay(true);
-    connector.set_connect_timeout(Some(config.connect_timeout));
-    Client::builder(TokioExecutor::new())
-        .retry_canceled_requests(false)
-        .pool_timer(TokioTimer::new())
-        .timer(TokioTimer::new())
-        // Servers close idle connections at `keepalive` at the latest; what is written then is a reset.
-        .pool_idle_timeout(config.keepalive.mul_f64(0.6))
-        .pool_max_idle_per_host(config.most_idle())
-        .build(connector)
-}
-
 /// What is sent on for a request, unchanged.
 #[derive(Debug)]
 pub struct Payload {
@@ -142,16 +121,22 @@
     Opened(Box<Opened>),
     /// It has ended.
     Ended(Ending),
+    /// It was stopped, and its connection, if it had one, has been closed.
+    Stopped {
+        /// Whether its last byte may have been written.
+        written: bool,
+    },
 }
 
-/// Sends a request once. `waits` is how long the dispatcher will wait, for the server to know; dropping the
-/// future gives the attempt up.
+/// Sends a request once. `waits` is how long the dispatcher will wait, for the server to know; `stop` gives the
+/// attempt up.
 pub async fn attempt(
     servers: Servers,
     address: String,
     payload: Arc<Payload>,
     waits: Duration,
     progress: Arc<Progress>,
+    stop: oneshot::Receiver<()>,
 ) -> Result {
     let body = Marked { body: Some(payload.body.clone()), progress: progress.clone() };
     let request = Request::builder()
@@ -161,7 +146,40 @@
         .header("x-remaining", format!("{:.3}", waits.as_secs_f64()))
         .header(CONTENT_TYPE, "application/json")
         .body(body);
-    let Ok(request) = request else { return Result::Ended(Outcome::ConnectFailed.into()) };
+    let Ok(mut request) = request else { return Result::Ended(Outcome::ConnectFailed.into()) };
+    let connection = capture_connection(&mut request);
+    let sending = Box::pin(send(servers, request, &address, &progress));
+    // Either way the sending is dropped here, and with it the connection if it is not done with.
+    let result = tokio::select! {
+        biased;
+        Ok(()) = stop => None,
+        result = sending => Some(result),
+    };
+    match result {
+        Some(result) => result,
+        None => {
+            let written = progress.call_off();
+            closed(&connection, &address).await;
+            Result::Stopped { written }
+        }
+    }
+}
+
+/// Waits until an attempt's connection has been closed: only then has the server been told that the attempt
+/// is given up. An answer to the client, or another attempt, that overtook it would count as a repeat of what
+/// is still out.
+async fn closed(connection: &CaptureConnection, address: &str) {
+    let mut extras = Extensions::new();
+    if let Some(connected) = connection.connection_metadata().as_ref() {
+        connected.get_extras(&mut extras);
+    }
+    let Some(closing) = extras.remove::<Closing>() else { return };
+    if timeout_at(Instant::now() + CLOSE, closing.closed()).await.is_err() {
+        warn!("server {address}: the connection of an attempt that was given up does not close");
+    }
+}
+
+async fn send(servers: Servers, request: Request<Marked>, address: &str, progress: &Progress) -> Result {
     let response = match servers.request(request).await {
         Ok(response) => response,
         Err(error) => {
@@ -195,7 +213,7 @@
     };
     if outcome != Outcome::Reset {
         // Read to its end so that the connection can be used again, but what it proves is told at once.
-        tokio::spawn(timeout_at(Instant::now() + STALLED, async move {
+        tokio::spawn(timeout_at(Instant::now() + DRAIN, async move {
             Limited::new(body, MOST_ANSWER).collect().await.map(drop)
         }));
     }
@@ -224,6 +242,7 @@
     rest: Incoming,
     tail: Vec<u8>,
     stall: Pin<Box<Sleep>>,
+    stalled_after: Duration,
     /// Where the end is told; taken then.
     end: Option<Sender>,
     id: RequestId,
@@ -244,10 +263,10 @@
 impl Relay {
     /// The relay of an attempt's stream; its end goes to `end`.
     #[must_use]
-    pub fn new(opened: Opened, id: RequestId, attempt: u32, end: Sender) -> Self {
-        let stall = Box::pin(sleep_until(Instant::now() + STALLED));
+    pub fn new(opened: Opened, id: RequestId, attempt: u32, end: Sender, stalled_after: Duration) -> Self {
+        let stall = Box::pin(sleep_until(Instant::now() + stalled_after));
         let Opened { first, rest } = opened;
-        Self { first, rest, tail: Vec::new(), stall, end: Some(end), id, attempt }
+        Self { first, rest, tail: Vec::new(), stall, stalled_after, end: Some(end), id, attempt }
     }
 
     fn keep_tail(&mut self, data: &Bytes) {
@@ -292,7 +311,8 @@
                 Poll::Ready(Some(Ok(frame))) => {
                     let Ok(data) = frame.into_data() else { continue };
                     self.keep_tail(&data);
-                    self.stall.as_mut().reset(Instant::now() + STALLED);
+                    let stalled = Instant::now() + self.stalled_after;
+                    self.stall.as_mut().reset(stalled);
                     return Poll::Ready(Some(Ok(Frame::data(data))));
                 }
                 Poll::Ready(Some(Err(error))) => {
@@ -346,12 +366,6 @@
     }
 }
 
-/// Whether an address can stand in a URI.
-#[must_use]
-pub fn is_address(address: &str) -> bool {
-    address.parse::<hyper::http::uri::Authority>().is_ok() && Uri::try_from(address).is_ok()
-}
-
 /// A load report's text: `TEXT name=value, name=value`.
 fn load_report(text: &str) -> Option<Report> {
     let pairs = text.trim().strip_prefix("TEXT")?;
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -1,6 +1,6 @@
 //! What the program is told at its start, by the platform's configuration file.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -12,6 +12,11 @@
 use crate::interface::{Key, Settings};
 use crate::wire::settings_from_pairs;
 
+/// A client may be left without an event for 5 s. Where it can ask for the rest, a stream is cut in good time
+/// before that; where it can't, cutting loses the request, so that the last moment is waited for.
+const STALL_RESUMED: Duration = Duration::from_millis(4_500);
+const STALL_LOST: Duration = Duration::from_millis(4_950);
+
 /// Why a configuration can't be used; one plain line.
 #[derive(Debug, Error)]
 pub enum ConfigError {
@@ -100,8 +105,8 @@
     pub keepalive: Duration,
     /// Connections not established by then have failed.
     pub connect_timeout: Duration,
-    /// A broken stream can be resumed by its client.
-    pub resume: bool,
+    /// A stream without an event for so long has stalled and is cut.
+    pub stall: Duration,
 }
 
 /// What the list's words stand for.
@@ -161,6 +166,7 @@
             name: pairs.get(&format!("lanes.{at}.name")).cloned().unwrap_or_else(|| at.to_string()),
             give_up: seconds(&format!("lanes.{at}.give_up_s"), 10.0),
         };
+        let resume = pairs.get("domain.resume").is_some_and(|text| text == "true");
         Ok(Self {
             name: file.name.or_else(|| environment("ROUTER_NAME")).unwrap_or_default(),
             listen: address(file.listen, "ROUTER_LISTEN")?,
@@ -172,7 +178,7 @@
             names: Names { zones: names("failure_domains"), kinds: names("kinds") },
             keepalive: seconds("limits.keepalive_s", 30.0),
             connect_timeout: seconds("limits.connect_timeout_s", 0.25),
-            resume: pairs.get("domain.resume").is_some_and(|text| text == "true"),
+            stall: if resume { STALL_RESUMED } else { STALL_LOST },
             settings,
         })
     }
@@ -192,6 +198,81 @@
     }
 }
 
+/// The fronts beside the platform's, as a file under `deploy/` sets them; without one all are off.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct Fronts {
+    /// The chat API.
+    pub chat: Option<ChatSettings>,
+    /// HAProxy's agent check.
+    pub agent_check: Option<AgentSettings>,
+}
+
+/// The chat front's settings.
+#[derive(Clone, Debug, Deserialize)]
+pub struct ChatSettings {
+    /// Whether it listens.
+    #[serde(default)]
+    pub enabled: bool,
+    /// Where.
+    pub listen: SocketAddr,
+    /// The class of each model's requests, by names.
+    #[serde(default)]
+    pub models: BTreeMap<String, String>,
+    /// Tenants by API key; without any, no key is asked for.
+    #[serde(default)]
+    pub tenants: BTreeMap<String, String>,
+    /// The most tokens of an answer, also where a client names no limit.
+    #[serde(default = "default_max_tokens")]
+    pub max_tokens: u64,
+    /// Requests that a tenant may have open at once.
+    #[serde(default = "default_most_open")]
+    pub most_open: usize,
+}
+
+/// The agent check's settings.
+#[derive(Clone, Debug, Deserialize)]
+pub struct AgentSettings {
+    /// Whether it listens.
+    #[serde(default)]
+    pub enabled: bool,
+    /// Where.
+    pub listen: SocketAddr,
+}
+
+fn default_max_tokens() -> u64 {
+    800
+}
+
+fn default_most_open() -> usize {
+    64
+}
+
+impl Fronts {
+    /// Reads the file at `path`; where it need not be there, an absent one turns everything off.
+    ///
+    /// # Errors
+    /// A file that can't be read or is malformed.
+    pub fn read(path: &str, must_exist: bool) -> Result<Self, ConfigError> {
+        match std::fs::read_to_string(path) {
+            Ok(text) => Self::parse(path, &text),
+            Err(error) if error.kind() == std::io::ErrorKind::NotFound && !must_exist => Ok(Self::default()),
+            Err(error) => Err(ConfigError::File { path: path.to_owned(), error }),
+        }
+    }
+
+    /// Reads the file's text; `path` is named in errors.
+    ///
+    /// # Errors
+    /// Text that is malformed.
+    pub fn parse(path: &str, text: &str) -> Result<Self, ConfigError> {
+        toml::from_str(text).map_err(|error| {
+            let line = error.span().map_or(0, |span| text[..span.start].matches('\n').count() + 1);
+            let what = format!("line {line}: {}", error.message().replace('\n', ", "));
+            ConfigError::Malformed { path: path.to_owned(), what }
+        })
+    }
+}
+
 /// Nested settings as the `path=value` pairs that the simulator's wire has for them.
 fn flatten(path: &str, value: &Value, pairs: &mut HashMap<String, String>) {
     let join = |name: &str| if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") };
--- /dev/null
+++ b/tests/connection_model.rs
@@ -0,0 +1,323 @@
+//! A model of each connection's states, held against the reducer through random steps: whatever servers,
+//! clients and the list do, a request gets one final answer in time, nothing is sent after that, no effect
+//! happens twice, and what may be held is let go.
+
+use std::collections::BTreeMap;
+
+use dewladder::edge::core::{Core, Effect, Ending, Input};
+use dewladder::interface::*;
+use proptest::prelude::*;
+
+const SECOND: Micros = 1_000_000;
+
+fn settings() -> Settings {
+    let class = |effect| Class {
+        aim: SECOND,
+        aim_per_1000_tokens: 0,
+        token_aim: 0,
+        effect,
+        group: DedupGroup::All,
+        dedup_window: 0,
+        worth: 1.0,
+    };
+    let kind = |role| Kind { role, memory_tokens: 100_000 };
+    Settings {
+        balancers: 2,
+        zone: ZoneId(0),
+        classes: vec![
+            class(dewladder::interface::Effect::Idempotent),
+            class(dewladder::interface::Effect::AtMostOnce),
+        ],
+        kinds: vec![kind(Role::Reader), kind(Role::Writer)],
+        must_subscribe: false,
+        must_ask_in: 0,
+        may_cancel: true,
+        writers_read: false,
+        max_attempts: 5,
+        max_retry_after: SECOND,
+        release_within: SECOND / 2,
+        resolution: 2_000,
+        cold_from: 0.3,
+        cold_for: 10 * SECOND,
+        fall_multiple: 2.5,
+        fall_window: SECOND,
+    }
+}
+
+fn entry(engine: u32, health: Health) -> Entry {
+    Entry {
+        engine: EngineId(engine),
+        zone: ZoneId(0),
+        cell: CellId(0),
+        weight: 1.0,
+        started: None,
+        health,
+        kind: engine % 2,
+    }
+}
+
+/// Where a connection stands, as its client sees it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum State {
+    Waiting,
+    Streaming,
+    Answered,
+    Left,
+}
+
+#[derive(Debug)]
+struct Connection {
+    state: State,
+    once: bool,
+    not_after: Micros,
+    /// Attempts out: server, and whether the stream has begun.
+    out: BTreeMap<u32, (EngineId, bool)>,
+    /// A writer's attempt that may have run.
+    ran: bool,
+    /// Readers that may hold a state.
+    held: Vec<EngineId>,
+    forgotten: bool,
+}
+
+struct World {
+    core: Core,
+    now: Micros,
+    connections: BTreeMap<RequestId, Connection>,
+    gone: BTreeMap<EngineId, bool>,
+}
+
+fn reads(engine: EngineId) -> bool {
+    engine.0 % 2 == 0
+}
+
+impl World {
+    fn tell(&mut self, input: Input) {
+        let mut inputs = vec![input];
+        while let Some(input) = inputs.pop() {
+            for effect in self.core.step(self.now, input) {
+                inputs.extend(self.check(effect));
+            }
+        }
+    }
+
+    /// Holds an effect against the model; a stop is carried out at once.
+    fn check(&mut self, effect: Effect) -> Option<Input> {
+        match effect {
+            Effect::Send { id, attempt, engine, until } => {
+                let connection = self.connections.get_mut(&id).expect("a known request");
+                assert_eq!(connection.state, State::Waiting, "sent after the answer");
+                assert!(connection.out.is_empty(), "a second copy");
+                assert!(!(connection.once && connection.ran), "a second effect");
+                assert!(until <= connection.not_after && self.now < until);
+                assert!(!self.gone[&engine], "sent to a server that the list has not as ready");
+                connection.out.insert(attempt, (engine, false));
+            }
+            Effect::Stop { id, attempt } => {
+                let written = self.now % 3 > 0;
+                let connection = self.connections.get_mut(&id).expect("a known request");
+                let (engine, begun) = connection.out[&attempt];
+                assert!(!begun || connection.state != State::Streaming, "a client's stream was stopped");
+                self.ended(id, attempt, engine, if written { Outcome::Timeout } else { Outcome::Moot });
+                return Some(Input::Stopped { id, attempt, written });
+            }
+            Effect::Relay { id, .. } => {
+                self.answer(id, State::Streaming);
+                self.connections.get_mut(&id).expect("known").held.clear();
+            }
+            Effect::Refuse { id, .. } => {
+                let connection = &self.connections[&id];
+                assert!(!(connection.once && connection.ran), "refused though it may have run");
+                self.answer(id, State::Answered);
+            }
+            Effect::Fail { id, .. } => self.answer(id, State::Answered),
+            Effect::Release { id, holders } => {
+                let held = &mut self.connections.get_mut(&id).expect("known").held;
+                assert_eq!(&holders, held, "every holder is asked, and no other");
+                held.clear();
+            }
+            Effect::Forget(id) => {
+                let connection = self.connections.get_mut(&id).expect("known");
+                assert!(!connection.forgotten && connection.out.is_empty() && connection.held.is_empty());
+                assert_ne!(connection.state, State::Waiting);
+                connection.forgotten = true;
+            }
+        }
+        None
+    }
+
+    fn answer(&mut self, id: RequestId, state: State) {
+        let connection = self.connections.get_mut(&id).expect("a known request");
+        assert_eq!(connection.state, State::Waiting, "a second answer");
+        assert!(self.now <= connection.not_after + 8_000, "a late answer");
+        connection.state = state;
+    }
+
+    fn ended(&mut self, id: RequestId, attempt: u32, engine: EngineId, outcome: Outcome) {
+        let connection = self.connections.get_mut(&id).expect("a known request");
+        connection.out.remove(&attempt);
+        let uncertain = outcome.may_have_run();
+        if reads(engine) && (uncertain || outcome == Outcome::Read) {
+            connection.held.push(engine);
+        }
+        connection.ran |= !reads(engine) && uncertain;
+        if connection.state == State::Streaming {
+            connection.state = State::Answered;
+        }
+    }
+
+    fn pass(&mut self, time: Micros) {
+        let end = self.now + time;
+        while let Some(due) = self.core.next_due().filter(|&due| due <= end) {
+            self.now = due;
+            self.tell(Input::Tick);
+            let late = |c: &&Connection| c.state == State::Waiting && c.not_after + 8_000 < due;
+            assert!(!self.connections.values().any(|c| late(&c)), "no answer by the deadline");
+        }
+        self.now = end;
+    }
+
+    fn step(&mut self, (what, first, second): (u8, u32, u32)) {
+        let busy =
+            self.connections.iter().flat_map(|(&id, c)| c.out.iter().map(move |(&at, &out)| (id, at, out)));
+        let busy: Vec<_> = busy.collect();
+        let any = busy.get(first as usize % busy.len().max(1)).copied();
+        match (what, any) {
+            (0..=3, _) => self.arrive(first, second),
+            (4..=7, Some((id, attempt, (engine, begun)))) => {
+                let ending = [Outcome::Error, Outcome::Full, Outcome::Reset, Outcome::ConnectFailed];
+                let outcome = match (reads(engine), second % 8) {
+                    (true, 0..=4) => Outcome::Read,
+                    (false, 0..=1) if begun => Outcome::Served,
+                    (false, 5) if !begun => Outcome::NoState,
+                    _ => ending[second as usize % if begun { 1 } else { 4 }],
+                };
+                self.ended(id, attempt, engine, outcome);
+                self.tell(Input::Finished {
+                    id,
+                    attempt,
+                    ending: Ending { kept_tokens: 9, ..outcome.into() },
+                });
+            }
+            (8..=10, Some((id, attempt, (engine, false)))) if !reads(engine) => {
+                let connection = self.connections.get_mut(&id).expect("known");
+                connection.out.insert(attempt, (engine, true));
+                self.tell(Input::Began { id, attempt });
+            }
+            (11, _) => {
+                let Some(&id) = self.connections.keys().nth(first as usize % self.connections.len().max(1))
+                else {
+                    return;
+                };
+                let connection = self.connections.get_mut(&id).expect("known");
+                if connection.state == State::Streaming {
+                    connection.out.clear(); // dropped with the client's connection
+                }
+                connection.state = State::Left;
+                self.tell(Input::ClientGone(id));
+            }
+            (12, _) => {
+                let health =
+                    [Health::Ready, Health::Ready, Health::Terminating, Health::Gone][second as usize % 4];
+                let engine = EngineId(first % 6);
+                self.gone.insert(engine, health != Health::Ready);
+                self.tell(Input::Listed { how: ListKind::Patch, entries: vec![entry(engine.0, health)] });
+            }
+            // What comes twice, or for what is no more, changes nothing.
+            (13, _) => {
+                let id = RequestId(u64::from(first % 40));
+                let attempt = 7 + second % 3;
+                self.tell(Input::Began { id, attempt });
+                self.tell(Input::Finished { id, attempt, ending: Outcome::Served.into() });
+                self.tell(Input::Stopped { id, attempt, written: true });
+            }
+            _ => self.pass(u64::from(first % 300) * 1_000),
+        }
+    }
+
+    fn arrive(&mut self, first: u32, second: u32) {
+        let id = RequestId(self.connections.len() as u64 + 1);
+        let (once, not_after) = (second % 2 == 1, self.now + 1_000 + u64::from(first % 3_000) * 1_000);
+        let connection = Connection {
+            state: State::Waiting,
+            once,
+            not_after,
+            out: BTreeMap::new(),
+            ran: false,
+            held: Vec::new(),
+            forgotten: false,
+        };
+        self.connections.insert(id, connection);
+        self.tell(Input::Arrived(Call {
+            id,
+            class: second % 2,
+            session: Some(Key(u64::from(first % 5))),
+            shared: None,
+            shared_tokens: 0,
+            prompt_tokens: u64::from(first % 4_000),
+            max_tokens: 100,
+            hint: None,
+            not_after,
+        }));
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(20_261_201),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn every_connection_keeps_to_its_model(
+        steps in prop::collection::vec((0u8..18, any::<u32>(), any::<u32>()), 1..150),
+    ) {
+        let core = Core::new(settings(), 7, SECOND, 24);
+        let mut world = World { core, now: SECOND, connections: BTreeMap::new(), gone: BTreeMap::new() };
+        world.gone.extend((0..6).map(|id| (EngineId(id), false)));
+        let entries = (0..6).map(|id| entry(id, Health::Ready)).collect();
+        world.tell(Input::Listed { how: ListKind::StaleCopy, entries });
+        for step in steps {
+            world.step(step);
+        }
+        // Streams that have begun have no deadline: their clients leave.
+        for id in world.connections.keys().copied().collect::<Vec<_>>() {
+            let connection = world.connections.get_mut(&id).expect("known");
+            if connection.state == State::Streaming {
+                (connection.state, connection.out) = (State::Left, BTreeMap::new());
+                world.tell(Input::ClientGone(id));
+            }
+        }
+        world.pass(10 * SECOND);
+        prop_assert!(world.connections.values().all(|c| c.forgotten), "something was never finished");
+        prop_assert_eq!(world.core.open(), 0);
+    }
+}
+
+/// The reducer's side of the same failure: until an attempt is known to have stopped, nothing else happens.
+#[test]
+fn nothing_overtakes_an_attempt_that_is_being_stopped() {
+    let mut core = Core::new(settings(), 7, SECOND, 24);
+    let entries = (0..6).map(|id| entry(id, Health::Ready)).collect();
+    core.step(SECOND, Input::Listed { how: ListKind::StaleCopy, entries });
+    let id = RequestId(1);
+    let call = Call {
+        id,
+        class: 1,
+        session: None,
+        shared: None,
+        shared_tokens: 0,
+        prompt_tokens: 100,
+        max_tokens: 100,
+        hint: None,
+        not_after: 4 * SECOND,
+    };
+    let sent = core.step(SECOND, Input::Arrived(call));
+    assert!(matches!(sent[..], [Effect::Send { attempt: 0, .. }]));
+    let stopped = core.step(3 * SECOND, Input::Tick);
+    assert_eq!(stopped, [Effect::Stop { id, attempt: 0 }]);
+    assert_eq!(core.step(3 * SECOND + 1, Input::Tick), []);
+    let next = core.step(3 * SECOND + 2, Input::Stopped { id, attempt: 0, written: true });
+    assert!(matches!(next[..], [Effect::Send { attempt: 1, .. }]), "{next:?}");
+}
--- /dev/null
+++ b/tests/sockets.rs
@@ -0,0 +1,297 @@
+//! The dispatcher on loopback sockets, between stand-ins: one test for each trap and each failure found.
+
+mod stand_in;
+
+use std::io::Read as _;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use dewladder::edge::connections::plain_client;
+use dewladder::edge::servers::{self, Payload};
+use dewladder::edge::settings::Config;
+use serde_json::{json, Value};
+use stand_in::*;
+use tokio::time::sleep;
+
+const ID: &str = "9b1f03aa5c7e2d41";
+
+fn status(answer: &str) -> u16 {
+    answer.split(' ').nth(1).and_then(|text| text.parse().ok()).unwrap_or(0)
+}
+
+async fn eventually(what: &str, holds: impl Fn() -> bool) {
+    let end = Instant::now() + Duration::from_secs(5);
+    while !holds() {
+        assert!(Instant::now() < end, "{what}");
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+#[tokio::test]
+async fn a_request_is_read_then_written_and_its_stream_passes_unchanged() {
+    let site = Site::start(Does::Read, Does::Stream(3)).await;
+    let answer = until_close(site.platform, &platform(ID, "book", "0.900")).await;
+    assert_eq!(status(&answer), 200, "{answer}");
+    let expected = event(0) + &event(1) + &event(2) + LAST_EVENTS;
+    assert_eq!(body(&answer), (expected, true));
+    let sent = format!("POST /v1/chat/completions?a=b {ID}");
+    assert_eq!((site.reader.log(), site.writer.log()), (vec![sent.clone()], vec![sent]));
+}
+
+#[tokio::test]
+async fn bad_input_is_answered_shortly_and_not_sent_on() {
+    let site = Site::start(Does::Read, Does::Stream(1)).await;
+    let good = platform(ID, "ask", "0.9");
+    for (bad, expected) in [
+        (good.replace(&format!("X-Txn: {ID}"), "X-Txn: a/../b"), 400),
+        (good.replace("X-Txn", "X-Tx"), 400),
+        (good.replace("X-Lane: ask", "X-Lane: nap"), 400),
+        (good.replace("X-Remaining: 0.9", "X-Remaining: -1"), 400),
+        (good.replace("X-Remaining: 0.9", "X-Remaining: NaN"), 400),
+        (good.replace("prompt_len=100", "prompt_len=1e9"), 400),
+        (good.replace("prompt_len=100", "prompt_len=99999999999999999999999"), 400),
+        (good.replace("POST", "PUT"), 405),
+        (good.replace("/v1/chat", "/v2/chat"), 404),
+        (good.replace("Length: 15", "Length: 15, 16"), 400),
+        (good.replace("Content-Length: 15", "Content-Length: 300000") + &" ".repeat(299_985), 413),
+        (good.replace("Content-Length: 15", "Content-Length: 16"), 408),
+        ("\u{0}\u{1}\r\n\r\n".to_owned(), 400),
+    ] {
+        let answer = until_close(site.platform, &bad).await;
+        assert_eq!(status(&answer), expected, "{} {answer}", &bad[..bad.len().min(300)]);
+        assert!(answer.len() < 400, "{answer}");
+    }
+    assert_eq!(site.reader.posts() + site.writer.posts(), 0);
+}
+
+/// Guards against hyper-util's own repeats: a writer that closes a kept connection on a booking gets it once.
+#[tokio::test]
+async fn a_booking_on_a_kept_connection_that_closes_is_sent_once() {
+    let site = Site::start(Does::Read, Does::Stream(1)).await;
+    assert_eq!(status(&until_close(site.platform, &platform("01", "book", "0.9")).await), 200);
+    site.writer.now_does(Does::Close);
+    let answer = until_close(site.platform, &platform("02", "book", "0.9")).await;
+    assert_eq!((status(&answer), site.writer.posts()), (502, 2));
+}
+
+#[tokio::test]
+async fn a_booking_that_may_have_run_fails_at_once_and_is_not_sent_again() {
+    for does in [Does::Close, Does::Fail, Does::Cut(0)] {
+        let site = Site::start(Does::Read, does).await;
+        let answer = until_close(site.platform, &platform(ID, "book", "0.9")).await;
+        assert_eq!((status(&answer), site.writer.posts()), (502, 1), "{does:?}");
+    }
+}
+
+#[tokio::test]
+async fn what_never_ran_is_sent_again_and_in_the_end_refused_with_a_time() {
+    let site = Site::start(Does::Read, Does::TurnAway(503)).await;
+    let answer = until_close(site.platform, &platform(ID, "book", "0.9")).await;
+    assert_eq!(status(&answer), 503, "{answer}");
+    assert!(field(&answer, "retry-after").is_some_and(|text| text.parse::<f64>().unwrap() <= 1.0));
+    assert!(site.writer.posts() > 1);
+    // What was read is let go of although no attempt is out any more.
+    eventually("released", || site.reader.log().contains(&format!("DELETE /kv/leases/{ID} "))).await;
+}
+
+#[tokio::test]
+async fn an_answer_comes_by_the_deadline_whatever_is_silent() {
+    for (reads, writes) in [(Does::Nothing, Does::Stream(1)), (Does::Read, Does::Nothing)] {
+        let site = Site::start(reads, writes).await;
+        let start = Instant::now();
+        let answer = until_close(site.platform, &platform(ID, "book", "0.4")).await;
+        assert!(matches!(status(&answer), 502 | 503), "{answer}");
+        assert!(start.elapsed() < Duration::from_millis(458), "{:?}", start.elapsed());
+        assert!(site.writer.posts() <= 1);
+    }
+}
+
+/// Seen on the bench: a refusal overtook the closing of the read that had been given up, and so refused what
+/// might still run. An attempt says that it has stopped only once its server has been told.
+#[tokio::test]
+async fn an_attempt_that_says_it_has_stopped_has_closed_its_connection() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let config = Config::parse("config", &config(address, &json!({})), |_| None).unwrap();
+    let payload = Payload { txn: ID.to_owned(), target: "/".to_owned(), body: "{}".into() };
+    let (stop, stopped) = tokio::sync::oneshot::channel();
+    let sending = tokio::spawn(servers::attempt(
+        plain_client(&config),
+        address.to_string(),
+        payload.into(),
+        Duration::from_secs(1),
+        Arc::default(),
+        stopped,
+    ));
+    let mut peer = tokio::task::spawn_blocking(move || listener.accept().unwrap().0).await.unwrap();
+    peer.set_nonblocking(true).unwrap();
+    let (mut read, mut bytes) = (Vec::new(), [0; 1_024]);
+    while !read.ends_with(b"{}") {
+        sleep(Duration::from_millis(1)).await;
+        if let Ok(length) = peer.read(&mut bytes) {
+            read.extend_from_slice(&bytes[..length]);
+        }
+    }
+    stop.send(()).unwrap();
+    assert!(matches!(sending.await.unwrap(), servers::Result::Stopped { written: true }));
+    assert_eq!(peer.read(&mut bytes).ok(), Some(0), "the end has come, without any wait");
+}
+
+/// A read that was given up may have ended well: it is let go of, and nothing more is sent.
+#[tokio::test]
+async fn a_client_that_leaves_during_the_read_has_its_state_let_go() {
+    let site = Site::start(Does::Nothing, Does::Stream(1)).await;
+    let text = platform(ID, "book", "0.9");
+    let client = tokio::spawn(async move { until_close(site.platform, &text).await });
+    eventually("read", || site.reader.posts() == 1).await;
+    client.abort();
+    eventually("released", || site.reader.log().iter().any(|line| line.starts_with("DELETE"))).await;
+    assert_eq!((site.reader.posts(), site.writer.posts()), (1, 0));
+}
+
+#[tokio::test]
+async fn a_stream_that_breaks_or_stalls_cuts_the_client_without_the_last_chunk() {
+    for does in [Does::Cut(2), Does::Stall(2)] {
+        let site = Site::start(Does::Read, does).await;
+        let answer = until_close(site.platform, &platform(ID, "ask", "0.9")).await;
+        assert_eq!(body(&answer), (event(0) + &event(1), false), "{does:?}");
+        assert_eq!(site.writer.posts(), 1);
+    }
+}
+
+#[tokio::test]
+async fn a_drain_and_a_new_server_are_heard_of_and_a_silent_agent_changes_nothing() {
+    let site = Site::start(Does::Read, Does::Stream(1)).await;
+    site.agent.tells(None);
+    assert_eq!(status(&until_close(site.platform, &platform("01", "ask", "0.9")).await), 200);
+    let other = Server::start(Does::Stream(1)).await;
+    let members = [member(&site.writer, 2, "decode", "draining"), member(&other, 3, "decode", "up")];
+    site.agent.tells(Some(json!({"revision": 2, "complete": false, "members": members})));
+    sleep(Duration::from_millis(200)).await;
+    assert_eq!(status(&until_close(site.platform, &platform("02", "ask", "0.9")).await), 200);
+    assert_eq!((site.writer.posts(), other.posts()), (1, 1));
+    let members = [member(&site.reader, 1, "prefill", "up")];
+    site.agent.tells(Some(json!({"revision": 3, "complete": true, "members": members})));
+    sleep(Duration::from_millis(200)).await;
+    assert_ne!(status(&until_close(site.platform, &platform("03", "ask", "0.3")).await), 200);
+    assert_eq!((site.writer.posts(), other.posts()), (1, 1));
+}
+
+#[tokio::test]
+async fn told_to_end_it_serves_on_then_finishes_what_is_held_and_ends() {
+    let mut site = Site::start(Does::Read, Does::Stream(200)).await;
+    let address = site.platform;
+    let long = tokio::spawn(async move { until_close(address, &platform("01", "ask", "0.9")).await });
+    eventually("begun", || site.writer.posts() == 1).await;
+    assert_eq!(talk(site.check, "", |text| text.ends_with('\n')).await, "ready up 99%\n");
+    site.end.take().unwrap().send(()).unwrap();
+    sleep(Duration::from_millis(100)).await;
+    site.writer.now_does(Does::Stream(1));
+    let kept = platform("02", "ask", "0.9").replace("Connection: close\r\n", "");
+    let answer = until_close(address, &kept).await;
+    assert_eq!((status(&answer), field(&answer, "connection")), (200, Some("close".to_owned())));
+    assert_eq!(talk(site.check, "", |text| text.ends_with('\n')).await, "drain\n");
+    let ready = "GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n";
+    assert_eq!(status(&until_close(address, ready).await), 503);
+    let (text, whole) = body(&long.await.unwrap());
+    assert!(whole && text.ends_with(LAST_EVENTS));
+    assert_eq!(site.running.await.unwrap(), Ok(()));
+}
+
+#[tokio::test]
+async fn a_chat_client_may_drop_at_every_event_and_no_booking_is_sent_twice() {
+    let site = Site::start(Does::Read, Does::Stream(5)).await;
+    let parts = 7; // five events, the usage and the end
+    for kept in 0..=parts {
+        let enough = |text: &str| text.matches("data: ").count() >= kept && text.contains("\r\n\r\n");
+        talk(site.chat, &chat("kiln-book", true), |text| kept < parts && enough(text)).await;
+    }
+    sleep(Duration::from_millis(300)).await;
+    let mut ids = site.writer.log();
+    assert_eq!(ids.len(), parts + 1);
+    ids.sort();
+    ids.dedup();
+    assert_eq!(ids.len(), parts + 1, "every booking has an id of its own and was sent once");
+    assert_eq!(site.reader.posts(), parts + 1);
+}
+
+#[tokio::test]
+async fn a_chat_stream_passes_and_is_put_together_for_who_wants_none() {
+    let site = Site::start(Does::Read, Does::Stream(2)).await;
+    let answer = until_close(site.chat, &chat("kiln-ask", true)).await;
+    assert_eq!(field(&answer, "content-type").as_deref(), Some("text/event-stream"));
+    assert_eq!(body(&answer), (event(0) + &event(1) + LAST_EVENTS, true));
+    let answer = until_close(site.chat, &chat("kiln-ask", false)).await;
+    let (_, whole) = answer.split_once("\r\n\r\n").unwrap();
+    let whole: Value = serde_json::from_str(whole).unwrap();
+    assert_eq!(whole["choices"][0]["message"]["content"], "w0 w1 ");
+    assert_eq!(
+        (&whole["object"], &whole["usage"]["completion_tokens"]),
+        (&json!("chat.completion"), &json!(3))
+    );
+    let models = "GET /v1/models HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key-of-clay\r\nConnection: close\r\n\r\n";
+    let answer = until_close(site.chat, models).await;
+    assert!(answer.contains("kiln-ask") && answer.contains("kiln-book"), "{answer}");
+}
+
+#[tokio::test]
+async fn a_chat_stream_that_breaks_or_stalls_ends_with_exactly_one_error_event() {
+    for does in [Does::Stall(1), Does::Cut(1)] {
+        let site = Site::start(Does::Read, does).await;
+        let (text, whole) = body(&until_close(site.chat, &chat("kiln-book", true)).await);
+        let rest = text.strip_prefix(&event(0)).expect("the event that came");
+        let error: Value = serde_json::from_str(rest.strip_prefix("data: ").unwrap().trim_end()).unwrap();
+        assert_eq!((&error["error"]["code"], whole), (&json!("stream_cut"), true));
+        let answer = until_close(site.chat, &chat("kiln-book", false)).await;
+        assert_eq!((status(&answer), field(&answer, "x-should-retry").as_deref()), (502, Some("false")));
+        assert_eq!(site.writer.posts(), 2);
+    }
+}
+
+#[tokio::test]
+async fn chat_errors_and_refusals_are_in_the_words_of_such_an_api() {
+    let site = Site::start(Does::Read, Does::TurnAway(503)).await;
+    let expect = |answer: &str, expected: u16, code: &str| {
+        let (_, text) = answer.split_once("\r\n\r\n").unwrap();
+        let error: Value = serde_json::from_str(text).unwrap();
+        assert_eq!((status(answer), &error["error"]["code"]), (expected, &json!(code)), "{answer}");
+    };
+    let answer = until_close(site.chat, &chat("kiln-book", true)).await;
+    expect(&answer, 503, "overloaded");
+    assert_eq!(field(&answer, "retry-after").as_deref(), Some("1"));
+    assert_eq!(field(&answer, "x-should-retry"), None);
+    let sent = site.reader.posts();
+    expect(&until_close(site.chat, &chat("gpt", true)).await, 404, "model_not_found");
+    expect(&until_close(site.chat, &post("{}", "nobody")).await, 401, "invalid_api_key");
+    for bad in ["{", "[]", "{\"model\":\"kiln-ask\",\"messages\":[]}", "{\"model\":1,\"messages\":[{}]}"] {
+        expect(&until_close(site.chat, &post(bad, "key-of-clay")).await, 400, "invalid_request_error");
+    }
+    assert_eq!(site.reader.posts(), sent);
+    for (model, again) in [("kiln-book", Some("false")), ("kiln-ask", None)] {
+        let site = Site::start(Does::Read, Does::Nothing).await;
+        let start = Instant::now();
+        let answer = until_close(site.chat, &chat(model, true)).await;
+        assert!(matches!(status(&answer), 503 | 504), "{answer}");
+        assert_eq!(field(&answer, "x-should-retry").as_deref(), again);
+        assert!(start.elapsed() < Duration::from_millis(1_060));
+    }
+}
+
+#[tokio::test]
+async fn a_tenant_has_so_many_requests_open_and_is_told_when_to_come_back() {
+    let site = Site::start(Does::Read, Does::Stream(100)).await;
+    let (address, text) = (site.chat, chat("kiln-ask", true));
+    let open = [(); 2].map(|()| {
+        tokio::spawn({
+            let text = text.clone();
+            async move { until_close(address, &text).await }
+        })
+    });
+    eventually("both begun", || site.writer.posts() == 2).await;
+    let answer = until_close(address, &text).await;
+    assert_eq!((status(&answer), field(&answer, "retry-after").as_deref()), (429, Some("1")));
+    for answer in open {
+        assert_eq!(status(&answer.await.unwrap()), 200);
+    }
+    assert_eq!(site.writer.posts(), 2);
+}
