--- a/src/edge/clients/chat.rs
+++ b/src/edge/clients/chat.rs
@@ -75,18 +75,31 @@
     }
 }
 
+/// The models that clients can name.
+fn models(chat: &ChatSettings, config: &Config) -> Result<HashMap<String, Model>, String> {
+    let model = |(name, lane): (&String, &String)| {
+        let class = config.lanes.iter().position(|known| known.name == *lane);
+        let class = class.ok_or_else(|| format!("model {name}: no class is named {lane}"))?;
+        let once = config.settings.classes[class].effect == Effect::AtMostOnce;
+        Ok((name.clone(), Model { class: class as u32, once }))
+    };
+    chat.models.iter().map(model).collect()
+}
+
+/// Whether the settings fit the configuration.
+///
+/// # Errors
+/// A model whose class the configuration does not know.
+pub fn check(chat: &ChatSettings, config: &Config) -> Result<(), String> {
+    models(chat, config).map(drop)
+}
+
 /// The front's routes.
 ///
 /// # Errors
 /// A model whose class the settings do not know.
 pub fn front(chat: &ChatSettings, config: &Config, clock: Clock, driver: Sender) -> Result<Router, String> {
-    let mut models = HashMap::new();
-    for (name, lane) in &chat.models {
-        let class = config.lanes.iter().position(|known| known.name == *lane);
-        let class = class.ok_or_else(|| format!("model {name}: no class is named {lane}"))?;
-        let once = config.settings.classes[class].effect == Effect::AtMostOnce;
-        models.insert(name.clone(), Model { class: class as u32, once });
-    }
+    let models = models(chat, config)?;
     let tenant =
         |name: &str| Tenant { name: name.to_owned(), open: Arc::new(Semaphore::new(chat.most_open)) };
     let data: Vec<Value> = chat
--- a/src/edge/clients/listener.rs
+++ b/src/edge/clients/listener.rs
@@ -13,11 +13,14 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::warn;
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{mpsc, watch, OwnedSemaphorePermit, Semaphore};
 
 /// How long a client may take to send a request's head, and how long a connection may stand idle.
 const HEAD: Duration = Duration::from_secs(30);
+/// A client that takes in nothing of what is sent for so long is cut.
+const DEAF: Duration = Duration::from_secs(30);
 const HEAD_BYTES: usize = 64 << 10;
 /// Connections over the bound that are told so at once, before any more are left to wait.
 const TOLD: usize = 32;
@@ -105,6 +108,8 @@
 async fn connection(stream: TcpStream, front: Router, serves: bool, mut phase: watch::Receiver<Phase>) {
     // Events are passed on as they come: none may wait for more to fill a segment.
     let _ = stream.set_nodelay(true);
+    // A client that vanished on a poor link, or reads no more, would hold its stream and its server for ever.
+    let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(DEAF));
     let at = phase.clone();
     let service = service_fn(move |request| {
         let (mut front, at) = (front.clone(), at.clone());
--- a/src/edge/connections.rs
+++ b/src/edge/connections.rs
@@ -22,7 +22,7 @@
 
 /// A client that sends each request once: hyper-util would by itself send a request again that a closed
 /// connection gave back, which could book a slot twice.
-pub fn plain_client<B>(config: &Config) -> Plain<B>
+pub fn plain_client<B>(config: &Config, most_idle: usize) -> Plain<B>
 where
     B: Body + Send + 'static,
     B::Data: Send,
@@ -36,7 +36,7 @@
         .timer(TokioTimer::new())
         // Servers close idle connections at `keepalive` at the latest; what is written then is a reset.
         .pool_idle_timeout(config.keepalive.mul_f64(0.6))
-        .pool_max_idle_per_host(config.most_idle())
+        .pool_max_idle_per_host(most_idle)
         .build(Connector(connector))
 }
 
--- a/src/edge/core.rs
+++ b/src/edge/core.rs
@@ -415,3 +415,33 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::wire::settings_from_pairs;
+
+    /// The last guard, against a module that would break the rules: the module itself never does this.
+    #[test]
+    fn after_the_final_answer_there_is_no_other_and_nothing_is_sent() {
+        let pairs = [("lanes.count", "1"), ("limits.max_retry_after_s", "1")].into_iter().collect();
+        let mut core = Core::new(settings_from_pairs(pairs, 1).expect("settings"), 1, 1_000, 8);
+        let id = RequestId(1);
+        let request = Request {
+            client: Client::Waiting,
+            not_after: 9_000,
+            attempts: 0,
+            out: BTreeMap::new(),
+            held: Vec::new(),
+            may_have_run: false,
+        };
+        core.requests.insert(id, request);
+        core.act(Action::Refuse { id, retry_in: 5 });
+        core.act(Action::GiveUp(id));
+        core.act(Action::Refuse { id, retry_in: 6 });
+        core.act(Action::Assign { id, engine: EngineId(3), patience: 100 });
+        assert_eq!(core.effects, [Effect::Refuse { id, retry_in: 5 }]);
+        let told = core.events.pop_front();
+        assert!(matches!(told, Some(Event::Ended(Ended { outcome: Outcome::Moot, last: true, .. }))));
+    }
+}
--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -4,7 +4,6 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Empty;
@@ -19,6 +18,8 @@
 use crate::edge::settings::Config;
 use crate::interface::{Call, EngineId, Entry, Health, ListKind, Micros, Outcome, RequestId};
 
+/// Time between two lines of what clients got.
+const TALLY: Micros = 10_000_000;
 /// Servers that a release turns to where the holders don't answer.
 const STAND_INS: usize = 4;
 
@@ -156,6 +157,17 @@
     }
 }
 
+/// What clients got since the last line about it.
+#[derive(Default)]
+struct Tally {
+    due: Micros,
+    asked: usize,
+    streamed: usize,
+    refused: usize,
+    failed: usize,
+    left: usize,
+}
+
 struct Waiting {
     payload: Arc<Payload>,
     reply: Option<oneshot::Sender<Reply>>,
@@ -180,7 +192,7 @@
     clients: HashMap<RequestId, Waiting>,
     flying: HashMap<(RequestId, u32), Flying>,
     figures: Figures,
-    stalled_after: Duration,
+    tally: Tally,
 }
 
 impl Driver {
@@ -195,13 +207,13 @@
             clock,
             inbox,
             to_self: to_self.clone(),
-            servers: plain_client(config),
-            releases: plain_client(config),
+            servers: Servers::new(config),
+            releases: plain_client(config, 1),
             addresses: BTreeMap::new(),
             clients: HashMap::new(),
             flying: HashMap::new(),
             figures: Figures::default(),
-            stalled_after: config.stall,
+            tally: Tally::default(),
         };
         (driver, to_self)
     }
@@ -239,10 +251,14 @@
                     let _ = reply.send(Reply::Failed { may_have_run: true }); // an id that is still open
                     return None;
                 }
+                self.tally.asked += 1;
                 self.clients.insert(call.id, Waiting { payload, reply: Some(reply) });
                 Input::Arrived(call)
             }
-            Message::ClientGone(id) => Input::ClientGone(id),
+            Message::ClientGone(id) => {
+                self.tally.left += usize::from(self.clients.contains_key(&id));
+                Input::ClientGone(id)
+            }
             Message::Listed { how, entries } => {
                 let entries = self.list(how, entries);
                 Input::Listed { how, entries }
@@ -293,6 +309,21 @@
             }
         }
         self.figures.0[0].store(self.core.open(), Ordering::Relaxed);
+        self.tell_tally();
+    }
+
+    /// What clients got lately, for the staff; nothing while nothing happens.
+    fn tell_tally(&mut self) {
+        let now = self.clock.now();
+        if now < self.tally.due {
+            return;
+        }
+        let Tally { asked, streamed, refused, failed, left, .. } = self.tally;
+        if asked + streamed + refused + failed + left > 0 {
+            let open = self.core.open();
+            info!("in 10 s: {asked} asked, {streamed} streamed, {refused} refused, {failed} failed, {left} left; {open} open");
+        }
+        self.tally = Tally { due: now + TALLY, ..Tally::default() };
     }
 
     fn carry_out(&mut self, effect: Effect) -> Option<Input> {
@@ -303,17 +334,19 @@
             Effect::Relay { id, attempt } => {
                 let opened = self.flying.remove(&(id, attempt)).and_then(|flying| flying.opened);
                 if let Some(opened) = opened {
-                    let relay = Relay::new(*opened, id, attempt, self.to_self.clone(), self.stalled_after);
+                    self.tally.streamed += 1;
+                    let relay = self.servers.relay(*opened, id, attempt, self.to_self.clone());
                     self.reply(id, Reply::Stream(relay));
                 }
                 None
             }
             Effect::Refuse { id, retry_in } => {
-                info!("request {:016x}: refused, back in {} ms", id.0, retry_in / 1_000);
+                self.tally.refused += 1;
                 self.reply(id, Reply::Refused { retry_in });
                 None
             }
             Effect::Fail { id, may_have_run } => {
+                self.tally.failed += 1;
                 info!("request {:016x}: failed{}", id.0, if may_have_run { ", may have run" } else { "" });
                 self.reply(id, Reply::Failed { may_have_run });
                 None
@@ -340,13 +373,13 @@
         let (Some((address, _)), Some(client)) = (self.addresses.get(&engine), self.clients.get(&id)) else {
             return Some(Input::Finished { id, attempt, ending: Outcome::ConnectFailed.into() });
         };
-        let waits = Duration::from_micros(until.saturating_sub(self.clock.now()));
+        let until = self.clock.instant(until);
         let progress = Arc::new(Progress::default());
         let (stop, stopped) = oneshot::channel();
         let (servers, payload) = (self.servers.clone(), client.payload.clone());
         let (address, marks, to) = (address.clone(), progress.clone(), self.to_self.clone());
         tokio::spawn(async move {
-            match servers::attempt(servers, address, payload, waits, marks, stopped).await {
+            match servers.attempt(address, payload, until, marks, stopped).await {
                 servers::Result::Opened(opened) => to.send(Message::Opened { id, attempt, opened }),
                 servers::Result::Ended(ending) => to.finished(id, attempt, ending),
                 servers::Result::Stopped { written } => to.send(Message::Stopped { id, attempt, written }),
--- a/src/edge/list.rs
+++ b/src/edge/list.rs
@@ -104,7 +104,7 @@
 /// Follows the list for ever: the whole list first, then a watch that is called again at once after every
 /// answer. While the agent is silent the old list stands and the agent is asked again.
 pub async fn watch(config: Config, to: Sender) {
-    let client: Plain<Empty<Bytes>> = plain_client(&config);
+    let client: Plain<Empty<Bytes>> = plain_client(&config, 1);
     let base = format!("http://{}/registry/instances", config.discovery);
     let mut revision = None;
     let mut silent = false;
--- a/src/edge/servers.rs
+++ b/src/edge/servers.rs
@@ -11,7 +11,7 @@
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::{BodyExt as _, Empty, Limited};
 use hyper::body::Incoming;
-use hyper::header::{HeaderMap, HeaderValue, CONTENT_TYPE};
+use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use hyper::http::Extensions;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::client::legacy::connect::{capture_connection, CaptureConnection};
@@ -19,9 +19,10 @@
 use tokio::sync::oneshot;
 use tokio::time::{sleep_until, timeout_at, Instant, Sleep};
 
-use crate::edge::connections::{Closing, Plain};
+use crate::edge::connections::{plain_client, Closing, Plain};
 use crate::edge::core::Ending;
 use crate::edge::driver::Sender;
+use crate::edge::settings::Config;
 use crate::interface::{Outcome, Report, RequestId};
 
 const LOAD: &str = "x-pressure";
@@ -104,14 +105,20 @@
     }
 }
 
-/// The client for attempts.
-pub type Servers = Plain<Marked>;
+/// The servers, as attempts reach them.
+#[derive(Clone)]
+pub struct Servers {
+    client: Plain<Marked>,
+    stall: Duration,
+}
 
 /// A stream whose first event is here.
 #[derive(Debug)]
 pub struct Opened {
     first: Option<Bytes>,
     rest: Incoming,
+    /// Whether its end can be told from a break: by chunks or a length.
+    framed: bool,
 }
 
 /// What an attempt comes to.
@@ -128,41 +135,56 @@
     },
 }
 
-/// Sends a request once. `waits` is how long the dispatcher will wait, for the server to know; `stop` gives the
-/// attempt up.
-pub async fn attempt(
-    servers: Servers,
-    address: String,
-    payload: Arc<Payload>,
-    waits: Duration,
-    progress: Arc<Progress>,
-    stop: oneshot::Receiver<()>,
-) -> Result {
-    let body = Marked { body: Some(payload.body.clone()), progress: progress.clone() };
-    let request = Request::builder()
-        .method(Method::POST)
-        .uri(format!("http://{address}{}", payload.target))
-        .header("x-txn", &payload.txn)
-        .header("x-remaining", format!("{:.3}", waits.as_secs_f64()))
-        .header(CONTENT_TYPE, "application/json")
-        .body(body);
-    let Ok(mut request) = request else { return Result::Ended(Outcome::ConnectFailed.into()) };
-    let connection = capture_connection(&mut request);
-    let sending = Box::pin(send(servers, request, &address, &progress));
-    // Either way the sending is dropped here, and with it the connection if it is not done with.
-    let result = tokio::select! {
-        biased;
-        Ok(()) = stop => None,
-        result = sending => Some(result),
-    };
-    match result {
-        Some(result) => result,
-        None => {
-            let written = progress.call_off();
-            closed(&connection, &address).await;
-            Result::Stopped { written }
+impl Servers {
+    /// The servers of a configuration.
+    #[must_use]
+    pub fn new(config: &Config) -> Self {
+        Self { client: plain_client(config, config.most_idle()), stall: config.stall }
+    }
+
+    /// Sends a request once. The server is told to wait until `until`; `stop` gives the attempt up.
+    pub async fn attempt(
+        self,
+        address: String,
+        payload: Arc<Payload>,
+        until: Instant,
+        progress: Arc<Progress>,
+        stop: oneshot::Receiver<()>,
+    ) -> Result {
+        let body = Marked { body: Some(payload.body.clone()), progress: progress.clone() };
+        let remaining = until.saturating_duration_since(Instant::now());
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri(format!("http://{address}{}", payload.target))
+            .header("x-txn", &payload.txn)
+            .header("x-remaining", format!("{:.3}", remaining.as_secs_f64()))
+            .header(CONTENT_TYPE, "application/json")
+            .body(body);
+        let Ok(mut request) = request else { return Result::Ended(Outcome::ConnectFailed.into()) };
+        let connection = capture_connection(&mut request);
+        let sending = Box::pin(send(self.client, request, &address, &progress));
+        // Either way the sending is dropped here, and with it the connection if it is not done with.
+        let result = tokio::select! {
+            biased;
+            Ok(()) = stop => None,
+            result = sending => Some(result),
+        };
+        match result {
+            Some(result) => result,
+            None => {
+                let written = progress.call_off();
+                closed(&connection, &address).await;
+                Result::Stopped { written }
+            }
         }
     }
+
+    /// The relay of an attempt's stream; its end goes to `end`.
+    #[must_use]
+    pub fn relay(&self, opened: Opened, id: RequestId, attempt: u32, end: Sender) -> Relay {
+        let stall = Box::pin(sleep_until(Instant::now() + self.stall));
+        Relay { opened, tail: Vec::new(), stall, stalled_after: self.stall, end: Some(end), id, attempt }
+    }
 }
 
 /// Waits until an attempt's connection has been closed: only then has the server been told that the attempt
@@ -179,8 +201,8 @@
     }
 }
 
-async fn send(servers: Servers, request: Request<Marked>, address: &str, progress: &Progress) -> Result {
-    let response = match servers.request(request).await {
+async fn send(client: Plain<Marked>, request: Request<Marked>, address: &str, progress: &Progress) -> Result {
+    let response = match client.request(request).await {
         Ok(response) => response,
         Err(error) => {
             // Only a connection that never came up, or a body that nobody asked for, proves that it never ran.
@@ -197,9 +219,10 @@
     let (head, mut body) = response.into_parts();
     let report = head.headers.get(LOAD).and_then(|text| text.to_str().ok()).and_then(load_report);
     let turned_away = head.headers.get(TURNED_AWAY).is_some_and(|value| value == "1");
+    let framed = head.headers.contains_key(TRANSFER_ENCODING) || head.headers.contains_key(CONTENT_LENGTH);
     let outcome = match head.status {
         StatusCode::OK => match first_event(&mut body).await {
-            Some(first) => return Result::Opened(Box::new(Opened { first, rest: body })),
+            Some(first) => return Result::Opened(Box::new(Opened { first, rest: body, framed })),
             None => Outcome::Reset,
         },
         StatusCode::ACCEPTED => {
@@ -238,8 +261,7 @@
 /// stream did; one that breaks or stalls is an error, so that the client's connection is cut.
 #[derive(Debug)]
 pub struct Relay {
-    first: Option<Bytes>,
-    rest: Incoming,
+    opened: Opened,
     tail: Vec<u8>,
     stall: Pin<Box<Sleep>>,
     stalled_after: Duration,
@@ -261,14 +283,6 @@
 }
 
 impl Relay {
-    /// The relay of an attempt's stream; its end goes to `end`.
-    #[must_use]
-    pub fn new(opened: Opened, id: RequestId, attempt: u32, end: Sender, stalled_after: Duration) -> Self {
-        let stall = Box::pin(sleep_until(Instant::now() + stalled_after));
-        let Opened { first, rest } = opened;
-        Self { first, rest, tail: Vec::new(), stall, stalled_after, end: Some(end), id, attempt }
-    }
-
     fn keep_tail(&mut self, data: &Bytes) {
         let new = &data[data.len().saturating_sub(TAIL)..];
         let over = (self.tail.len() + new.len()).saturating_sub(TAIL);
@@ -302,12 +316,12 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<std::result::Result<Frame<Bytes>, Cut>>> {
-        if let Some(first) = self.first.take() {
+        if let Some(first) = self.opened.first.take() {
             self.keep_tail(&first);
             return Poll::Ready(Some(Ok(Frame::data(first))));
         }
         loop {
-            match Pin::new(&mut self.rest).poll_frame(context) {
+            match Pin::new(&mut self.opened.rest).poll_frame(context) {
                 Poll::Ready(Some(Ok(frame))) => {
                     let Ok(data) = frame.into_data() else { continue };
                     self.keep_tail(&data);
@@ -320,6 +334,12 @@
                     self.ended(Outcome::Reset);
                     return Poll::Ready(Some(Err(Cut::Broken)));
                 }
+                // Where the connection's end is the stream's, a break looks just like it.
+                Poll::Ready(None) if !self.opened.framed => {
+                    warn!("request {:016x}: stream broke: it has neither chunks nor a length", self.id.0);
+                    self.ended(Outcome::Reset);
+                    return Poll::Ready(Some(Err(Cut::Broken)));
+                }
                 Poll::Ready(None) => {
                     self.ended(Outcome::Served);
                     return Poll::Ready(None);
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -183,11 +183,11 @@
         })
     }
 
-    /// Client connections that are served at once: each may need a socket on the other side, and idle
-    /// connections to servers, the list and the log need theirs.
+    /// Client connections that are served at once: each may need a socket on the other side, a sixth is for
+    /// idle connections to servers, and the rest for releases, the list and connections that are turned away.
     #[must_use]
     pub fn most_clients(&self) -> usize {
-        (self.limits.sockets.saturating_sub(64) * 2 / 5).max(4)
+        (self.limits.sockets.saturating_sub(64) * 3 / 8).max(4)
     }
 
     /// Idle connections that are kept to each server.
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,6 +4,7 @@
 
 use std::process::ExitCode;
 
+use dewladder::edge::clients::chat;
 use dewladder::edge::dispatcher::Dispatcher;
 use dewladder::edge::settings::{Config, Fronts};
 use pico_args::Arguments;
@@ -45,7 +46,8 @@
             runtime.block_on(serve(config, &fronts))
         }
         Some("check-config") => {
-            let (config, _) = config(arguments)?;
+            let (config, fronts) = config(arguments)?;
+            fronts.chat.as_ref().map_or(Ok(()), |chat| chat::check(chat, &config))?;
             println!("{} on {}: the configuration can be used", config.name, config.listen);
             Ok(())
         }
--- /dev/null
+++ b/tests/command_line.rs
@@ -0,0 +1,81 @@
+//! The program as it is started: what it says of good and bad configurations.
+
+mod stand_in;
+
+use std::process::{Command, Output};
+
+use dewladder::edge::list::{engine, entries, Listing};
+use dewladder::edge::settings::Names;
+use dewladder::interface::EngineId;
+use serde_json::json;
+
+/// Runs the program with these texts as its files; `None` for a file that is not there.
+fn run(test: &str, command: &str, config: Option<&str>, fronts: &str) -> Output {
+    let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(test);
+    std::fs::create_dir_all(&folder).unwrap();
+    let (config_path, fronts_path) = (folder.join("config.json"), folder.join("fronts.toml"));
+    let _ = std::fs::remove_file(&config_path);
+    if let Some(config) = config {
+        std::fs::write(&config_path, config).unwrap();
+    }
+    std::fs::write(&fronts_path, fronts).unwrap();
+    let mut program = Command::new(env!("CARGO_BIN_EXE_dewladder"));
+    program.args([command, "--config"]).arg(config_path).arg("--fronts").arg(fronts_path);
+    program.env_clear().output().unwrap()
+}
+
+#[test]
+fn a_bad_configuration_is_one_plain_line_and_no_start() {
+    let good = stand_in::config("127.0.0.1:9".parse().unwrap(), &json!({}));
+    let fronts = stand_in::FRONTS;
+    for (at, (config, fronts, says)) in [
+        (None, fronts, "can't read"),
+        (Some("{"), fronts, "EOF"),
+        (Some("[]"), fronts, "invalid"),
+        (Some("{\"listen\":\"127.0.0.1:0\",\"settings\":{}}"), fronts, "no lanes"),
+        (Some(good.replace("\"listen\":\"127.0.0.1:0\",", "").as_str()), fronts, "ROUTER_LISTEN"),
+        (Some(good.replace("at_most_once", "at_a_guess").as_str()), fronts, "unknown effect"),
+        (Some(&good), "[chat", "line 1"),
+        (Some(&good), "[chat]\nlisten = 5", "line 2"),
+        (Some(&good), &fronts.replace("\"book\"", "\"cook\""), "no class is named cook"),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        for command in ["check-config", "serve"] {
+            let output = run(&format!("bad-{at}-{command}"), command, config, fronts);
+            let text = String::from_utf8(output.stderr).unwrap();
+            assert_eq!((output.status.code(), text.lines().count()), (Some(1), 1), "{at} {text}");
+            assert!(text.starts_with("dewladder: ") && text.contains(says), "{at} {text}");
+        }
+    }
+}
+
+#[test]
+fn a_good_configuration_is_said_to_be_one_and_the_shipped_fronts_are_off() {
+    let good = stand_in::config("127.0.0.1:9".parse().unwrap(), &json!({}));
+    let output = run("good", "check-config", Some(&good), stand_in::FRONTS);
+    assert_eq!((output.status.code(), output.stderr.len()), (Some(0), 0));
+    let shipped =
+        dewladder::edge::settings::Fronts::parse("fronts", include_str!("../deploy/fronts.toml")).unwrap();
+    assert!(!shipped.chat.unwrap().enabled && !shipped.agent_check.unwrap().enabled);
+}
+
+#[test]
+fn a_server_has_the_same_number_everywhere_whatever_its_id_looks_like() {
+    assert_eq!(engine("s-5be2a07c"), EngineId(0x5be2_a07c));
+    assert_eq!(engine("kiln-box-7"), engine("kiln-box-7"));
+    assert_ne!(engine("kiln-box-7"), engine("kiln-box-8"));
+    let listing = json!({"revision": 7, "complete": true, "a_field_of_tomorrow": 1, "members": [
+        {"id": "s-00000001", "host_port": "127.0.0.1:1", "locality": "b", "flavor": "w", "cell": 3, "phase": "up",
+            "size": 1.5, "up_since_ms": 12},
+        {"id": "s-00000002", "host_port": "127.0.0.1:2", "phase": "molten"}]});
+    let listing: Listing = serde_json::from_value(listing).unwrap();
+    let names = Names { zones: vec!["a".into(), "b".into()], kinds: vec!["r".into(), "w".into()] };
+    let entries = entries(&listing, &names);
+    let [(entry, address)] = &entries[..] else { panic!("an unknown phase is left out") };
+    assert_eq!(
+        (entry.zone.0, entry.kind, entry.started, address.as_str()),
+        (1, 1, Some(12_000), "127.0.0.1:1")
+    );
+}
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -2,15 +2,19 @@
 
 mod stand_in;
 
-use std::io::Read as _;
+use std::future::Future;
+use std::io::{Read as _, Write as _};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use dewladder::edge::connections::plain_client;
-use dewladder::edge::servers::{self, Payload};
+use dewladder::edge::servers::{self, Payload, Servers};
 use dewladder::edge::settings::Config;
+use dewladder::interface::Outcome;
 use serde_json::{json, Value};
 use stand_in::*;
+use tokio::io::AsyncReadExt as _;
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
 use tokio::time::sleep;
 
 const ID: &str = "9b1f03aa5c7e2d41";
@@ -64,7 +68,7 @@
     assert_eq!(site.reader.posts() + site.writer.posts(), 0);
 }
 
-/// Guards against hyper-util's own repeats: a writer that closes a kept connection on a booking gets it once.
+/// A writer that closes a kept connection on a booking gets it once.
 #[tokio::test]
 async fn a_booking_on_a_kept_connection_that_closes_is_sent_once() {
     let site = Site::start(Does::Read, Does::Stream(1)).await;
@@ -110,21 +114,84 @@
 /// might still run. An attempt says that it has stopped only once its server has been told.
 #[tokio::test]
 async fn an_attempt_that_says_it_has_stopped_has_closed_its_connection() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let (stop, stopped) = oneshot::channel();
+    let mut peer = None;
+    let reading = async {
+        peer = Some(accept(&listener).await);
+        read_request(peer.as_mut().unwrap()).await;
+        stop.send(()).unwrap();
+    };
+    // Joined, not spawned: nothing else runs between the end of the attempt and the look at the peer.
+    let (result, ()) = tokio::join!(attempt(&listener, stopped), reading);
+    assert!(matches!(result, servers::Result::Stopped { written: true }));
+    assert_eq!(peer.unwrap().read(&mut [0; 8]).ok(), Some(0), "the end has come, without any wait");
+}
+
+/// Guards against hyper-util's own repeats: a kept connection that closes just as a request is handed to it
+/// gives the request back, and the library would send it again by itself.
+#[tokio::test]
+async fn a_request_that_a_closing_connection_gives_back_is_not_sent_again_by_the_library() {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let servers = Servers::new(&Config::parse("config", &config(address, &json!({})), |_| None).unwrap());
+    let (_keep, stopped) = oneshot::channel();
+    let first = tokio::spawn(attempt_with(servers.clone(), &listener, stopped));
+    let mut peer = accept(&listener).await;
+    read_request(&mut peer).await;
+    peer.write_all(b"HTTP/1.1 202 Accepted\r\nContent-Length: 2\r\n\r\n{}").unwrap();
+    assert!(matches!(first.await.unwrap(), servers::Result::Ended(_)));
+    sleep(Duration::from_millis(20)).await;
+    // Both in one turn of the runtime: the word to send, and the end of the connection that lies idle.
+    let word = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut waits = TcpStream::connect(word.local_addr().unwrap()).await.unwrap();
+    let mut says = word.accept().unwrap().0;
+    let (_keep, stopped) = oneshot::channel();
+    let sending = attempt_with(servers, &listener, stopped);
+    let second = tokio::spawn(async move {
+        waits.read_u8().await.unwrap();
+        sending.await
+    });
+    sleep(Duration::from_millis(20)).await;
+    says.write_all(b"x").unwrap();
+    drop(peer);
+    let soon = tokio::time::Instant::now() + Duration::from_secs(1);
+    let ended = tokio::time::timeout_at(soon, second).await.expect("an end, and no wait for a repeat");
+    let servers::Result::Ended(ending) = ended.unwrap() else { panic!("it has ended") };
+    assert_eq!(ending.outcome, Outcome::ConnectFailed, "it was never written");
+    sleep(Duration::from_millis(50)).await;
+    listener.set_nonblocking(true).unwrap();
+    assert!(listener.accept().is_err(), "no connection was opened for it");
+}
+
+fn attempt(
+    listener: &std::net::TcpListener,
+    stop: oneshot::Receiver<()>,
+) -> impl Future<Output = servers::Result> + use<> {
     let address = listener.local_addr().unwrap();
     let config = Config::parse("config", &config(address, &json!({})), |_| None).unwrap();
+    attempt_with(Servers::new(&config), listener, stop)
+}
+
+fn attempt_with(
+    servers: Servers,
+    listener: &std::net::TcpListener,
+    stop: oneshot::Receiver<()>,
+) -> impl Future<Output = servers::Result> + use<> {
     let payload = Payload { txn: ID.to_owned(), target: "/".to_owned(), body: "{}".into() };
-    let (stop, stopped) = tokio::sync::oneshot::channel();
-    let sending = tokio::spawn(servers::attempt(
-        plain_client(&config),
-        address.to_string(),
-        payload.into(),
-        Duration::from_secs(1),
-        Arc::default(),
-        stopped,
-    ));
-    let mut peer = tokio::task::spawn_blocking(move || listener.accept().unwrap().0).await.unwrap();
+    let until = tokio::time::Instant::now() + Duration::from_secs(1);
+    let address = listener.local_addr().unwrap().to_string();
+    servers.attempt(address, payload.into(), until, Arc::default(), stop)
+}
+
+async fn accept(listener: &std::net::TcpListener) -> std::net::TcpStream {
+    let listener = listener.try_clone().unwrap();
+    let peer = tokio::task::spawn_blocking(move || listener.accept().unwrap().0).await.unwrap();
     peer.set_nonblocking(true).unwrap();
+    peer
+}
+
+async fn read_request(peer: &mut std::net::TcpStream) {
     let (mut read, mut bytes) = (Vec::new(), [0; 1_024]);
     while !read.ends_with(b"{}") {
         sleep(Duration::from_millis(1)).await;
@@ -132,9 +199,6 @@
             read.extend_from_slice(&bytes[..length]);
         }
     }
-    stop.send(()).unwrap();
-    assert!(matches!(sending.await.unwrap(), servers::Result::Stopped { written: true }));
-    assert_eq!(peer.read(&mut bytes).ok(), Some(0), "the end has come, without any wait");
 }
 
 /// A read that was given up may have ended well: it is let go of, and nothing more is sent.
@@ -151,7 +215,7 @@
 
 #[tokio::test]
 async fn a_stream_that_breaks_or_stalls_cuts_the_client_without_the_last_chunk() {
-    for does in [Does::Cut(2), Does::Stall(2)] {
+    for does in [Does::Cut(2), Does::Stall(2), Does::Unframed(2)] {
         let site = Site::start(Does::Read, does).await;
         let answer = until_close(site.platform, &platform(ID, "ask", "0.9")).await;
         assert_eq!(body(&answer), (event(0) + &event(1), false), "{does:?}");
--- a/tests/stand_in/mod.rs
+++ b/tests/stand_in/mod.rs
@@ -24,6 +24,8 @@
     Stream(usize),
     /// So many events, then the connection closes.
     Cut(usize),
+    /// The same, without chunks or a length.
+    Unframed(usize),
     /// So many events, then silence.
     Stall(usize),
     /// This status, with `X-Turned-Away`.
@@ -98,6 +100,7 @@
                 let _ = stream.read_buf(&mut read).await;
                 return;
             }
+            Does::Unframed(_) => "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n".to_owned(),
             Does::Stream(_) | Does::Cut(_) | Does::Stall(_) => {
                 "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
                     .to_owned()
@@ -106,9 +109,13 @@
         if stream.write_all(answer.as_bytes()).await.is_err() {
             return;
         }
-        let (Does::Stream(events) | Does::Cut(events) | Does::Stall(events)) = doing else { continue };
+        let (Does::Stream(events) | Does::Cut(events) | Does::Unframed(events) | Does::Stall(events)) = doing
+        else {
+            continue;
+        };
         for at in 0..events {
-            if stream.write_all(chunk(&event(at)).as_bytes()).await.is_err() {
+            let framed = if doing == Does::Unframed(events) { event(at) } else { chunk(&event(at)) };
+            if stream.write_all(framed.as_bytes()).await.is_err() {
                 return;
             }
             sleep(Duration::from_millis(4)).await;
@@ -117,7 +124,7 @@
             Does::Stream(_) => {
                 let _ = stream.write_all((chunk(LAST_EVENTS) + "0\r\n\r\n").as_bytes()).await;
             }
-            Does::Cut(_) => return,
+            Does::Cut(_) | Does::Unframed(_) => return,
             _ => {
                 let _ = stream.read_buf(&mut read).await; // until the dispatcher closes
                 return;
