Look for room when a client has come, not before; let attempts speak to the reducer directly

Seen: with four clients allowed and one of four gone, the next client was still told that there are too many connections. At fault: listener.rs serve, which took its permit before it waited for a client, so that a full house was remembered until then. Shown by a test on loopback with four held connections, which failed before and passes now.

--- a/src/edge/clients/listener.rs
+++ b/src/edge/clients/listener.rs
@@ -53,12 +53,14 @@
         Self { served: Arc::new(Semaphore::new(most)), told: Arc::new(Semaphore::new(TOLD)) }
     }
 
-    /// A permit, and whether it is one to serve with; waits where there is neither.
-    async fn permit(&self) -> Option<(OwnedSemaphorePermit, bool)> {
-        match self.served.clone().try_acquire_owned() {
-            Ok(permit) => Some((permit, true)),
-            Err(_) => self.told.clone().acquire_owned().await.ok().map(|permit| (permit, false)),
-        }
+    /// A permit to tell a client that there is no room; waits where even that is too many.
+    async fn to_tell(&self) -> Option<OwnedSemaphorePermit> {
+        self.told.clone().acquire_owned().await.ok()
+    }
+
+    /// A permit to serve, if there is room.
+    fn to_serve(&self) -> Option<OwnedSemaphorePermit> {
+        self.served.clone().try_acquire_owned().ok()
     }
 }
 
@@ -79,10 +81,10 @@
     let (running, mut ended) = mpsc::channel::<()>(1);
     loop {
         let accepted = async {
-            let permit = bounds.permit().await;
-            (listener.accept().await, permit)
+            let told = bounds.to_tell().await;
+            (listener.accept().await, told)
         };
-        let (accepted, permit) = tokio::select! {
+        let (accepted, told) = tokio::select! {
             _ = phase.wait_for(|phase| *phase == Phase::Closing) => break,
             accepted = accepted => accepted,
         };
@@ -94,7 +96,10 @@
                 continue;
             }
         };
-        let serves = permit.as_ref().is_some_and(|(_, serves)| *serves);
+        // Asked for only now: room that was found, or missed, before a client came is an old tale by then.
+        let served = bounds.to_serve();
+        let serves = served.is_some();
+        let permit = served.or(told);
         let (front, phase, running) = (front.clone(), phase.clone(), running.clone());
         tokio::spawn(async move {
             connection(stream, front, serves, phase).await;
--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -35,8 +35,6 @@
         /// Where its answer goes.
         reply: oneshot::Sender<Reply>,
     },
-    /// The client has left.
-    ClientGone(RequestId),
     /// News of the list: entries with their addresses.
     Listed {
         /// How to read the entries.
@@ -53,24 +51,8 @@
         /// The stream.
         opened: Box<Opened>,
     },
-    /// An attempt has ended.
-    Finished {
-        /// The request.
-        id: RequestId,
-        /// Which attempt.
-        attempt: u32,
-        /// How.
-        ending: Ending,
-    },
-    /// An attempt has been stopped.
-    Stopped {
-        /// The request.
-        id: RequestId,
-        /// Which attempt.
-        attempt: u32,
-        /// Whether its last byte may have been written.
-        written: bool,
-    },
+    /// Something that the reducer takes as it is.
+    Told(Input),
 }
 
 /// What a client gets.
@@ -102,12 +84,12 @@
 
     /// Tells that an attempt has ended.
     pub fn finished(&self, id: RequestId, attempt: u32, ending: Ending) {
-        self.send(Message::Finished { id, attempt, ending });
+        self.send(Message::Told(Input::Finished { id, attempt, ending }));
     }
 
     /// Tells that a client has left.
     pub fn client_gone(&self, id: RequestId) {
-        self.send(Message::ClientGone(id));
+        self.send(Message::Told(Input::ClientGone(id)));
     }
 
     /// Hands a request in and waits for its reply. Dropping the future tells that the client has left.
@@ -255,10 +237,6 @@
                 self.clients.insert(call.id, Waiting { payload, reply: Some(reply) });
                 Input::Arrived(call)
             }
-            Message::ClientGone(id) => {
-                self.tally.left += usize::from(self.clients.contains_key(&id));
-                Input::ClientGone(id)
-            }
             Message::Listed { how, entries } => {
                 let entries = self.list(how, entries);
                 Input::Listed { how, entries }
@@ -273,13 +251,15 @@
                 flying.opened = Some(opened);
                 Input::Began { id, attempt }
             }
-            Message::Finished { id, attempt, ending } => {
-                self.flying.remove(&(id, attempt));
-                Input::Finished { id, attempt, ending }
-            }
-            Message::Stopped { id, attempt, written } => {
-                self.flying.remove(&(id, attempt));
-                Input::Stopped { id, attempt, written }
+            Message::Told(input) => {
+                match input {
+                    Input::Finished { id, attempt, .. } | Input::Stopped { id, attempt, .. } => {
+                        self.flying.remove(&(id, attempt));
+                    }
+                    Input::ClientGone(id) => self.tally.left += usize::from(self.clients.contains_key(&id)),
+                    _ => {}
+                }
+                input
             }
         })
     }
@@ -382,7 +362,9 @@
             match servers.attempt(address, payload, until, marks, stopped).await {
                 servers::Result::Opened(opened) => to.send(Message::Opened { id, attempt, opened }),
                 servers::Result::Ended(ending) => to.finished(id, attempt, ending),
-                servers::Result::Stopped { written } => to.send(Message::Stopped { id, attempt, written }),
+                servers::Result::Stopped { written } => {
+                    to.send(Message::Told(Input::Stopped { id, attempt, written }))
+                }
             }
         });
         self.flying.insert((id, attempt), Flying { progress, stop: Some(stop), opened: None });
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -241,6 +241,22 @@
     assert_eq!((site.writer.posts(), other.posts()), (1, 1));
 }
 
+#[tokio::test]
+async fn where_connections_are_too_many_a_client_is_told_so_and_served_once_there_is_room() {
+    let site = Site::with_sockets(Does::Read, Does::Stream(1), 75).await; // four clients
+    let mut held = Vec::new();
+    for _ in 0..4 {
+        held.push(TcpStream::connect(site.platform).await.unwrap());
+        sleep(Duration::from_millis(5)).await;
+    }
+    let answer = until_close(site.platform, &platform("01", "ask", "0.9")).await;
+    assert_eq!((status(&answer), field(&answer, "retry-after").as_deref()), (503, Some("1")));
+    assert_eq!(site.reader.posts(), 0);
+    held.pop();
+    sleep(Duration::from_millis(20)).await;
+    assert_eq!(status(&until_close(site.platform, &platform("02", "ask", "0.9")).await), 200);
+}
+
 #[tokio::test]
 async fn told_to_end_it_serves_on_then_finishes_what_is_held_and_ends() {
     let mut site = Site::start(Does::Read, Does::Stream(200)).await;
--- a/tests/stand_in/mod.rs
+++ b/tests/stand_in/mod.rs
@@ -254,12 +254,18 @@
 
 impl Site {
     pub async fn start(reads: Does, writes: Does) -> Self {
+        Self::with_sockets(reads, writes, 1_024).await
+    }
+
+    /// One whose dispatcher may have so many descriptors.
+    pub async fn with_sockets(reads: Does, writes: Does, sockets: usize) -> Self {
         let (reader, writer) = (Server::start(reads).await, Server::start(writes).await);
         let members = [member(&reader, 1, "prefill", "up"), member(&writer, 2, "decode", "up")];
         let list = json!({"revision": 1, "complete": true, "members": members});
         let agent = Agent::start(list.clone()).await;
         let mut config = Config::parse("config", &config(agent.address, &list), |_| None).unwrap();
         config.stall = Duration::from_millis(300);
+        config.limits.sockets = sockets;
         let fronts = Fronts::parse("fronts", FRONTS).unwrap();
         let dispatcher = Dispatcher::bind(config, &fronts).unwrap();
         let addresses = dispatcher.addresses();
