--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -2,7 +2,8 @@
 
 mod stand_in;
 
-use std::process::{Command, Output};
+use std::io::{BufRead as _, BufReader};
+use std::process::{Command, Output, Stdio};
 
 use dewladder::edge::list::{engine, entries, Listing};
 use dewladder::edge::settings::Names;
@@ -79,3 +80,20 @@
         (1, 1, Some(12_000), "127.0.0.1:1")
     );
 }
+
+#[test]
+fn told_to_end_the_program_ends_well() {
+    let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"));
+    let path = folder.join("end.json");
+    std::fs::write(&path, stand_in::config("127.0.0.1:9".parse().unwrap(), &json!({}))).unwrap();
+    let mut program = Command::new(env!("CARGO_BIN_EXE_dewladder"));
+    program.args(["serve", "--config"]).arg(&path).env_clear().current_dir(folder).stderr(Stdio::piped());
+    let mut child = program.spawn().unwrap();
+    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
+    assert!(lines.any(|line| line.contains("n0: serving on")), "it says that it serves");
+    let told = Command::new("kill").args(["-TERM", &child.id().to_string()]).status().unwrap();
+    assert!(told.success());
+    let rest: Vec<String> = lines.collect();
+    assert!(rest.last().unwrap().ends_with("nothing is held any more: ending"), "{rest:?}");
+    assert_eq!(child.wait().unwrap().code(), Some(0));
+}
