Read the configuration again on SIGHUP and move the watch of the list at once

Now the handler is in place before anything listens. A good file moves the watch (src/edge/list.rs): the open call to the old address is dropped, the whole list is asked for at the new one. A bad file logs a line. Checked: a test on the program itself with two stand-in agents, a bad file, and three signals in a row; it fails without the handler.

--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -65,17 +65,22 @@
         listeners.filter_map(|listener| listener.local_addr().ok()).collect()
     }
 
-    /// Serves until `end` comes, then finishes what is held.
+    /// Serves until `end` comes, then finishes what is held. The list is watched at the address that
+    /// `discovery` holds.
     ///
     /// # Errors
     /// One plain line that says which part ended by itself.
-    pub async fn run(self, end: impl std::future::Future<Output = ()>) -> Result<(), String> {
+    pub async fn run(
+        self,
+        discovery: watch::Receiver<SocketAddr>,
+        end: impl std::future::Future<Output = ()>,
+    ) -> Result<(), String> {
         let Self { config, driver, to_driver, figures, phase, fronts, agent, health } = self;
         let known = list::entries(&config.known, &config.names);
         info!("{}: serving on {}, {} servers known", config.name, config.listen, known.len());
         to_driver.send(Message::Listed { how: ListKind::StaleCopy, entries: known });
         let driver = tokio::spawn(driver.run());
-        let watching = tokio::spawn(list::watch(config.clone(), to_driver));
+        let watching = tokio::spawn(list::watch(config.clone(), discovery, to_driver));
         let bounds = Bounds::new(config.most_clients());
         let agent = agent.map(|listener| tokio::spawn(balancers::agent_check(listener, health)));
         let serving: Vec<_> = fronts
--- a/src/edge/list.rs
+++ b/src/edge/list.rs
@@ -1,5 +1,6 @@
 //! The list of servers: the discovery agent's form of it, and the watch that follows it.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -7,6 +8,7 @@
 use hyper::Request;
 use log::{info, warn};
 use serde::Deserialize;
+use tokio::sync::watch;
 use tokio::time::{timeout_at, Instant};
 
 use crate::edge::connections::{plain_client, Plain};
@@ -101,11 +103,25 @@
     listing.members.iter().filter_map(|member| member.entry(names)).collect()
 }
 
-/// Follows the list for ever: the whole list first, then a watch that is called again at once after every
-/// answer. While the agent is silent the old list stands and the agent is asked again.
-pub async fn watch(config: Config, to: Sender) {
-    let client: Plain<Empty<Bytes>> = plain_client(&config, 1);
-    let base = format!("http://{}/registry/instances", config.discovery);
+/// Follows the list for ever, at the address that `discovery` holds. Another address is turned to at once: the
+/// call that is open at the old one is dropped with its connection, and as versions of the list are the old
+/// agent's own, the whole list is asked for.
+pub async fn watch(config: Config, mut discovery: watch::Receiver<SocketAddr>, to: Sender) {
+    loop {
+        let address = *discovery.borrow_and_update();
+        tokio::select! {
+            // Where nobody can name another address any more, the last one is followed for good.
+            Ok(()) = discovery.changed() => info!("list: asked for anew, at {}", *discovery.borrow()),
+            () = follow(&config, address, &to) => {}
+        }
+    }
+}
+
+/// Follows the list at one address: the whole list first, then a watch that is called again at once after
+/// every answer. While the agent is silent the old list stands and the agent is asked again.
+async fn follow(config: &Config, address: SocketAddr, to: &Sender) {
+    let client: Plain<Empty<Bytes>> = plain_client(config, 1);
+    let base = format!("http://{address}/registry/instances");
     let mut revision = None;
     let mut silent = false;
     loop {
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -4,9 +4,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use log::{info, warn};
 use serde::Deserialize;
 use serde_json::Value;
 use thiserror::Error;
+use tokio::sync::watch;
 
 use crate::edge::list::Listing;
 use crate::interface::{Key, Settings};
@@ -129,6 +131,22 @@
         Self::parse(path, &text, environment)
     }
 
+    /// Reads the file at `path` again while the program runs, and passes on where discovery is now. All else
+    /// in it is what the program was started with. One that can't be used changes nothing.
+    pub fn read_again(
+        path: &str,
+        environment: impl Fn(&str) -> Option<String>,
+        discovery: &watch::Sender<SocketAddr>,
+    ) {
+        match Self::read(path, environment) {
+            Ok(config) => {
+                info!("configuration read again: discovery is at {}", config.discovery);
+                discovery.send_replace(config.discovery);
+            }
+            Err(error) => warn!("configuration not taken over, the old one stands: {error}"),
+        }
+    }
+
     /// Reads a configuration's text; `path` is named in errors.
     ///
     /// # Errors
--- a/src/main.rs
+++ b/src/main.rs
@@ -9,12 +9,14 @@
 use dewladder::edge::settings::{Config, Fronts};
 use pico_args::Arguments;
 use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::watch;
 
 const HELP: &str = "dewladder: a dispatcher for two-stage language-model servers
 
 usage: dewladder <command> [options]
 
-  serve [--config FILE] [--fronts FILE]         serve clients until told to end (SIGTERM)
+  serve [--config FILE] [--fronts FILE]         serve clients until told to end (SIGTERM);
+                                                SIGHUP has the configuration read again
   check-config [--config FILE] [--fronts FILE]  say whether a configuration can be used
   version                                       print the version
   help                                          print this text
@@ -40,13 +42,13 @@
     let command = arguments.subcommand().map_err(|error| error.to_string())?;
     match command.as_deref() {
         Some("serve") => {
-            let (config, fronts) = config(arguments)?;
+            let (path, config, fronts) = config(arguments)?;
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let runtime = runtime.map_err(|error| format!("can't start the runtime: {error}"))?;
-            runtime.block_on(serve(config, &fronts))
+            runtime.block_on(serve(path, config, &fronts))
         }
         Some("check-config") => {
-            let (config, fronts) = config(arguments)?;
+            let (_, config, fronts) = config(arguments)?;
             fronts.chat.as_ref().map_or(Ok(()), |chat| chat::check(chat, &config))?;
             println!("{} on {}: the configuration can be used", config.name, config.listen);
             Ok(())
@@ -63,7 +65,12 @@
     }
 }
 
-fn config(mut arguments: Arguments) -> Result<(Config, Fronts), String> {
+fn environment(name: &str) -> Option<String> {
+    std::env::var(name).ok()
+}
+
+/// The configuration's path, the configuration and the fronts that the arguments name.
+fn config(mut arguments: Arguments) -> Result<(String, Config, Fronts), String> {
     let mut option = |name| -> Result<Option<String>, String> {
         arguments.opt_value_from_str(name).map_err(|error| error.to_string())
     };
@@ -71,19 +78,27 @@
     if let Some(unknown) = arguments.finish().first() {
         return Err(format!("{} is not known; 'dewladder help' lists what is", unknown.to_string_lossy()));
     }
-    let environment = |name: &str| std::env::var(name).ok();
     let path = path.or_else(|| environment("ROUTER_CONFIG"));
     let path = path.ok_or("no configuration: give --config or set ROUTER_CONFIG")?;
     let config = Config::read(&path, environment).map_err(|error| error.to_string())?;
     let fronts = Fronts::read(fronts.as_deref().unwrap_or(FRONTS), fronts.is_some());
-    Ok((config, fronts.map_err(|error| error.to_string())?))
+    Ok((path, config, fronts.map_err(|error| error.to_string())?))
 }
 
-async fn serve(config: Config, fronts: &Fronts) -> Result<(), String> {
-    let mut term = signal(SignalKind::terminate()).map_err(|error| error.to_string())?;
+async fn serve(path: String, config: Config, fronts: &Fronts) -> Result<(), String> {
+    let told = |kind| signal(kind).map_err(|error| error.to_string());
+    let mut term = told(SignalKind::terminate())?;
+    // In place before anything listens: without it, SIGHUP would end the program.
+    let mut hangup = told(SignalKind::hangup())?;
+    let (tell, discovery) = watch::channel(config.discovery);
     let dispatcher = Dispatcher::bind(config, fronts)?;
+    tokio::spawn(async move {
+        while hangup.recv().await.is_some() {
+            Config::read_again(&path, environment, &tell);
+        }
+    });
     dispatcher
-        .run(async move {
+        .run(discovery, async move {
             term.recv().await;
         })
         .await
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -9,6 +9,8 @@
 use dewladder::edge::settings::Names;
 use dewladder::interface::EngineId;
 use serde_json::json;
+use stand_in::eventually;
+use tokio::io::AsyncBufReadExt as _;
 
 /// Runs the program with these texts as its files; `None` for a file that is not there.
 fn run(test: &str, command: &str, config: Option<&str>, fronts: &str) -> Output {
@@ -97,3 +99,46 @@
     assert!(rest.last().unwrap().ends_with("nothing is held any more: ending"), "{rest:?}");
     assert_eq!(child.wait().unwrap().code(), Some(0));
 }
+
+/// Seen on the bench: SIGHUP ended the program. A good file moves the watch at once, with the open call to the
+/// old agent dropped and the whole list asked for; a bad one changes nothing; the last of several counts.
+#[tokio::test]
+async fn told_by_sighup_the_program_reads_its_configuration_again_and_lives() {
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("again.json");
+    let list = |revision: u32| json!({"revision": revision, "complete": true, "members": []});
+    let (old, new) = (stand_in::Agent::start(list(7)).await, stand_in::Agent::start(list(3)).await);
+    let text = |agent: &stand_in::Agent| stand_in::config(agent.address, &json!({}));
+    std::fs::write(&path, text(&old)).unwrap();
+    let mut program = tokio::process::Command::new(env!("CARGO_BIN_EXE_dewladder"));
+    program.args(["serve", "--config"]).arg(&path).env_clear().current_dir(env!("CARGO_TARGET_TMPDIR"));
+    let mut child = program.stderr(Stdio::piped()).kill_on_drop(true).spawn().unwrap();
+    let id = child.id().unwrap().to_string();
+    let tell = |signal: &str| assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
+    let watch = |revision: u32| format!("/registry/instances?from={revision}&hold_ms=4000");
+    let whole = "/registry/instances".to_owned();
+    eventually("the old one is watched", || old.log() == [whole.clone(), watch(7)]).await;
+
+    let mut lines = tokio::io::BufReader::new(child.stderr.take().unwrap()).lines();
+    std::fs::write(&path, "{").unwrap();
+    tell("-HUP");
+    while let Some(line) = lines.next_line().await.unwrap() {
+        if line.contains("configuration not taken over, the old one stands") {
+            break;
+        }
+    }
+    assert_eq!(old.log().len(), 2, "the open call goes on");
+
+    std::fs::write(&path, text(&new)).unwrap();
+    tell("-HUP");
+    eventually("the new one is watched", || new.log() == [whole.clone(), watch(3)]).await;
+    eventually("the old one is left", || old.log().last().unwrap() == "closed").await;
+
+    for agent in [&old, &new, &old] {
+        std::fs::write(&path, text(agent)).unwrap();
+        tell("-HUP");
+    }
+    eventually("the last one named is watched", || old.log().last() == Some(&watch(7))).await;
+    eventually("the other is left", || new.log().last().unwrap() == "closed").await;
+    tell("-TERM");
+    assert_eq!(child.wait().await.unwrap().code(), Some(0));
+}
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -23,14 +23,6 @@
     answer.split(' ').nth(1).and_then(|text| text.parse().ok()).unwrap_or(0)
 }
 
-async fn eventually(what: &str, holds: impl Fn() -> bool) {
-    let end = Instant::now() + Duration::from_secs(5);
-    while !holds() {
-        assert!(Instant::now() < end, "{what}");
-        sleep(Duration::from_millis(5)).await;
-    }
-}
-
 #[tokio::test]
 async fn a_request_is_read_then_written_and_its_stream_passes_unchanged() {
     let site = Site::start(Does::Read, Does::Stream(3)).await;
--- a/tests/stand_in/mod.rs
+++ b/tests/stand_in/mod.rs
@@ -4,7 +4,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use dewladder::edge::dispatcher::Dispatcher;
 use dewladder::edge::settings::{Config, Fronts};
@@ -170,6 +170,8 @@
 pub struct Agent {
     pub address: SocketAddr,
     list: watch::Sender<Option<Value>>,
+    /// Path and query of every call, as they came, and `closed` for a connection that the caller closed.
+    log: Arc<Mutex<Vec<String>>>,
 }
 
 impl Agent {
@@ -177,27 +179,38 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let (list, lists) = watch::channel(Some(list));
+        let log = Arc::new(Mutex::new(Vec::new()));
+        let lines = log.clone();
         tokio::spawn(async move {
             while let Ok((mut stream, _)) = listener.accept().await {
-                let mut lists = lists.clone();
+                let (mut lists, lines) = (lists.clone(), lines.clone());
                 tokio::spawn(async move {
                     let mut read = Vec::new();
                     while let Some((head, _)) = message(&mut stream, &mut read).await {
+                        lines.lock().unwrap().push(head.split(' ').nth(1).unwrap().to_owned());
                         let from = head.split_once("from=").map(|(_, rest)| rest.split('&').next().unwrap());
                         let from: i64 = from.map_or(-1, |text| text.parse().unwrap());
                         let newer = |list: &Option<Value>| {
                             list.as_ref().is_some_and(|list| list["revision"].as_i64() > Some(from))
                         };
-                        let Ok(list) = lists.wait_for(newer).await.map(|list| list.clone()) else { return };
-                        let list = list.unwrap();
+                        let list = tokio::select! {
+                            list = lists.wait_for(newer) => list.map(|list| list.clone()),
+                            _ = stream.read_buf(&mut read) => break,
+                        };
+                        let Ok(Some(list)) = list else { return };
                         if stream.write_all(plain(200, "", &list.to_string()).as_bytes()).await.is_err() {
                             return;
                         }
                     }
+                    lines.lock().unwrap().push("closed".to_owned());
                 });
             }
         });
-        Self { address, list }
+        Self { address, list, log }
+    }
+
+    pub fn log(&self) -> Vec<String> {
+        self.log.lock().unwrap().clone()
     }
 
     /// What it has from now on; `None` keeps it silent.
@@ -219,6 +232,7 @@
     pub platform: SocketAddr,
     pub chat: SocketAddr,
     pub check: SocketAddr,
+    pub discovery: watch::Sender<SocketAddr>,
     pub end: Option<oneshot::Sender<()>>,
     pub running: JoinHandle<Result<(), String>>,
 }
@@ -270,11 +284,20 @@
         let dispatcher = Dispatcher::bind(config, &fronts).unwrap();
         let addresses = dispatcher.addresses();
         let (end, ended) = oneshot::channel();
-        let running = tokio::spawn(dispatcher.run(async {
+        let (discovery, at) = watch::channel(agent.address);
+        let running = tokio::spawn(dispatcher.run(at, async {
             let _ = ended.await;
         }));
         let [platform, chat, check] = addresses[..] else { panic!("three listeners") };
-        Self { reader, writer, agent, platform, chat, check, end: Some(end), running }
+        Self { reader, writer, agent, platform, chat, check, discovery, end: Some(end), running }
+    }
+}
+
+pub async fn eventually(what: &str, holds: impl Fn() -> bool) {
+    let end = Instant::now() + Duration::from_secs(5);
+    while !holds() {
+        assert!(Instant::now() < end, "{what}");
+        sleep(Duration::from_millis(5)).await;
     }
 }
 
