--- a/src/edge/core.rs
+++ b/src/edge/core.rs
@@ -427,6 +427,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::interface::{CellId, ZoneId};
     use crate::wire::settings_from_pairs;
 
     /// The last guard, against a module that would break the rules: the module itself never does this.
@@ -452,4 +453,28 @@
         let told = core.events.pop_front();
         assert!(matches!(told, Some(Event::Ended(Ended { outcome: Outcome::Moot, last: true, .. }))));
     }
+
+    /// New servers come under new ids all day.
+    #[test]
+    fn servers_that_have_gone_are_forgotten() {
+        let pairs = [("lanes.count", "1")].into_iter().collect();
+        let mut core = Core::new(settings_from_pairs(pairs, 1).expect("settings"), 1, 1_000, 8);
+        let entry = |engine, health| Entry {
+            engine: EngineId(engine),
+            zone: ZoneId(0),
+            cell: CellId(0),
+            weight: 1.0,
+            started: None,
+            health,
+            kind: 0,
+        };
+        for day in 0..100 {
+            let entries = vec![entry(day + 1, Health::Ready), entry(day, Health::Gone)];
+            core.step(2_000, Input::Listed { how: ListKind::Patch, entries });
+        }
+        assert_eq!(core.servers.len(), 1);
+        let entries = vec![entry(7, Health::Ready), entry(8, Health::Terminating)];
+        core.step(3_000, Input::Listed { how: ListKind::Whole, entries });
+        assert_eq!(core.servers.len(), 2);
+    }
 }
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -7,9 +7,12 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use dewladder::edge::clock::Clock;
+use dewladder::edge::driver::{Driver, Message, Reply};
+use dewladder::edge::list;
 use dewladder::edge::servers::{self, Payload, Servers};
 use dewladder::edge::settings::Config;
-use dewladder::interface::Outcome;
+use dewladder::interface::{Call, ListKind, Outcome, RequestId};
 use serde_json::{json, Value};
 use stand_in::*;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -424,6 +427,36 @@
     assert_eq!(site.running.await.unwrap(), Ok(()));
 }
 
+/// Streams last long: prompts that were held until their end would add up.
+#[tokio::test]
+async fn a_prompt_is_let_go_of_once_its_stream_has_begun() {
+    let site = Site::start(Does::Read, Does::Stream(100)).await;
+    let members = [member(&site.reader, 1, "prefill", "up"), member(&site.writer, 2, "decode", "up")];
+    let known = json!({"revision": 1, "complete": true, "members": members});
+    let config = Config::parse("config", &config(site.agent.address, &known), |_| None).unwrap();
+    let clock = Clock::start();
+    let (driver, sender) = Driver::new(&config, clock);
+    tokio::spawn(driver.run());
+    let entries = list::entries(&config.known, &config.names);
+    sender.send(Message::Listed { how: ListKind::Whole, entries });
+    let call = Call {
+        id: RequestId(1),
+        class: 0,
+        session: None,
+        shared: None,
+        shared_tokens: 0,
+        prompt_tokens: 100,
+        max_tokens: 8,
+        hint: None,
+        not_after: clock.now() + 900_000,
+    };
+    let payload = Payload { txn: ID.to_owned(), target: "/".to_owned(), body: "{}".into() };
+    let payload = Arc::new(payload);
+    let held = Arc::downgrade(&payload);
+    let Reply::Stream(_streams) = sender.ask(call, payload).await else { panic!("it streams") };
+    eventually("the prompt has gone", || held.upgrade().is_none()).await;
+}
+
 #[tokio::test]
 async fn a_chat_client_may_drop_at_every_event_and_no_booking_is_sent_twice() {
     let site = Site::start(Does::Read, Does::Stream(5)).await;
