Make the repository a workspace and the decisions on servers a crate without I/O

Need: new subsystems are to stand as crates of their own, decisions apart from sockets, and the program had import circles (module and records; driver, servers, list and settings).

--- a/src/control.rs
+++ b/crates/router/src/control.rs
@@ -3,7 +3,7 @@
 //! Reading order, along a request's life: [`Router::handle`] takes an event; `call` takes or refuses a new
 //! request; `route` finds its next step; `pick_by_match` and `pick_writer` choose a server;
 //! `allowed` and `send` guard the rules for every send; `begun`, `ended` and `hangup` take what comes back;
-//! `answer` ends it. Then what is learnt: `did_well`, `did_badly`, `PrefixTable`, `Standing`, `ColdBudget`;
+//! `answer` ends it. Then what is learnt: `did_well`, `did_badly`, with the tables in `src/tables.rs`;
 //! last the `sweep`. Records are in `src/state.rs`, plain arithmetic in `src/figures.rs`.
 
 use std::cmp::Reverse;
@@ -19,11 +19,8 @@
     Outcome, RequestId, Role, Settings, TimerToken, ZoneId,
 };
 use crate::state::{Attempt, Cell, Engine, Request, Seen, Stage, StageFigures};
+use crate::tables::{ColdBudget, PrefixTable, PREFIX_KEYS};
 
-/// How long a sent prefix is believed to be kept (us), as the design page has it, and keys remembered for
-/// each reader; scales with sessions that one reader sees within that time.
-const PREFIX_EXPIRY: Micros = 60_000_000;
-const PREFIX_KEYS: usize = 4_096;
 const KEPT_SHARE: f64 = 0.5; // of what the record promised: less is a broken promise
 /// Tokens' worth of fixed effort in each read and in each fetch. Scales with the servers' time for a step.
 const READ_OVERHEAD: f64 = 512.0;
@@ -63,10 +60,8 @@
 const BEST_RISES: f64 = 0.001;
 /// A pace without new samples goes half way to the middle of its peers in this time (us).
 const PACE_HALF_LIFE: f64 = 4_000_000.0;
-const STRIKES_TO_REST: u32 = 2; // in a row, of one class
-/// The first rest and, doubled with each failed trial, the longest (us). Scales with how long stalls last.
+/// The first rest (us), doubled with each failed trial. Scales with how long stalls last.
 const FIRST_REST: Micros = 400_000;
-const LONGEST_REST: Micros = 3_200_000;
 const FULL_REST: Micros = 150_000; // after `Full` (us); scales with the time in which a slot comes free
 const LEAST_WELL_SHARE: f64 = 0.34; // of a pool; where fewer look well, the yardstick is wrong: all serve
 /// A writer is ready while tokens of all fronts, and what its report shows, are under these shares of memory.
@@ -851,7 +846,7 @@
         let (role, memory) = kind.map_or((Role::Mixed, 0), |kind| (kind.role, kind.memory_tokens));
         let debt = unit(self.rng.next_u64());
         let now = self.now;
-        let cold = || ColdBudget { debt, since: now };
+        let cold = || ColdBudget::owing(debt, now);
         let fresh = || Engine::new(entry.clone(), PrefixTable::new(), cold());
         let engine = self.engines.entry(entry.engine).or_insert_with(fresh);
         if engine.entry.started != entry.started && entry.health == Health::Ready {
@@ -889,92 +884,3 @@
         pool
     }
 }
-
-/// Prefixes sent to one server: session -> last prompt length, shared beginning -> told length.
-#[derive(Debug)]
-pub(crate) struct PrefixTable {
-    sent: LruCache<Key, (u64, Micros)>,
-    distrusted: Micros, // entries made at or before this time are not believed
-    lies: usize,
-}
-
-impl PrefixTable {
-    fn new() -> Self {
-        Self { sent: LruCache::unbounded(), distrusted: 0, lies: 0 } // room is paid for as it fills
-    }
-
-    /// The longer known match, at most the prompt, and when its entry was made.
-    fn longest(&self, call: &Call, now: Micros) -> Option<(u64, Micros)> {
-        let known = |key: Option<Key>| {
-            let &(tokens, made) = self.sent.peek(&key?)?;
-            let fresh = made + PREFIX_EXPIRY > now && made > self.distrusted;
-            fresh.then_some((tokens.min(call.prompt_tokens), made))
-        };
-        known(call.session).max(known(call.shared)).filter(|&(tokens, _)| tokens > 0)
-    }
-
-    fn record(&mut self, call: &Call, now: Micros) {
-        if let Some(key) = call.session {
-            self.sent.put(key, (call.prompt_tokens, now));
-        }
-        if let Some(key) = call.shared {
-            self.sent.put(key, (call.shared_tokens.min(call.prompt_tokens), now));
-        }
-        while self.sent.len() > PREFIX_KEYS {
-            self.sent.pop_lru();
-        }
-    }
-
-    /// A broken promise: entries as old as that one are not believed any more (a server that drops its least
-    /// recently used text); a second in a row: nothing sent before that read is (it has forgotten all).
-    fn judge(&mut self, kept: bool, made: Micros, sent: Micros) {
-        self.lies = if kept { 0 } else { self.lies + 1 };
-        let until = [0, made, sent.saturating_sub(1)][self.lies.min(2)];
-        self.distrusted = self.distrusted.max(until);
-    }
-}
-
-/// Whether a server answers at all. Two strikes in a row put it to rest; then one request at a time tries it.
-#[derive(Debug, Default)]
-pub(crate) struct Standing {
-    strikes: u32,
-    rests: u32,
-    rest_until: Micros,
-}
-
-impl Standing {
-    fn takes_work(&self, now: Micros, idle: bool) -> bool {
-        self.strikes < STRIKES_TO_REST || (now >= self.rest_until && idle)
-    }
-
-    fn strike(&mut self, now: Micros, first: Micros, lot: u64) {
-        self.strikes += 1;
-        if self.strikes >= STRIKES_TO_REST && now >= self.rest_until {
-            let rest = (first << self.rests.min(8)).min(LONGEST_REST.max(first));
-            self.rest_until = now + rest + lot % (rest / 4);
-            self.rests += 1;
-        }
-    }
-}
-
-/// This front's part of what a cold server can take. `debt` is what it was sent, less what has been earned
-/// since: a leaky bucket one window deep. It starts at a random level: fronts must not all send at once.
-#[derive(Debug)]
-pub(crate) struct ColdBudget {
-    debt: f64,
-    since: Micros,
-}
-
-impl ColdBudget {
-    fn debt(&self, permit: f64, now: Micros, window: Micros) -> f64 {
-        (self.debt - (now - self.since) as f64 / window.max(1) as f64 * permit).max(0.0)
-    }
-
-    fn allows(&self, permit: f64, now: Micros, window: Micros) -> bool {
-        self.debt(permit, now, window) + 1.0 <= permit.max(1.0)
-    }
-
-    fn spend(&mut self, permit: f64, now: Micros, window: Micros) {
-        (self.debt, self.since) = (self.debt(permit, now, window) + 1.0, now);
-    }
-}
--- a/src/figures.rs
+++ b/crates/router/src/figures.rs
@@ -78,7 +78,8 @@
 }
 
 /// A fixed 64-bit mixer (the finaliser of SplitMix64): the same at every front.
-pub(crate) fn mix(value: u64) -> u64 {
+#[must_use]
+pub fn mix(value: u64) -> u64 {
     let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     value ^ (value >> 31)
--- /dev/null
+++ b/crates/router/src/lib.rs
@@ -0,0 +1,15 @@
+//! The decisions of a dispatcher: which server, whether to try again, what is turned away. Time, randomness and
+//! news come in as arguments, and [`Router::handle`] returns what is to be done. Nothing here can do I/O.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod control;
+mod figures;
+pub mod interface;
+pub mod pairs;
+mod state;
+mod tables;
+
+pub use control::Router;
+pub use figures::mix;
--- /dev/null
+++ b/crates/router/src/pairs.rs
@@ -0,0 +1,143 @@
+//! Settings as `path=value` pairs: the one form in which the simulator's wire and the configuration file meet.
+
+use std::collections::HashMap;
+use std::str::FromStr;
+
+use thiserror::Error;
+
+use crate::interface::{Class, DedupGroup, Effect, Kind, Micros, Role, Settings, ZoneId};
+
+/// A value that can't be read.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+#[error("settings {path}: {what}")]
+pub struct SettingsError {
+    /// Which value.
+    pub path: String,
+    /// What is wrong with it.
+    pub what: String,
+}
+
+/// The pairs, looked up by path.
+struct Pairs<'a> {
+    values: HashMap<&'a str, &'a str>,
+}
+
+impl<'a> Pairs<'a> {
+    fn bad(&self, path: &str, what: &str) -> SettingsError {
+        SettingsError { path: path.to_owned(), what: what.to_owned() }
+    }
+
+    fn get<T: FromStr>(&self, path: &str, absent: T) -> Result<T, SettingsError> {
+        match self.values.get(path) {
+            None | Some(&("" | "-")) => Ok(absent),
+            Some(text) => text.parse().map_err(|_| self.bad(path, &format!("can't read '{text}'"))),
+        }
+    }
+
+    fn time(&self, path: &str, absent: Micros) -> Result<Micros, SettingsError> {
+        match self.values.get(path) {
+            None | Some(&("" | "-")) => Ok(absent),
+            Some(text) => micros(text).ok_or_else(|| self.bad(path, &format!("'{text}' is no time"))),
+        }
+    }
+
+    fn flag(&self, path: &str) -> bool {
+        matches!(self.values.get(path), Some(&("true" | "1")))
+    }
+
+    fn text(&self, path: &str) -> &'a str {
+        self.values.get(path).copied().unwrap_or("")
+    }
+
+    fn list(&self, path: &str) -> Vec<&'a str> {
+        self.text(path).split(',').filter(|part| !part.is_empty()).collect()
+    }
+
+    fn number_at(&self, path: &str, at: usize) -> Result<f64, SettingsError> {
+        match self.list(path).get(at) {
+            None => Ok(0.0),
+            Some(text) => text.parse().map_err(|_| self.bad(path, &format!("'{text}' is no number"))),
+        }
+    }
+}
+
+/// Reads settings from their `path=value` pairs. Unknown paths are skipped.
+///
+/// # Errors
+/// A value that can't be read.
+pub fn from_pairs(values: HashMap<&str, &str>) -> Result<Settings, SettingsError> {
+    let pairs = Pairs { values };
+    let lanes = pairs.get("lanes.count", 0)?;
+    let balancers: u32 = pairs.get("balancers", 1)?;
+    Ok(Settings {
+        balancers: balancers.max(1),
+        zone: ZoneId(pairs.get("locality", 0)?),
+        classes: (0..lanes).map(|at| class(&pairs, at)).collect::<Result<_, _>>()?,
+        kinds: kinds(&pairs)?,
+        must_subscribe: pairs.text("discovery") == "subscribe",
+        must_ask_in: pairs.time("rules.must_ask_in_s", 0)?,
+        may_cancel: pairs.flag("limits.cancel"),
+        writers_read: pairs.flag("domain.local_read"),
+        max_attempts: pairs.get("limits.max_attempts", u32::MAX)?,
+        max_retry_after: pairs.time("limits.max_retry_after_s", 0)?,
+        release_within: pairs.time("domain.release_within_s", 0)?,
+        resolution: pairs.time("resolution_s", 0)?,
+        cold_from: pairs.get("rules.cold_from", 0.0)?,
+        cold_for: pairs.time("rules.cold_s", 0)?,
+        fall_multiple: pairs.get("rules.fall_multiple", 1.0)?,
+        fall_window: pairs.time("rules.fall_s", 0)?,
+    })
+}
+
+fn class(pairs: &Pairs, at: usize) -> Result<Class, SettingsError> {
+    let path = |name: &str| format!("lanes.{at}.{name}");
+    let effect = match pairs.text(&path("effect")) {
+        "deduplicated" => Effect::Deduplicated,
+        "at_most_once" => Effect::AtMostOnce,
+        "idempotent" | "" => Effect::Idempotent,
+        other => return Err(pairs.bad(&path("effect"), &format!("unknown effect '{other}'"))),
+    };
+    let group = match pairs.text(&path("group")) {
+        "zone" => DedupGroup::Zone,
+        "cell" => DedupGroup::Cell,
+        _ => DedupGroup::All,
+    };
+    Ok(Class {
+        aim: pairs.time(&path("aim_s"), 0)?,
+        aim_per_1000_tokens: whole(pairs.number_at("domain.aim_us_per_1000_prompt_tokens", at)?),
+        token_aim: whole(pairs.number_at("domain.token_aim_s", at)? * 1e6),
+        effect,
+        group,
+        dedup_window: pairs.time(&path("dedup_window_s"), 0)?,
+        worth: pairs.get(&path("worth"), 1.0)?,
+    })
+}
+
+fn kinds(pairs: &Pairs) -> Result<Vec<Kind>, SettingsError> {
+    let roles = pairs.list("domain.role_by_kind");
+    let count = roles.len().max(pairs.list("kinds").len());
+    (0..count)
+        .map(|at| {
+            let role = match roles.get(at) {
+                Some(&"read") => Role::Reader,
+                Some(&"write") => Role::Writer,
+                Some(&"both") | None => Role::Mixed,
+                Some(other) => {
+                    return Err(pairs.bad("domain.role_by_kind", &format!("unknown role '{other}'")));
+                }
+            };
+            Ok(Kind { role, memory_tokens: whole(pairs.number_at("domain.kind_memory_tokens", at)?) })
+        })
+        .collect()
+}
+
+/// Seconds with decimals, in whole microseconds; `None` where the text is no time.
+#[must_use]
+pub fn micros(text: &str) -> Option<Micros> {
+    let seconds: f64 = text.parse().ok()?;
+    (seconds.is_finite() && seconds.abs() < 1e12).then(|| whole(seconds * 1e6))
+}
+
+fn whole(value: f64) -> u64 {
+    value.round().max(0.0) as u64
+}
--- a/src/state.rs
+++ b/crates/router/src/state.rs
@@ -1,10 +1,10 @@
-//! What a front remembers: records without any decision. The tables in them are in `control.rs`.
+//! What a front remembers: records without any decision. The tables in them are in `tables.rs`.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use crate::control::{ColdBudget, PrefixTable, Standing};
 use crate::figures::{Pace, Rate};
 use crate::interface::{Call, EngineId, Entry, Micros, Report, RequestId, Role};
+use crate::tables::{ColdBudget, PrefixTable, Standing};
 
 /// What an attempt is to do: read and keep the state, fetch a state and answer, or read and answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -4,8 +4,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use dewladder::interface::*;
-use dewladder::Router;
+use dewladder_router::interface::*;
+use dewladder_router::Router;
 
 pub const SECOND: Micros = 1_000_000;
 
--- a/tests/failures.rs
+++ b/crates/router/tests/failures.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use dewladder::interface::*;
+use dewladder_router::interface::*;
 
 /// Serves a request at once, both stages; says where it was read.
 fn serve(world: &mut World, id: u64, session: u64) -> EngineId {
--- a/tests/properties.rs
+++ b/crates/router/tests/properties.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use dewladder::interface::*;
+use dewladder_router::interface::*;
 use proptest::prelude::*;
 
 const OUTCOMES: [Outcome; 10] = [
--- a/tests/rules.rs
+++ b/crates/router/tests/rules.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use dewladder::interface::*;
+use dewladder_router::interface::*;
 
 #[test]
 fn rule_1_a_state_that_finds_no_writer_is_answered_before_its_client_leaves() {
--- a/src/edge/clients/chat.rs
+++ b/src/edge/clients/chat.rs
@@ -26,8 +26,8 @@
 use crate::edge::driver::{Reply, Sender};
 use crate::edge::servers::{header, Cut, Payload, Relay};
 use crate::edge::settings::{ChatSettings, Config};
-use crate::figures::mix;
 use crate::interface::{Call, Effect, Key, Micros, RequestId, Settings};
+use dewladder_router::mix;
 
 const TARGET: &str = "/v1/chat/completions";
 const CHARACTERS_A_TOKEN: u64 = 4;
--- a/src/edge/core.rs
+++ b/src/edge/core.rs
@@ -428,13 +428,13 @@
 mod tests {
     use super::*;
     use crate::interface::{CellId, ZoneId};
-    use crate::wire::settings_from_pairs;
+    use dewladder_router::pairs::from_pairs;
 
     /// The last guard, against a module that would break the rules: the module itself never does this.
     #[test]
     fn after_the_final_answer_there_is_no_other_and_nothing_is_sent() {
         let pairs = [("lanes.count", "1"), ("limits.max_retry_after_s", "1")].into_iter().collect();
-        let mut core = Core::new(settings_from_pairs(pairs, 1).expect("settings"), 1, 1_000, 8);
+        let mut core = Core::new(from_pairs(pairs).expect("settings"), 1, 1_000, 8);
         let id = RequestId(1);
         let request = Request {
             client: Client::Waiting,
@@ -458,7 +458,7 @@
     #[test]
     fn servers_that_have_gone_are_forgotten() {
         let pairs = [("lanes.count", "1")].into_iter().collect();
-        let mut core = Core::new(settings_from_pairs(pairs, 1).expect("settings"), 1, 1_000, 8);
+        let mut core = Core::new(from_pairs(pairs).expect("settings"), 1, 1_000, 8);
         let entry = |engine, health| Entry {
             engine: EngineId(engine),
             zone: ZoneId(0),
--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -13,8 +13,8 @@
 use crate::edge::clients::{chat, platform};
 use crate::edge::clock::Clock;
 use crate::edge::driver::{Driver, Figures, Message, Sender};
-use crate::edge::list;
 use crate::edge::settings::{Config, Fronts};
+use crate::edge::{list, listing};
 use crate::interface::ListKind;
 
 /// After SIGTERM new connections go on coming for up to 0.4 s; only then are idle ones closed.
@@ -77,7 +77,7 @@
         end: impl std::future::Future<Output = ()>,
     ) -> Result<(), String> {
         let Self { config, driver, to_driver, figures, phase, fronts, agent, health } = self;
-        let known = list::entries(&config.known, &config.names);
+        let known = listing::entries(&config.known, &config.names);
         info!("{}: serving on {}, {} servers known", config.name, config.listen, known.len());
         to_driver.send(Message::Listed { how: ListKind::StaleCopy, entries: known });
         let driver = tokio::spawn(driver.run());
--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -14,7 +14,7 @@
 use crate::edge::clock::Clock;
 use crate::edge::connections::{plain_client, Plain};
 use crate::edge::core::{Core, Effect, Ending, Input};
-use crate::edge::servers::{self, Opened, Payload, Progress, Relay, Servers};
+use crate::edge::servers::{self, Opened, Payload, Progress, Relay, Servers, StreamEnd};
 use crate::edge::settings::Config;
 use crate::interface::{Call, EngineId, Entry, Health, ListKind, Micros, Outcome, RequestId};
 
@@ -86,16 +86,6 @@
         let _ = self.0.send(message);
     }
 
-    /// Tells that an attempt has ended.
-    pub fn finished(&self, id: RequestId, attempt: u32, ending: Ending) {
-        self.send(Message::Told(Input::Finished { id, attempt, ending }));
-    }
-
-    /// Tells that a client has left.
-    pub fn client_gone(&self, id: RequestId) {
-        self.send(Message::Told(Input::ClientGone(id)));
-    }
-
     /// Hands a request in and waits for its reply. Dropping the future tells that the client has left.
     pub async fn ask(&self, call: Call, payload: Arc<Payload>) -> Reply {
         let (reply, answer) = oneshot::channel();
@@ -107,6 +97,16 @@
     }
 }
 
+impl StreamEnd for Sender {
+    fn finished(&self, id: RequestId, attempt: u32, ending: Ending) {
+        self.send(Message::Told(Input::Finished { id, attempt, ending }));
+    }
+
+    fn client_gone(&self, id: RequestId) {
+        self.send(Message::Told(Input::ClientGone(id)));
+    }
+}
+
 /// Tells that the client has left when it is dropped before the reply: a front's handler is dropped when
 /// its connection closes, and nothing else would say so.
 struct Leaving(Option<(Sender, RequestId)>);
@@ -332,7 +332,7 @@
                     if let Some(client) = self.clients.get_mut(&id) {
                         client.payload = Arc::new(client.payload.without_body());
                     }
-                    let relay = self.servers.relay(*opened, id, attempt, self.to_self.clone());
+                    let relay = self.servers.relay(*opened, id, attempt, Box::new(self.to_self.clone()));
                     self.reply(id, Reply::Stream(relay));
                 }
                 None
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -9,5 +9,6 @@
 pub mod dispatcher;
 pub mod driver;
 pub mod list;
+pub mod listing;
 pub mod servers;
 pub mod settings;
--- a/src/edge/servers.rs
+++ b/src/edge/servers.rs
@@ -21,7 +21,6 @@
 
 use crate::edge::connections::{plain_client, Closing, Plain};
 use crate::edge::core::Ending;
-use crate::edge::driver::Sender;
 use crate::edge::settings::Config;
 use crate::interface::{Outcome, Report, RequestId};
 
@@ -228,7 +227,7 @@
 
     /// The relay of an attempt's stream; its end goes to `end`.
     #[must_use]
-    pub fn relay(&self, opened: Opened, id: RequestId, attempt: u32, end: Sender) -> Relay {
+    pub fn relay(&self, opened: Opened, id: RequestId, attempt: u32, end: Box<dyn StreamEnd>) -> Relay {
         let stall = Box::pin(sleep_until(Instant::now() + self.stall));
         Relay {
             opened,
@@ -316,6 +315,14 @@
     Some((None, shape)).filter(|_| first.is_empty())
 }
 
+/// Is told how a relay ends; exactly one of the two, once.
+pub trait StreamEnd: std::fmt::Debug + Send {
+    /// The attempt has ended.
+    fn finished(&self, id: RequestId, attempt: u32, ending: Ending);
+    /// The client has left before the end.
+    fn client_gone(&self, id: RequestId);
+}
+
 /// Passes a server's stream on, byte for byte and as it comes. It ends without error only if the server's
 /// stream did; one that breaks or stalls is an error, so that the client's connection is cut.
 #[derive(Debug)]
@@ -327,7 +334,7 @@
     /// Why it is cut, until that has been said.
     why: Option<Cut>,
     /// Where the end is told; taken then.
-    end: Option<Sender>,
+    end: Option<Box<dyn StreamEnd>>,
     id: RequestId,
     attempt: u32,
 }
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -10,9 +10,9 @@
 use thiserror::Error;
 use tokio::sync::watch;
 
-use crate::edge::list::Listing;
+use crate::edge::listing::{Listing, Names};
 use crate::interface::{Key, Settings};
-use crate::wire::settings_from_pairs;
+use dewladder_router::pairs::from_pairs;
 
 /// A client may be left without an event for 5 s. Where it can ask for the rest, a stream is cut in good time
 /// before that; where it can't, cutting loses the request, so that the last moment is waited for.
@@ -111,15 +111,6 @@
     pub stall: Duration,
 }
 
-/// What the list's words stand for.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Names {
-    /// Zones by number.
-    pub zones: Vec<String>,
-    /// Kinds of servers by number.
-    pub kinds: Vec<String>,
-}
-
 impl Config {
     /// Reads the file at `path`; what it leaves out is taken from `environment`.
     ///
@@ -168,7 +159,7 @@
         let mut pairs = HashMap::new();
         flatten("", &file.settings, &mut pairs);
         let values = pairs.iter().map(|(path, value)| (path.as_str(), value.as_str())).collect();
-        let settings = settings_from_pairs(values, 1).map_err(|error| bad(error.to_string()))?;
+        let settings = from_pairs(values).map_err(|error| bad(error.to_string()))?;
         if settings.classes.is_empty() || settings.kinds.is_empty() {
             return Err(bad("settings name no lanes or no kinds of servers".to_owned()));
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,11 +2,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-pub mod control;
 pub mod edge;
-mod figures;
-pub mod interface;
-mod state;
 pub mod wire;
 
-pub use control::Router;
+pub use dewladder_router::{interface, Router};
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -5,8 +5,7 @@
 use std::io::{BufRead as _, BufReader};
 use std::process::{Command, Output, Stdio};
 
-use dewladder::edge::list::{engine, entries, Listing};
-use dewladder::edge::settings::Names;
+use dewladder::edge::listing::{engine, entries, Listing, Names};
 use dewladder::interface::EngineId;
 use serde_json::json;
 use stand_in::eventually;
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -9,7 +9,7 @@
 
 use dewladder::edge::clock::Clock;
 use dewladder::edge::driver::{Driver, Message, Reply};
-use dewladder::edge::list;
+use dewladder::edge::listing::entries;
 use dewladder::edge::servers::{self, Payload, Servers};
 use dewladder::edge::settings::Config;
 use dewladder::interface::{Call, ListKind, Outcome, RequestId};
@@ -437,7 +437,7 @@
     let clock = Clock::start();
     let (driver, sender) = Driver::new(&config, clock);
     tokio::spawn(driver.run());
-    let entries = list::entries(&config.known, &config.names);
+    let entries = entries(&config.known, &config.names);
     sender.send(Message::Listed { how: ListKind::Whole, entries });
     let call = Call {
         id: RequestId(1),
