--- /dev/null
+++ b/crates/ledger/src/fingerprint.rs
@@ -0,0 +1,129 @@
+//! Keyed fingerprints of keys and bodies, and the form of a body that does not depend on how it was written.
+
+use serde_json::Value;
+
+/// 128 bits of a keyed hash. Two requests with the same one are taken for the same.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Fingerprint(pub [u64; 2]);
+
+impl Fingerprint {
+    /// Bits for a hash table: all bits of a fingerprint are as good as random to who does not hold the secret.
+    #[must_use]
+    pub fn bits(self) -> u64 {
+        self.0[0]
+    }
+}
+
+/// Makes fingerprints under a secret, so that nobody outside can make two requests collide.
+#[derive(Clone)]
+pub struct Fingerprints {
+    secret: [u8; 32],
+}
+
+impl std::fmt::Debug for Fingerprints {
+    fn fmt(&self, to: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        to.write_str("Fingerprints(secret)")
+    }
+}
+
+impl Fingerprints {
+    /// Under the secret that is derived from `material`, of which nobody outside may know all.
+    #[must_use]
+    pub fn new(material: &[u8]) -> Self {
+        Self {
+            secret: blake3::derive_key("dewladder 2026-12-01 fingerprints of repeated requests", material),
+        }
+    }
+
+    /// The fingerprint of `parts` in a domain of its own. Each part goes in with its length: `("ab", "c")` is
+    /// not `("a", "bc")`, and a key never collides with a body.
+    #[must_use]
+    pub fn of(&self, domain: &str, parts: &[&[u8]]) -> Fingerprint {
+        let mut hasher = blake3::Hasher::new_keyed(&self.secret);
+        for part in std::iter::once(domain.as_bytes()).chain(parts.iter().copied()) {
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        let hash = hasher.finalize();
+        let word = |at: usize| {
+            let bytes = &hash.as_bytes()[at..at + 8];
+            bytes.iter().fold(0, |bits, byte| bits << 8 | u64::from(*byte))
+        };
+        Fingerprint([word(0), word(8)])
+    }
+}
+
+/// A body's canonical text: without blanks, the names of each object in order. Numbers stay as they were written
+/// as far as the parser keeps them: libraries repeat a body byte for byte, and two bodies that differ must never
+/// be taken for the same.
+#[must_use]
+pub fn canonical(body: &Value) -> Vec<u8> {
+    let mut text = Vec::new();
+    write(body, &mut text);
+    text
+}
+
+fn write(value: &Value, text: &mut Vec<u8>) {
+    match value {
+        Value::Object(fields) => {
+            let mut names: Vec<&String> = fields.keys().collect();
+            names.sort_unstable();
+            text.push(b'{');
+            for (at, name) in names.into_iter().enumerate() {
+                if at > 0 {
+                    text.push(b',');
+                }
+                text.extend(Value::String(name.clone()).to_string().bytes());
+                text.push(b':');
+                write(&fields[name], text);
+            }
+            text.push(b'}');
+        }
+        Value::Array(items) => {
+            text.push(b'[');
+            for (at, item) in items.iter().enumerate() {
+                if at > 0 {
+                    text.push(b',');
+                }
+                write(item, text);
+            }
+            text.push(b']');
+        }
+        plain => text.extend(plain.to_string().bytes()),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn parts_domains_and_secrets_tell_apart() {
+        let (one, other) = (Fingerprints::new(b"one"), Fingerprints::new(b"other"));
+        let all = [
+            one.of("key", &[b"ab", b"c"]),
+            one.of("key", &[b"a", b"bc"]),
+            one.of("key", &[b"abc"]),
+            one.of("body", &[b"ab", b"c"]),
+            other.of("key", &[b"ab", b"c"]),
+        ];
+        for (at, first) in all.iter().enumerate() {
+            assert!(all[at + 1..].iter().all(|second| second != first));
+        }
+        assert_eq!(one.of("key", &[b"ab", b"c"]), all[0]);
+    }
+
+    #[test]
+    fn order_and_blanks_do_not_matter_and_all_else_does() {
+        let text = |body: &str| canonical(&serde_json::from_str(body).expect("JSON"));
+        let body = text(r#"{"a":[1,{"c":null,"b":"é\n"}],"z":1.5}"#);
+        assert_eq!(body, text("{ \"z\" : 1.5, \"a\": [1, {\"b\": \"\\u00e9\\n\", \"c\": null}]}"));
+        for other in [
+            r#"{"a":[1,{"c":null,"b":"é"}],"z":1.5}"#,
+            r#"{"a":[{"c":null,"b":"é\n"},1],"z":1.5}"#,
+            r#"{"a":[1,{"c":null,"b":"é\n"}],"z":"1.5"}"#,
+        ] {
+            assert_ne!(body, text(other));
+        }
+    }
+}
