Wire the ledger to the chat front, and make the stand-ins a crate with a two-step fleet

Need: the chat front ran every repeat as a new request; tests need a fleet that can be asked whether a booking ran twice. Change: where [chat.repeats] is turned on (off as shipped), requests go through the ledger: answers are recorded once and read by each client from the first byte, a repeat joins or is told why not, and the reducer tells with its last effect whether a request may have run. crates/stand-in holds the scripted server, the agent and the plain client that tests had, and a fleet with kept states, drains, faults and a ledger of all that began.

--- /dev/null
+++ b/crates/stand-in/src/lib.rs
@@ -0,0 +1,15 @@
+//! Stand-ins of this repository's own for the peers that a dispatcher speaks with, on loopback ports that the
+//! system picks: servers that do what a test says ([`Server`]), a fleet that reads and writes in two steps and
+//! keeps a ledger of all that began ([`Fleet`]), a discovery agent ([`Agent`]), and a plain client.
+
+mod agent;
+mod client;
+mod fleet;
+mod scripted;
+mod wire;
+
+pub use agent::{config, member, Agent};
+pub use client::{body, chat, platform, post, talk, until_close};
+pub use fleet::{Begun, Fault, Fleet, Shape};
+pub use scripted::{event, Does, Server, LAST_EVENTS};
+pub use wire::field;
--- a/src/edge/clients/chat.rs
+++ b/src/edge/clients/chat.rs
@@ -22,11 +22,13 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 use crate::edge::clients::platform::body_within;
+use crate::edge::clients::repeats::{Begun, Judged, Reader, Repeats};
 use crate::edge::clock::Clock;
 use crate::edge::driver::{Reply, Sender};
-use crate::edge::servers::{header, Cut, Payload, Relay};
+use crate::edge::servers::{header, Cut, Payload};
 use crate::edge::settings::{ChatSettings, Config};
 use crate::interface::{Call, Effect, Key, Micros, RequestId, Settings};
+use dewladder_ledger::{Ending, Later, Never, Verdict};
 use dewladder_router::mix;
 
 const TARGET: &str = "/v1/chat/completions";
@@ -36,6 +38,10 @@
 const SHOULD_RETRY: HeaderName = HeaderName::from_static("x-should-retry");
 const RETRY_AFTER_MS: HeaderName = HeaderName::from_static("retry-after-ms");
 const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+/// Says of an answer that it is that of an earlier request, which this one repeats.
+const REPLAYED: HeaderName = HeaderName::from_static("idempotent-replayed");
+/// A request that is let go of while its repeat waits is judged anew so often at most.
+const MOST_JUDGED: usize = 8;
 
 /// A model that clients can name.
 struct Model {
@@ -46,6 +52,8 @@
 
 struct Tenant {
     name: String,
+    /// Its number among all: the same for all keys of a tenant.
+    number: u32,
     open: Arc<Semaphore>,
 }
 
@@ -61,6 +69,8 @@
     anyone: Tenant,
     max_tokens: u64,
     ids: Ids,
+    /// What is known of repeats, where that is turned on.
+    repeats: Option<Arc<Repeats>>,
 }
 
 /// Mints ids: no two alike in one life, and by the seed and the start time none of another life either.
@@ -89,8 +99,9 @@
 /// Whether the settings fit the configuration.
 ///
 /// # Errors
-/// A model whose class the configuration does not know.
+/// A model whose class the configuration does not know, or a bound on repeats that can't be used.
 pub fn check(chat: &ChatSettings, config: &Config) -> Result<(), String> {
+    chat.repeats.policy(&config.limits)?;
     models(chat, config).map(drop)
 }
 
@@ -100,8 +111,18 @@
 /// A model whose class the settings do not know.
 pub fn front(chat: &ChatSettings, config: &Config, clock: Clock, driver: Sender) -> Result<Router, String> {
     let models = models(chat, config)?;
-    let tenant =
-        |name: &str| Tenant { name: name.to_owned(), open: Arc::new(Semaphore::new(chat.most_open)) };
+    let mut names: Vec<&String> = chat.tenants.values().collect();
+    names.sort_unstable();
+    names.dedup();
+    let tenant = |name: &str| Tenant {
+        name: name.to_owned(),
+        number: names.iter().position(|known| *known == name).map_or(0, |at| at as u32 + 1),
+        open: Arc::new(Semaphore::new(chat.most_open)),
+    };
+    let policy = chat.repeats.policy(&config.limits)?;
+    let secret = mix(config.seed ^ mix(clock.now()));
+    let headers = chat.repeats.retry_headers.clone();
+    let repeats = chat.repeats.enabled.then(|| Repeats::start(policy, headers, clock, secret));
     let data: Vec<Value> = chat
         .models
         .keys()
@@ -118,6 +139,7 @@
         anyone: tenant(""),
         max_tokens: chat.max_tokens,
         ids: Ids { base: mix(config.seed ^ mix(clock.now())), next: AtomicU64::new(0) },
+        repeats,
     };
     let unknown =
         || async { Problem::new(StatusCode::NOT_FOUND, "not_found", "there is no such path").answer() };
@@ -153,49 +175,130 @@
         let model = self.models.get(&chat.model).ok_or_else(|| {
             Problem::new(StatusCode::NOT_FOUND, "model_not_found", "the model does not exist")
         })?;
-        let permit = tenant.open.clone().try_acquire_owned().map_err(|_| Problem {
-            retry_in: Some(self.settings.max_retry_after),
-            ..Problem::new(StatusCode::TOO_MANY_REQUESTS, "rate_limit_exceeded", "too many requests at once")
-        })?;
-        let id = self.ids.mint();
-        let call = self.call(id, &chat, model.class, tenant, now);
-        let body = if chat.stream { body } else { streamed(&body)? };
-        let payload = Payload { txn: format!("{:016x}", id.0), target: TARGET.to_owned(), body };
-        match self.driver.ask(call, Arc::new(payload)).await {
-            Reply::Refused { retry_in } => Err(Problem {
-                retry_in: Some(retry_in),
-                ..Problem::new(
-                    StatusCode::SERVICE_UNAVAILABLE,
-                    "overloaded",
-                    "refused for now, come again later",
-                )
-            }),
-            Reply::Failed { may_have_run } => Err(Problem {
-                never_again: model.once && may_have_run,
-                ..Problem::new(StatusCode::GATEWAY_TIMEOUT, "server_error", "no server answered in time")
-            }),
-            Reply::Taken => Err(Problem::new(StatusCode::CONFLICT, "conflict", "the id is taken")),
-            Reply::Stream(relay) if chat.stream => {
-                let mut response = Response::new(Body::new(Events::new(relay, permit)));
-                let headers = response.headers_mut();
-                headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
-                headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-cache"));
-                with_id(headers, id);
-                Ok(response)
-            }
-            Reply::Stream(relay) => {
-                let whole = whole(relay, id, &chat.model, self.clock.now()).await;
-                let whole = whole.map_err(|what| Problem {
-                    never_again: model.once,
-                    ..Problem::new(StatusCode::BAD_GATEWAY, "server_error", what)
+        let value: Value = serde_json::from_slice(&body).map_err(|error| bad(error.to_string()))?;
+        let sent = if chat.stream { body } else { streamed(value.clone()) };
+        let asked = Asked { chat: &chat, model, tenant, now, sent };
+        match &self.repeats {
+            None => self.once(&asked).await,
+            Some(repeats) => {
+                let offer = repeats.offer(&head.headers, (tenant.number, &tenant.name), model.once, &value);
+                let offer = offer.map_err(|bad_key| Problem {
+                    param: Some("Idempotency-Key"),
+                    ..bad(format!("Idempotency-Key {}", bad_key.0))
                 })?;
-                let mut response = json_answer(StatusCode::OK, Bytes::from(whole.to_string()));
-                with_id(response.headers_mut(), id);
-                Ok(response)
+                self.as_judged(repeats, &offer, &asked).await
             }
         }
     }
 
+    /// Has a request run of which nothing is remembered.
+    async fn once(&self, asked: &Asked<'_>) -> Result<Response<Body>, Problem> {
+        let permit = self.permit(asked.tenant)?;
+        let (call, payload) = self.request(asked);
+        let id = call.id;
+        match self.driver.ask(call, payload).await {
+            Reply::Refused { retry_in } => Err(Problem::refused(retry_in)),
+            Reply::Failed { may_have_run } => Err(Problem::failed(asked.model.once && may_have_run)),
+            Reply::Taken => Err(Problem::new(StatusCode::CONFLICT, "conflict", "the id is taken")),
+            Reply::Stream(relay) => self.answer(asked, id, relay, Some(permit)).await,
+        }
+    }
+
+    /// Does with a request what is decided of it: it may be a repeat.
+    async fn as_judged(
+        &self,
+        repeats: &Arc<Repeats>,
+        offer: &dewladder_ledger::Offer,
+        asked: &Asked<'_>,
+    ) -> Result<Response<Body>, Problem> {
+        for _ in 0..MOST_JUDGED {
+            let (mut reader, joined) = match repeats.judge(offer) {
+                Judged::Run(reader) => {
+                    let permit = match self.permit(asked.tenant) {
+                        Ok(permit) => permit,
+                        Err(problem) => {
+                            repeats.refuse(&reader, self.settings.max_retry_after);
+                            return Err(problem);
+                        }
+                    };
+                    let (call, payload) = self.request(asked);
+                    repeats.run(&reader, &self.driver, call, payload, permit);
+                    (reader, false)
+                }
+                Judged::Join(reader) => (reader, true),
+                Judged::Told(Verdict::Unrecorded) => return self.once(asked).await,
+                Judged::Told(verdict) => return Err(told(verdict)),
+            };
+            match reader.begun().await {
+                Begun::Streams => return self.recorded(asked, reader, joined).await,
+                Begun::Over(Ending::Refused { retry_in }) => return Err(Problem::refused(retry_in)),
+                Begun::Over(Ending::Failed { may_have_run } | Ending::LetGo { may_have_run }) => {
+                    return Err(Problem::failed(asked.model.once && may_have_run));
+                }
+                Begun::Over(_) | Begun::Again => {}
+            }
+        }
+        Err(Problem::refused(self.settings.max_retry_after))
+    }
+
+    async fn recorded(
+        &self,
+        asked: &Asked<'_>,
+        reader: Reader,
+        joined: bool,
+    ) -> Result<Response<Body>, Problem> {
+        let id = reader.request();
+        let mut response = self.answer(asked, id, reader, None).await?;
+        if joined {
+            response.headers_mut().insert(REPLAYED, HeaderValue::from_static("true"));
+        }
+        Ok(response)
+    }
+
+    /// The answer to a client, from a server's stream or what is recorded of one.
+    async fn answer<S>(
+        &self,
+        asked: &Asked<'_>,
+        id: RequestId,
+        stream: S,
+        permit: Option<OwnedSemaphorePermit>,
+    ) -> Result<Response<Body>, Problem>
+    where
+        S: HttpBody<Data = Bytes, Error = Cut> + Unpin + Send + 'static,
+    {
+        let mut response = if asked.chat.stream {
+            let mut response = Response::new(Body::new(Events::new(stream, permit)));
+            let headers = response.headers_mut();
+            headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+            headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+            response
+        } else {
+            let whole = whole(stream, id, &asked.chat.model, self.clock.now()).await;
+            let whole = whole.map_err(|what| Problem {
+                never_again: asked.model.once,
+                ..Problem::new(StatusCode::BAD_GATEWAY, "server_error", what)
+            })?;
+            json_answer(StatusCode::OK, Bytes::from(whole.to_string()))
+        };
+        with_id(response.headers_mut(), id);
+        Ok(response)
+    }
+
+    fn permit(&self, tenant: &Tenant) -> Result<OwnedSemaphorePermit, Problem> {
+        tenant.open.clone().try_acquire_owned().map_err(|_| Problem {
+            retry_in: Some(self.settings.max_retry_after),
+            ..Problem::new(StatusCode::TOO_MANY_REQUESTS, "rate_limit_exceeded", "too many requests at once")
+        })
+    }
+
+    /// The call and what is sent on for it, under an id of its own.
+    fn request(&self, asked: &Asked<'_>) -> (Call, Arc<Payload>) {
+        let id = self.ids.mint();
+        let call = self.call(id, asked.chat, asked.model.class, asked.tenant, asked.now);
+        let txn = format!("{:016x}", id.0);
+        (call, Arc::new(Payload { txn, target: TARGET.to_owned(), body: asked.sent.clone() }))
+    }
+
     fn tenant(&self, headers: &HeaderMap) -> Result<&Tenant, Problem> {
         if self.tenants.is_empty() {
             return Ok(&self.anyone);
@@ -262,13 +365,12 @@
 
 impl Chat {
     fn read(body: &[u8]) -> Result<Self, Problem> {
-        let bad = |what: String| Problem::new(StatusCode::BAD_REQUEST, "invalid_request_error", what);
         let body: ChatBody = serde_json::from_slice(body).map_err(|error| bad(error.to_string()))?;
         if body.messages.is_empty() {
-            return Err(bad("messages: at least one is needed".to_owned()));
+            return Err(bad("messages: at least one is needed"));
         }
         if body.n.is_some_and(|n| n != 1) {
-            return Err(bad("n: only 1 answer can be asked for".to_owned()));
+            return Err(bad("n: only 1 answer can be asked for"));
         }
         Ok(Self {
             model: body.model,
@@ -293,27 +395,82 @@
 }
 
 /// The body of a request that wants no stream, asking for one: servers answer in streams only.
-fn streamed(body: &[u8]) -> Result<Bytes, Problem> {
-    let bad = |error: serde_json::Error| {
-        Problem::new(StatusCode::BAD_REQUEST, "invalid_request_error", error.to_string())
-    };
-    let mut body: Value = serde_json::from_slice(body).map_err(bad)?;
+fn streamed(mut body: Value) -> Bytes {
     body["stream"] = Value::Bool(true);
-    Ok(Bytes::from(body.to_string()))
+    Bytes::from(body.to_string())
+}
+
+fn bad(what: impl Into<String>) -> Problem {
+    Problem::new(StatusCode::BAD_REQUEST, "invalid_request_error", what)
+}
+
+/// What a request that is not to run is told.
+fn told(verdict: Verdict) -> Problem {
+    match verdict {
+        Verdict::Mismatch => Problem {
+            param: Some("Idempotency-Key"),
+            never_again: true,
+            ..Problem::new(
+                StatusCode::UNPROCESSABLE_ENTITY,
+                "idempotency_key_reused",
+                "this Idempotency-Key came with another body before",
+            )
+        },
+        Verdict::Never(why) => {
+            let (code, what) = match why {
+                Never::Answered => {
+                    ("already_answered", "this request has run; its answer is not kept any more")
+                }
+                Never::MayHaveRun => ("may_have_run", "this request may have run; it is not run again"),
+                Never::JustStarted => {
+                    ("may_have_run", "this request may have run before a restart; it is not run again")
+                }
+            };
+            Problem { never_again: true, ..Problem::new(StatusCode::CONFLICT, code, what) }
+        }
+        Verdict::Later { retry_in, why } => {
+            let (status, code, what) = match why {
+                Later::Budget => (
+                    StatusCode::TOO_MANY_REQUESTS,
+                    "retry_budget_exceeded",
+                    "too many repeats, come again later",
+                ),
+                Later::Full => {
+                    (StatusCode::SERVICE_UNAVAILABLE, "overloaded", "no room to remember this request")
+                }
+                Later::Readers => (
+                    StatusCode::TOO_MANY_REQUESTS,
+                    "rate_limit_exceeded",
+                    "too many clients wait for this request",
+                ),
+            };
+            Problem { retry_in: Some(retry_in), ..Problem::new(status, code, what) }
+        }
+        Verdict::Run(_) | Verdict::Join(_) | Verdict::Unrecorded => Problem::failed(false),
+    }
+}
+
+/// A request as it has been read.
+struct Asked<'a> {
+    chat: &'a Chat,
+    model: &'a Model,
+    tenant: &'a Tenant,
+    now: Micros,
+    /// What is sent on.
+    sent: Bytes,
 }
 
 /// Puts a stream's events together into one answer.
-async fn whole(mut relay: Relay, id: RequestId, model: &str, now: Micros) -> Result<Value, &'static str> {
+async fn whole<S>(mut stream: S, id: RequestId, model: &str, now: Micros) -> Result<Value, String>
+where
+    S: HttpBody<Data = Bytes, Error = Cut> + Unpin,
+{
     let mut read = Vec::new();
-    while let Some(frame) = relay.frame().await {
-        let frame = frame.map_err(|cut| match cut {
-            Cut::Broken => "the server's stream broke",
-            Cut::Stalled => "the server's stream stalled",
-            Cut::Spoilt => "the server's stream is spoilt",
-        })?;
+    while let Some(frame) = stream.frame().await {
+        let frame = frame.map_err(|cut| cut.to_string())?;
         read.extend_from_slice(&frame.into_data().unwrap_or_default());
         if read.len() > MOST_ANSWER {
-            return Err("the answer is too long");
+            return Err("the answer is too long".to_owned());
         }
     }
     let (mut content, mut finish, mut usage) = (String::new(), Value::Null, Value::Null);
@@ -321,7 +478,8 @@
         let Some(event) = line.strip_prefix("data:").map(str::trim).filter(|event| *event != "[DONE]") else {
             continue;
         };
-        let event: Value = serde_json::from_str(event).map_err(|_| "the server sent what is no event")?;
+        let event: Value =
+            serde_json::from_str(event).map_err(|_| "the server sent what is no event".to_owned())?;
         let choice = &event["choices"][0];
         content.push_str(choice["delta"]["content"].as_str().unwrap_or(""));
         if !choice["finish_reason"].is_null() {
@@ -347,16 +505,16 @@
 
 /// A relay in whole events: where the server's stream breaks or stalls, one error event ends it, and no
 /// half event stands before that.
-struct Events {
-    relay: Relay,
+struct Events<S> {
+    stream: S,
     partial: Vec<u8>,
     over: bool,
-    _permit: OwnedSemaphorePermit,
+    _permit: Option<OwnedSemaphorePermit>,
 }
 
-impl Events {
-    fn new(relay: Relay, permit: OwnedSemaphorePermit) -> Self {
-        Self { relay, partial: Vec::new(), over: false, _permit: permit }
+impl<S> Events<S> {
+    fn new(stream: S, permit: Option<OwnedSemaphorePermit>) -> Self {
+        Self { stream, partial: Vec::new(), over: false, _permit: permit }
     }
 
     /// The events that are whole by now. Comments are the servers' load reports: no business of clients.
@@ -383,7 +541,7 @@
     }
 }
 
-impl HttpBody for Events {
+impl<S: HttpBody<Data = Bytes, Error = Cut> + Unpin> HttpBody for Events<S> {
     type Data = Bytes;
     type Error = std::convert::Infallible;
 
@@ -392,7 +550,7 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
         while !self.over {
-            let what = match std::task::ready!(Pin::new(&mut self.relay).poll_frame(context)) {
+            let what = match std::task::ready!(Pin::new(&mut self.stream).poll_frame(context)) {
                 None => {
                     self.over = true;
                     let rest = std::mem::take(&mut self.partial);
@@ -426,6 +584,8 @@
     status: StatusCode,
     code: &'static str,
     what: String,
+    /// The field at fault.
+    param: Option<&'static str>,
     retry_in: Option<Micros>,
     /// Clients must not send it again by themselves.
     never_again: bool,
@@ -433,7 +593,17 @@
 
 impl Problem {
     fn new(status: StatusCode, code: &'static str, what: impl Into<String>) -> Self {
-        Self { status, code, what: what.into(), retry_in: None, never_again: false }
+        Self { status, code, what: what.into(), param: None, retry_in: None, never_again: false }
+    }
+
+    fn refused(retry_in: Micros) -> Self {
+        let (status, what) = (StatusCode::SERVICE_UNAVAILABLE, "refused for now, come again later");
+        Self { retry_in: Some(retry_in), ..Self::new(status, "overloaded", what) }
+    }
+
+    fn failed(never_again: bool) -> Self {
+        let (status, what) = (StatusCode::GATEWAY_TIMEOUT, "no server answered in time");
+        Self { never_again, ..Self::new(status, "server_error", what) }
     }
 
     fn answer(self) -> Response<Body> {
@@ -443,7 +613,8 @@
             status if status.is_client_error() => "invalid_request_error",
             _ => "server_error",
         };
-        let error = json!({"error": {"message": self.what, "type": kind, "param": null, "code": self.code}});
+        let error =
+            json!({"error": {"message": self.what, "type": kind, "param": self.param, "code": self.code}});
         let mut response = json_answer(self.status, Bytes::from(error.to_string()));
         let headers = response.headers_mut();
         if let Some(retry_in) = self.retry_in {
--- a/src/edge/clients/mod.rs
+++ b/src/edge/clients/mod.rs
@@ -4,4 +4,5 @@
 pub mod framing;
 pub mod listener;
 pub mod platform;
+pub mod repeats;
 pub mod room;
--- a/src/edge/core.rs
+++ b/src/edge/core.rs
@@ -121,7 +121,12 @@
         holders: Vec<EngineId>,
     },
     /// The request is over and nothing of it is out: it can be forgotten.
-    Forget(RequestId),
+    Forget {
+        /// The request.
+        id: RequestId,
+        /// Whether an attempt may have run.
+        may_have_run: bool,
+    },
 }
 
 /// Where the client of a request stands.
@@ -255,7 +260,7 @@
         }
         if self.requests.len() >= self.most_open {
             self.effects.push(Effect::Refuse { id, retry_in: self.retry_in });
-            self.effects.push(Effect::Forget(id));
+            self.effects.push(Effect::Forget { id, may_have_run: false });
             return;
         }
         let (client, out, held) = (Client::Waiting, BTreeMap::new(), Vec::new());
@@ -418,8 +423,8 @@
         let over = |request: &&Request| request.client == Client::Done && request.out.is_empty();
         if self.requests.get(&id).filter(over).is_some() {
             self.let_go(id);
-            self.requests.remove(&id);
-            self.effects.push(Effect::Forget(id));
+            let may_have_run = self.requests.remove(&id).is_some_and(|request| request.may_have_run);
+            self.effects.push(Effect::Forget { id, may_have_run });
         }
     }
 }
--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -2,6 +2,7 @@
 //! carries out the effects that it asks for. Nothing is decided here.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::future::Future;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 
@@ -34,6 +35,8 @@
         payload: Arc<Payload>,
         /// Where its answer goes.
         reply: oneshot::Sender<Reply>,
+        /// Is told whether it may have run, once nothing of it is out any more.
+        over: oneshot::Sender<bool>,
     },
     /// News of the list: entries with their addresses.
     Listed {
@@ -88,12 +91,26 @@
 
     /// Hands a request in and waits for its reply. Dropping the future tells that the client has left.
     pub async fn ask(&self, call: Call, payload: Arc<Payload>) -> Reply {
+        self.begin(call, payload).0.await
+    }
+
+    /// Hands a request in. Besides its reply, as of [`ask`](Self::ask), there is told whether it may have run:
+    /// once nothing of it is out any more, also where the client has left before.
+    pub fn begin(
+        &self,
+        call: Call,
+        payload: Arc<Payload>,
+    ) -> (impl Future<Output = Reply> + use<>, oneshot::Receiver<bool>) {
         let (reply, answer) = oneshot::channel();
-        let mut leaving = Leaving(Some((self.clone(), call.id)));
-        self.send(Message::Asked { call, payload, reply });
-        let answer = answer.await;
-        leaving.0 = None;
-        answer.unwrap_or(Reply::Failed { may_have_run: true })
+        let (over, told) = oneshot::channel();
+        let leaving = Leaving(Some((self.clone(), call.id)));
+        self.send(Message::Asked { call, payload, reply, over });
+        let reply = async move {
+            let answer = answer.await;
+            leaving.stays();
+            answer.unwrap_or(Reply::Failed { may_have_run: true })
+        };
+        (reply, told)
     }
 }
 
@@ -111,6 +128,13 @@
 /// its connection closes, and nothing else would say so.
 struct Leaving(Option<(Sender, RequestId)>);
 
+impl Leaving {
+    /// It has its reply: what becomes of it from now on is told otherwise.
+    fn stays(mut self) {
+        self.0 = None;
+    }
+}
+
 impl Drop for Leaving {
     fn drop(&mut self) {
         if let Some((to, id)) = self.0.take() {
@@ -157,6 +181,7 @@
 struct Waiting {
     payload: Arc<Payload>,
     reply: Option<oneshot::Sender<Reply>>,
+    over: oneshot::Sender<bool>,
 }
 
 struct Flying {
@@ -232,13 +257,13 @@
 
     fn take(&mut self, message: Message) -> Option<Input> {
         Some(match message {
-            Message::Asked { call, payload, reply } => {
+            Message::Asked { call, payload, reply, over } => {
                 if self.clients.contains_key(&call.id) {
                     let _ = reply.send(Reply::Taken);
                     return None;
                 }
                 self.tally.asked += 1;
-                self.clients.insert(call.id, Waiting { payload, reply: Some(reply) });
+                self.clients.insert(call.id, Waiting { payload, reply: Some(reply), over });
                 Input::Arrived(call)
             }
             Message::Listed { how, entries } => {
@@ -352,8 +377,10 @@
                 self.release(id, &holders);
                 None
             }
-            Effect::Forget(id) => {
-                self.clients.remove(&id);
+            Effect::Forget { id, may_have_run } => {
+                if let Some(client) = self.clients.remove(&id) {
+                    let _ = client.over.send(may_have_run); // few want to know
+                }
                 None
             }
         }
--- a/src/edge/servers.rs
+++ b/src/edge/servers.rs
@@ -342,7 +342,7 @@
 type Piece = std::result::Result<Frame<Bytes>, Cut>;
 
 /// Why a relay was cut.
-#[derive(Debug, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Cut {
     /// The server's connection broke.
     #[error("the server's stream broke")]
@@ -353,6 +353,9 @@
     /// What came are no events.
     #[error("the server's stream is spoilt")]
     Spoilt,
+    /// The client took so long that what it had still to get is not kept any more.
+    #[error("the stream went on without this client, which was too slow")]
+    Behind,
 }
 
 impl Relay {
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use axum::http::HeaderName;
+use dewladder_ledger::{BudgetPolicy, Policy};
 use log::{info, warn};
 use serde::Deserialize;
 use serde_json::Value;
@@ -11,7 +13,7 @@
 use tokio::sync::watch;
 
 use crate::edge::listing::{Listing, Names};
-use crate::interface::{Key, Settings};
+use crate::interface::{Key, Micros, Settings};
 use dewladder_router::pairs::from_pairs;
 
 /// A client may be left without an event for 5 s. Where it can ask for the rest, a stream is cut in good time
@@ -243,6 +245,115 @@
     /// Requests that a tenant may have open at once.
     #[serde(default = "default_most_open")]
     pub most_open: usize,
+    /// What is known of requests that clients repeat.
+    #[serde(default)]
+    pub repeats: RepeatSettings,
+}
+
+/// How repeats are known, and within which bounds. Off, a repeat is a request like any other.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct RepeatSettings {
+    /// Whether repeats are known at all.
+    pub enabled: bool,
+    /// What has ended is remembered for so long (seconds).
+    pub window_s: f64,
+    /// For so long after the start, a repeat of a `book` whose first is not known is refused (seconds).
+    pub after_start_s: f64,
+    /// A `book` goes on for so long after its last client has left (seconds).
+    pub linger_s: f64,
+    /// Requests that are remembered.
+    pub most_entries: usize,
+    /// The share of the configured memory that they may take (percent).
+    pub memory_percent: f64,
+    /// An answer is kept up to this length (KiB).
+    pub most_answer_kib: usize,
+    /// Clients that one request may have at once.
+    pub most_readers: u32,
+    /// The share of all remembered requests that one tenant may have (percent).
+    pub tenant_percent: f64,
+    /// Repeats that are let through for each hundred fresh requests of a tenant.
+    pub budget_percent: f64,
+    /// Repeats a second that are let through whatever was fresh.
+    pub budget_per_s: f64,
+    /// Repeats that a tenant can save up.
+    pub budget_most_saved: u32,
+    /// Repeats over the budget are asked back after this (seconds).
+    pub retry_in_s: f64,
+    /// And after this at the latest (seconds).
+    pub most_retry_in_s: f64,
+    /// Headers in which libraries count their retries.
+    pub retry_headers: Vec<String>,
+}
+
+impl Default for RepeatSettings {
+    fn default() -> Self {
+        Self {
+            enabled: false,
+            window_s: 600.0,
+            after_start_s: 30.0,
+            linger_s: 0.0,
+            most_entries: 10_000,
+            memory_percent: 10.0,
+            most_answer_kib: 256,
+            most_readers: 8,
+            tenant_percent: 50.0,
+            budget_percent: 20.0,
+            budget_per_s: 0.5,
+            budget_most_saved: 20,
+            retry_in_s: 1.0,
+            most_retry_in_s: 30.0,
+            retry_headers: vec!["x-stainless-retry-count".to_owned()],
+        }
+    }
+}
+
+impl RepeatSettings {
+    /// The ledger's policy for a program that may hold so much memory.
+    ///
+    /// # Errors
+    /// The field that can't be used, and why.
+    pub fn policy(&self, limits: &Limits) -> Result<Policy, String> {
+        const DAY: f64 = 86_400.0;
+        let within = |name: &str, value: f64, least: f64, most: f64| {
+            let fine = (least..=most).contains(&value);
+            fine.then_some(value)
+                .ok_or_else(|| format!("chat.repeats.{name}: {value} is not {least} to {most}"))
+        };
+        let time = |name: &str, value: f64, least: f64| {
+            within(name, value, least, DAY).map(|seconds| (seconds * 1e6) as Micros)
+        };
+        let permille =
+            |name: &str, value: f64| within(name, value, 0.0, 100.0).map(|percent| (percent * 10.0) as u32);
+        let whole = |name: &str, value: usize, most: usize| match value {
+            0 => Err(format!("chat.repeats.{name}: at least 1 is needed")),
+            value if value > most => Err(format!("chat.repeats.{name}: {value} is more than {most}")),
+            value => Ok(value),
+        };
+        let header = |name: &String| HeaderName::from_bytes(name.as_bytes()).is_err();
+        if let Some(bad) = self.retry_headers.iter().find(|name| header(name)) {
+            return Err(format!("chat.repeats.retry_headers: '{bad}' is no header's name"));
+        }
+        let share = within("memory_percent", self.memory_percent, 0.1, 50.0)?;
+        let policy = Policy {
+            most_entries: whole("most_entries", self.most_entries, 10_000_000)?,
+            most_bytes: ((limits.memory_mb << 20) as f64 * share / 100.0) as usize,
+            most_answer: whole("most_answer_kib", self.most_answer_kib, 1 << 20)? << 10,
+            most_readers: whole("most_readers", self.most_readers as usize, 1_000)? as u32,
+            tenant_permille: permille("tenant_percent", self.tenant_percent)?,
+            window: time("window_s", self.window_s, 1.0)?,
+            after_start: time("after_start_s", self.after_start_s, 0.0)?,
+            linger: time("linger_s", self.linger_s, 0.0)?,
+            budget: BudgetPolicy {
+                permille: permille("budget_percent", self.budget_percent)?,
+                permille_per_s: (within("budget_per_s", self.budget_per_s, 0.0, 1e5)? * 1e3) as u32,
+                most_saved: self.budget_most_saved,
+                retry_in: time("retry_in_s", self.retry_in_s, 0.05)?,
+                most_retry_in: time("most_retry_in_s", self.most_retry_in_s, self.retry_in_s)?,
+            },
+        };
+        Ok(policy)
+    }
 }
 
 /// The agent check's settings.
--- a/tests/connection_model.rs
+++ b/tests/connection_model.rs
@@ -122,7 +122,9 @@
             }
             Effect::Relay { id, .. } => {
                 self.answer(id, State::Streaming);
-                self.connections.get_mut(&id).expect("known").held.clear();
+                let connection = self.connections.get_mut(&id).expect("known");
+                connection.held.clear();
+                connection.ran = true;
             }
             Effect::Refuse { id, .. } => {
                 let connection = &self.connections[&id];
@@ -135,8 +137,9 @@
                 assert_eq!(&holders, held, "every holder is asked, and no other");
                 held.clear();
             }
-            Effect::Forget(id) => {
+            Effect::Forget { id, may_have_run } => {
                 let connection = self.connections.get_mut(&id).expect("known");
+                assert_eq!(may_have_run, connection.ran, "what is told of it to who asked");
                 assert!(!connection.forgotten && connection.out.is_empty() && connection.held.is_empty());
                 assert_ne!(connection.state, State::Waiting);
                 connection.forgotten = true;
