Speak the whole chat API on the second front, with a demo and a conformance suite of 171 cases

Need: what stood read seven fields, answered one kind of request and passed servers' events on raw, without id, object, model or role, which strict clients refuse. Change: crates/chat reads chat completions, completions and responses, each field accepted, checked or refused by its path, and writes their streams; the front serves them through the same core, limits and ledger, with choices interleaved, a bounded store of responses for each tenant, preflights, 405 with Allow, 413 and 415. dewladder demo starts all on loopback; dewladder conform runs 171 cases that are data. Result: the program passes all 171; 19 fronts that are each wrong in one way are each caught, and one that changes nothing passes.

--- a/crates/stand-in/src/lib.rs
+++ b/crates/stand-in/src/lib.rs
@@ -7,9 +7,11 @@
 mod fleet;
 mod scripted;
 mod wire;
+mod wrong;
 
 pub use agent::{config, member, Agent};
 pub use client::{body, chat, platform, post, talk, until_close};
 pub use fleet::{Begun, Fault, Fleet, Shape};
 pub use scripted::{event, Does, Server, LAST_EVENTS};
 pub use wire::field;
+pub use wrong::{wrong_front, Wrong};
--- /dev/null
+++ b/src/demo.rs
@@ -0,0 +1,80 @@
+//! `dewladder demo`: a first run in one command. A small stand-in fleet on loopback, the dispatcher with both
+//! fronts before it, and lines that can be tried as printed. Ports are picked by the system.
+
+use dewladder::edge::dispatcher::Dispatcher;
+use dewladder::edge::settings::{Config, Fronts};
+use dewladder_stand_in::{config, Fleet, Shape};
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::watch;
+
+const FRONTS: &str = r#"
+[chat]
+enabled = true
+listen = "127.0.0.1:0"
+keepalive_s = 15.0
+[chat.models]
+kiln-ask = "ask"
+kiln-book = "book"
+[chat.tenants]
+key-of-clay = "chiangmai-clay"
+key-of-jars = "ratchaburi-jars"
+[chat.repeats]
+enabled = true
+after_start_s = 0.0
+linger_s = 10.0
+[agent_check]
+enabled = true
+listen = "127.0.0.1:0"
+"#;
+
+/// Runs until told to end by Ctrl-C or SIGTERM.
+///
+/// # Errors
+/// One plain line that says what failed.
+pub async fn run() -> Result<(), String> {
+    let told = |kind| signal(kind).map_err(|error| error.to_string());
+    let (mut interrupt, mut term) = (told(SignalKind::interrupt())?, told(SignalKind::terminate())?);
+    let shape = Shape {
+        readers: 3,
+        writers: 3,
+        events: 24,
+        pause: std::time::Duration::from_millis(40),
+        ..Shape::default()
+    };
+    let fleet =
+        Fleet::start(shape).await.map_err(|error| format!("can't start the stand-in fleet: {error}"))?;
+    let text = config(fleet.agent.address, &fleet.listing());
+    let config =
+        Config::parse("the demo's configuration", &text, |_| None).map_err(|error| error.to_string())?;
+    let fronts = Fronts::parse("the demo's fronts", FRONTS).map_err(|error| error.to_string())?;
+    let (_tell, discovery) = watch::channel(config.discovery);
+    let dispatcher = Dispatcher::bind(config, &fronts)?;
+    let [platform, chat, agent] = dispatcher.addresses()[..] else {
+        return Err("a listener is missing".to_owned());
+    };
+    println!("three readers, three writers and a discovery agent stand in; all ports are on loopback
+
+  the platform's front   {platform}
+  the chat API           {chat}   (keys key-of-clay, key-of-jars; models kiln-ask, kiln-book)
+  HAProxy's agent check  {agent}
+
+the platform's front:
+  curl -sN http://{platform}/v1/chat/completions -H 'X-Txn: 9b1f03aa5c7e2d41' -H 'X-Lane: ask' -H 'X-Remaining: 5' -H 'X-Labels: prompt_len=100,max_out=24' -d '{{\"stream\":true}}'
+the chat API, as a stream:
+  curl -sN http://{chat}/v1/chat/completions -H 'Authorization: Bearer key-of-clay' -H 'Content-Type: application/json' -d '{{\"model\":\"kiln-ask\",\"stream\":true,\"messages\":[{{\"role\":\"user\",\"content\":\"Is a kiln free?\"}}]}}'
+a booking; run it twice, and the second time the kept answer comes:
+  curl -si http://{chat}/v1/chat/completions -H 'Authorization: Bearer key-of-clay' -H 'Content-Type: application/json' -H 'Idempotency-Key: friday-1' -d '{{\"model\":\"kiln-book\",\"messages\":[{{\"role\":\"user\",\"content\":\"Friday, please.\"}}]}}'
+every case of the conformance suite:
+  dewladder conform --url http://{chat} --key key-of-clay --other-key key-of-jars
+
+Ctrl-C ends all.
+");
+    dispatcher
+        .run(discovery, async move {
+            tokio::select! {
+                _ = interrupt.recv() => {}
+                _ = term.recv() => {}
+            }
+        })
+        .await
+}
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -245,11 +245,47 @@
     /// Requests that a tenant may have open at once.
     #[serde(default = "default_most_open")]
     pub most_open: usize,
+    /// The most choices of one request of a class that may repeat.
+    #[serde(default = "default_most_choices")]
+    pub most_choices: u64,
+    /// Origins whose browser apps are let in; `*` for all. Without any, preflights are not answered.
+    #[serde(default)]
+    pub origins: Vec<String>,
+    /// A comment line keeps a stream alive where nothing has come for so long (seconds); 0 sends none.
+    #[serde(default)]
+    pub keepalive_s: f64,
+    /// The share of the configured memory for responses that others go on from (percent).
+    #[serde(default = "default_responses_percent")]
+    pub responses_percent: f64,
+    /// The share of that which one tenant may have (percent).
+    #[serde(default = "default_tenant_percent")]
+    pub responses_tenant_percent: f64,
     /// What is known of requests that clients repeat.
     #[serde(default)]
     pub repeats: RepeatSettings,
 }
 
+impl ChatSettings {
+    /// Memory for responses, of all tenants and of one, where the program may hold so much.
+    ///
+    /// # Errors
+    /// The field that can't be used, and why.
+    pub fn bounds(&self, limits: &Limits) -> Result<(usize, usize), String> {
+        for (name, value, least, most) in [
+            ("keepalive_s", self.keepalive_s, 0.0, 3_600.0),
+            ("responses_percent", self.responses_percent, 0.0, 50.0),
+            ("responses_tenant_percent", self.responses_tenant_percent, 0.0, 100.0),
+            ("most_choices", self.most_choices as f64, 1.0, 128.0),
+        ] {
+            if !(least..=most).contains(&value) {
+                return Err(format!("chat.{name}: {value} is not {least} to {most}"));
+            }
+        }
+        let all = (limits.memory_mb << 20) as f64 * self.responses_percent / 100.0;
+        Ok((all as usize, (all * self.responses_tenant_percent / 100.0) as usize))
+    }
+}
+
 /// How repeats are known, and within which bounds. Off, a repeat is a request like any other.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(default, deny_unknown_fields)]
@@ -370,6 +406,18 @@
     800
 }
 
+fn default_most_choices() -> u64 {
+    4
+}
+
+fn default_responses_percent() -> f64 {
+    4.0
+}
+
+fn default_tenant_percent() -> f64 {
+    25.0
+}
+
 fn default_most_open() -> usize {
     64
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,6 +2,9 @@
 
 #![forbid(unsafe_code)]
 
+mod conform;
+mod demo;
+
 use std::process::ExitCode;
 
 use dewladder::edge::clients::chat;
@@ -18,6 +21,10 @@
   serve [--config FILE] [--fronts FILE]         serve clients until told to end (SIGTERM);
                                                 SIGHUP has the configuration read again
   check-config [--config FILE] [--fronts FILE]  say whether a configuration can be used
+  demo                                          a first run: a stand-in fleet on loopback, both fronts
+  conform --url URL [--key K] [--other-key K]   hold a chat front on loopback against the conformance suite
+          [--model M] [--once M] [--only TEXT]  (models: one that may repeat, one that runs once)
+          [--verbose]
   version                                       print the version
   help                                          print this text
 
@@ -43,10 +50,13 @@
     match command.as_deref() {
         Some("serve") => {
             let (path, config, fronts) = config(arguments)?;
-            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-            let runtime = runtime.map_err(|error| format!("can't start the runtime: {error}"))?;
-            runtime.block_on(serve(path, config, &fronts))
+            runtime()?.block_on(serve(path, config, &fronts))
         }
+        Some("demo") => match arguments.finish().first() {
+            None => runtime()?.block_on(demo::run()),
+            Some(unknown) => Err(format!("demo takes no arguments: {}", unknown.to_string_lossy())),
+        },
+        Some("conform") => runtime()?.block_on(conform::conform(arguments)),
         Some("check-config") => {
             let (_, config, fronts) = config(arguments)?;
             fronts.chat.as_ref().map_or(Ok(()), |chat| chat::check(chat, &config))?;
@@ -65,6 +75,11 @@
     }
 }
 
+fn runtime() -> Result<tokio::runtime::Runtime, String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.map_err(|error| format!("can't start the runtime: {error}"))
+}
+
 fn environment(name: &str) -> Option<String> {
     std::env::var(name).ok()
 }
--- /dev/null
+++ b/tests/conform.rs
@@ -0,0 +1,74 @@
+//! The conformance suite against the program, and against fronts that are each wrong in one way.
+
+mod stand_in;
+
+use std::time::Duration;
+
+use dewladder_conform::{cases, run, Came, Outcome, Target};
+use dewladder_stand_in::{wrong_front, Wrong};
+use stand_in::*;
+
+const ON: &str = "enabled = true\nafter_start_s = 0.0\n";
+
+fn target(address: std::net::SocketAddr, nonce: &str) -> Target {
+    Target {
+        address,
+        key: Some("key-of-clay".to_owned()),
+        other_key: Some("key-of-jars".to_owned()),
+        model: "kiln-ask".to_owned(),
+        once: "kiln-book".to_owned(),
+        nonce: nonce.to_owned(),
+    }
+}
+
+fn fast() -> Shape {
+    let (read, pause) = (Duration::from_millis(1), Duration::from_millis(1));
+    Shape { events: 3, read, pause, ..Shape::default() }
+}
+
+fn not_passed(outcomes: &[Outcome]) -> Vec<&Outcome> {
+    outcomes.iter().filter(|outcome| outcome.came != Came::Passed).collect()
+}
+
+#[tokio::test]
+async fn the_program_passes_every_case() {
+    let site = FleetSite::start(fast(), ON).await;
+    let all = cases().unwrap();
+    assert!(all.len() >= 120, "{} cases", all.len());
+    let mut names: Vec<&str> = all.iter().map(|case| case.name.as_str()).collect();
+    names.sort_unstable();
+    names.dedup();
+    assert_eq!(names.len(), all.len(), "each name once");
+    let outcomes = run(&target(site.chat, "right"), &all).await;
+    assert_eq!(not_passed(&outcomes), Vec::<&Outcome>::new());
+}
+
+/// A suite that can't fail says nothing: each of these must be caught, and a front that changes nothing passes.
+#[tokio::test]
+async fn each_wrong_front_is_caught() {
+    let site = FleetSite::start(fast(), ON).await;
+    let all = cases().unwrap();
+    let right = wrong_front(site.chat, Wrong::Nothing, "key-of-clay").await.unwrap();
+    let outcomes = run(&target(right, "nothing"), &all).await;
+    assert_eq!(not_passed(&outcomes), Vec::<&Outcome>::new());
+    for wrong in Wrong::ALL {
+        let front = wrong_front(site.chat, wrong, "key-of-clay").await.unwrap();
+        let outcomes = run(&target(front, &format!("{wrong:?}")), &all).await;
+        let failed = outcomes.iter().filter(|outcome| matches!(outcome.came, Came::Failed(_))).count();
+        let errors = outcomes.iter().filter(|outcome| matches!(outcome.came, Came::Error(_))).count();
+        assert!(failed > 0 && errors == 0, "{wrong:?}: {failed} failed, {errors} could not be tried");
+        assert!(failed < all.len(), "{wrong:?} is wrong in one way only");
+    }
+}
+
+#[tokio::test]
+async fn what_can_not_be_reached_is_an_error_and_no_pass() {
+    let closed = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+    let all = cases().unwrap();
+    let outcomes = run(&target(closed, "nobody"), &all[..5]).await;
+    assert!(outcomes.iter().all(|outcome| matches!(outcome.came, Came::Error(_))), "{outcomes:?}");
+    let site = FleetSite::start(fast(), ON).await;
+    let alone = Target { other_key: None, ..target(site.chat, "alone") };
+    let of_two: Vec<_> = all.into_iter().filter(|case| case.name.contains("another-tenant")).collect();
+    assert!(matches!(run(&alone, &of_two).await[0].came, Came::Error(_)));
+}
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -479,7 +479,22 @@
     let site = Site::start(Does::Read, Does::Stream(2)).await;
     let answer = until_close(site.chat, &chat("kiln-ask", true)).await;
     assert_eq!(field(&answer, "content-type").as_deref(), Some("text/event-stream"));
-    assert_eq!(body(&answer), (event(0) + &event(1) + LAST_EVENTS, true));
+    let (text, whole) = body(&answer);
+    let events: Vec<&str> = text.split_terminator("\n\n").collect();
+    assert_eq!(
+        (events.len(), events[2], whole),
+        (3, "data: [DONE]", true),
+        "two events, no usage, the end: {text}"
+    );
+    for (at, event) in events[..2].iter().enumerate() {
+        let chunk: Value = serde_json::from_str(event.strip_prefix("data: ").unwrap()).unwrap();
+        let delta = &chunk["choices"][0]["delta"];
+        assert_eq!((&delta["content"], delta["role"] == "assistant"), (&json!(format!("w{at} ")), at == 0));
+        assert_eq!(
+            (&chunk["object"], &chunk["model"]),
+            (&json!("chat.completion.chunk"), &json!("kiln-ask"))
+        );
+    }
     let answer = until_close(site.chat, &chat("kiln-ask", false)).await;
     let (_, whole) = answer.split_once("\r\n\r\n").unwrap();
     let whole: Value = serde_json::from_str(whole).unwrap();
@@ -498,7 +513,8 @@
     for does in [Does::Stall(1), Does::Cut(1)] {
         let site = Site::start(Does::Read, does).await;
         let (text, whole) = body(&until_close(site.chat, &chat("kiln-book", true)).await);
-        let rest = text.strip_prefix(&event(0)).expect("the event that came");
+        let (first, rest) = text.split_once("\n\n").expect("the event that came");
+        assert!(first.contains("\"content\":\"w0 \""), "{first}");
         let error: Value = serde_json::from_str(rest.strip_prefix("data: ").unwrap().trim_end()).unwrap();
         assert_eq!((&error["error"]["code"], whole), (&json!("stream_cut"), true));
         let answer = until_close(site.chat, &chat("kiln-book", false)).await;
@@ -522,8 +538,13 @@
     let sent = site.reader.posts();
     expect(&until_close(site.chat, &chat("gpt", true)).await, 404, "model_not_found");
     expect(&until_close(site.chat, &post("{}", "nobody")).await, 401, "invalid_api_key");
-    for bad in ["{", "[]", "{\"model\":\"kiln-ask\",\"messages\":[]}", "{\"model\":1,\"messages\":[{}]}"] {
-        expect(&until_close(site.chat, &post(bad, "key-of-clay")).await, 400, "invalid_request_error");
+    for (bad, code) in [
+        ("{", "invalid_json"),
+        ("[]", "invalid_json"),
+        ("{\"model\":\"kiln-ask\",\"messages\":[]}", "invalid_value"),
+        ("{\"model\":1,\"messages\":[{}]}", "invalid_type"),
+    ] {
+        expect(&until_close(site.chat, &post(bad, "key-of-clay")).await, 400, code);
     }
     assert_eq!(site.reader.posts(), sent);
     for (model, again) in [("kiln-book", Some("false")), ("kiln-ask", None)] {
