Let an ask whose server breaks off go on elsewhere as one text

Need: a server's stream that breaks ended every answer with an error, although an ask may run again and its rest can be asked for. Change: crates/resume decides whether a choice goes on, what is asked for and within which bounds of number, time, tokens and length; where servers go on from a beginning, or begin anew, the client has one text without a gap. A book ends with exactly one error, as before. Off unless [chat.resume] and the platform's settings allow it. A client library from the registry drives plain, streamed, tool-call and failing flows with its own retries.

--- a/crates/stand-in/src/fleet.rs
+++ b/crates/stand-in/src/fleet.rs
@@ -324,6 +324,43 @@
     goes_on
 }
 
+/// Calls the first tool twice, the pieces of both calls in turns.
+async fn stream_calls(
+    stream: &mut TcpStream,
+    asked: &Value,
+    state: &Arc<Mutex<State>>,
+    at: usize,
+    until: usize,
+) -> bool {
+    let name = asked["tools"][0]["function"]["name"].as_str().unwrap_or("none");
+    let piece = |index: usize, first: bool, text: &str| {
+        let mut call = json!({"index": index, "function": {"arguments": text}});
+        if first {
+            (call["id"], call["type"]) = (json!(format!("call_{index}")), json!("function"));
+            call["function"]["name"] = json!(name);
+        }
+        json!({"choices": [{"index": 0, "delta": {"tool_calls": [call]}, "finish_reason": null}]})
+    };
+    let events = [
+        piece(0, true, ""),
+        piece(1, true, "{\"day\":"),
+        piece(0, false, "{\"day\":\"fri"),
+        piece(1, false, "\"sat\"}"),
+        piece(0, false, "\"}"),
+        json!({"choices": [{"index": 0, "delta": {}, "finish_reason": "tool_calls"}]}),
+        json!({"choices": [], "usage": {"prompt_tokens": 9, "completion_tokens": 8, "total_tokens": 17}}),
+    ];
+    for (done, event) in events.iter().enumerate() {
+        if done >= until || stream.write_all(chunk(&format!("data: {event}\n\n")).as_bytes()).await.is_err() {
+            return false;
+        }
+        lock(state).begun[at].events = done + 1;
+    }
+    let whole = stream.write_all((chunk("data: [DONE]\n\n") + "0\r\n\r\n").as_bytes()).await.is_ok();
+    lock(state).begun[at].whole = whole;
+    whole
+}
+
 async fn stream_events(
     stream: &mut TcpStream,
     shape: &Shape,
@@ -343,8 +380,16 @@
     if stream.write_all(head.as_bytes()).await.is_err() {
         return false;
     }
-    for event in 0..events {
-        if event >= until {
+    if asked["tool_choice"] == "required" {
+        return stream_calls(stream, &asked, state, at, until).await;
+    }
+    // Given its own beginning, it goes on from there, as published for `continue_final_message`.
+    let last = asked["messages"].as_array().and_then(|messages| messages.last()).cloned().unwrap_or_default();
+    let goes_on = asked["continue_final_message"] == true && last["role"] == "assistant";
+    let from = if goes_on { last["content"].as_str().unwrap_or("").split_whitespace().count() } else { 0 };
+    let events = if goes_on { shape.events.min(from + most.unwrap_or(u64::MAX) as usize) } else { events };
+    for event in from..events {
+        if event - from >= until {
             return false;
         }
         let finish = if event + 1 == events { "\"stop\"" } else { "null" };
--- a/src/edge/clients/answers.rs
+++ b/src/edge/clients/answers.rs
@@ -1,7 +1,7 @@
 //! Answers of the second front: from the streams of servers, or what is recorded of them, to what a client gets.
 
 use std::collections::VecDeque;
-use std::future::Future as _;
+use std::future::Future;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{ready, Context, Poll};
@@ -9,13 +9,17 @@
 
 use bytes::Bytes;
 use dewladder_chat::{Collected, Events, Incoming, Kept, Names, Request, Shape, Store, Writer};
+use dewladder_resume::{Passed, Policy, Stream, Then, Why};
 use http_body::{Body, Frame};
-use serde_json::Value;
+use log::info;
+use serde_json::{json, Value};
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::{sleep_until, Instant, Sleep};
 
 use crate::edge::clients::repeats::Reader;
+use crate::edge::clock::Clock;
 use crate::edge::servers::{Cut, Relay};
+use crate::interface::Micros;
 
 /// The most that is put together for a client that wants no stream, or of a response (bytes).
 const MOST_ANSWER: usize = 1 << 20;
@@ -60,25 +64,200 @@
     }
 }
 
+/// What the rest of an answer comes from, or when to ask again where it was refused (`None` where it failed).
+pub type Asked = Result<Source, Option<Micros>>;
+/// Asks for the rest of a choice: what the client has had, the most tokens, by when it must begin, and how long
+/// to wait before.
+pub type Ask = Arc<
+    dyn Fn(usize, String, u64, Micros, Micros) -> Pin<Box<dyn Future<Output = Asked> + Send>> + Send + Sync,
+>;
+
+/// How choices go on elsewhere whose server breaks off.
+#[derive(Clone)]
+pub struct Resuming {
+    /// Within which bounds.
+    pub policy: Policy,
+    /// What the choices are like.
+    pub shape: dewladder_resume::Shape,
+    /// Asks for the rest.
+    pub ask: Ask,
+    /// Tells the time.
+    pub clock: Clock,
+}
+
 struct Part {
     choice: usize,
     /// Taken once it has ended.
     source: Option<Source>,
     events: Events,
+    stream: Option<Stream>,
+    /// The rest, while it has not begun.
+    asking: Option<Pin<Box<dyn Future<Output = Asked> + Send>>>,
+}
+
+impl Part {
+    /// The next of what its servers send, or how the choice ends.
+    fn poll(
+        &mut self,
+        resuming: Option<&Resuming>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Vec<Value>, String>>> {
+        loop {
+            if let Some(asking) = &mut self.asking {
+                let asked = ready!(asking.as_mut().poll(context));
+                self.asking = None;
+                match (asked, resuming, &mut self.stream) {
+                    (Ok(source), ..) => {
+                        self.source = Some(source);
+                        self.events = Events::default();
+                    }
+                    (Err(retry_in), Some(resuming), Some(stream)) => {
+                        let then = stream.not_begun(resuming.clock.now(), retry_in);
+                        if let Some(end) =
+                            self.then(then, resuming, retry_in.unwrap_or(0), "no server had room")
+                        {
+                            return Poll::Ready(end);
+                        }
+                    }
+                    (Err(_), ..) => return Poll::Ready(Some(Err("no server had room".to_owned()))),
+                }
+                continue;
+            }
+            let Some(source) = &mut self.source else { return Poll::Ready(None) };
+            let mut found = Vec::new();
+            let (taken, over) = match ready!(source.poll(context)) {
+                Some(Ok(data)) => (self.events.take(&data, &mut found), None),
+                Some(Err(cut)) => (Ok(()), Some(Err(cut))),
+                None => (self.events.end(&mut found), Some(Ok(()))),
+            };
+            if let Err(bad) = taken {
+                return Poll::Ready(Some(Err(bad.message)));
+            }
+            let events = found.into_iter().filter_map(|found| match found {
+                Incoming::Event(event) => Some(event),
+                Incoming::Done => None,
+            });
+            let mut events: Vec<Value> = events.collect();
+            if let Some(stream) = &mut self.stream {
+                match passed(stream, events) {
+                    Ok(passed) => events = passed,
+                    Err(why) => return Poll::Ready(Some(Err(said(why).to_owned()))),
+                }
+            }
+            // What came before the break is passed on first: the break is found again with the next poll.
+            let Some(over) = over else {
+                if events.is_empty() {
+                    continue;
+                }
+                return Poll::Ready(Some(Ok(events)));
+            };
+            self.source = None;
+            let cut = match over {
+                Ok(()) if self.stream.as_ref().is_none_or(Stream::ended) => {
+                    if events.is_empty() {
+                        return Poll::Ready(None);
+                    }
+                    return Poll::Ready(Some(Ok(events)));
+                }
+                Ok(()) => "the server's stream ended before what it had told",
+                Err(cut) => &cut.to_string(),
+            };
+            let (Some(resuming), Some(stream)) = (resuming, &mut self.stream) else {
+                return Poll::Ready(Some(Err(cut.to_owned())));
+            };
+            let then = stream.broke(resuming.clock.now());
+            if let Some(end) = self.then(then, resuming, 0, cut) {
+                return Poll::Ready(end);
+            }
+        }
+    }
+
+    /// Does what is decided where a part has broken off; how the choice ends, if it does.
+    fn then(
+        &mut self,
+        then: Then,
+        resuming: &Resuming,
+        wait: Micros,
+        cut: &str,
+    ) -> Option<Option<Result<Vec<Value>, String>>> {
+        match then {
+            Then::Ask { text, max_tokens, until } => {
+                info!(choice = self.choice, bytes = text.len(); "an answer broke off ({cut}): its rest is asked for");
+                self.asking = Some((resuming.ask)(self.choice, text, max_tokens, until, wait));
+                None
+            }
+            Then::Full { tell: false } => Some(None),
+            Then::Full { tell: true } => {
+                let end = json!({"choices": [{"index": 0, "delta": {}, "finish_reason": "length"}]});
+                Some(Some(Ok(vec![end])))
+            }
+            Then::Cut(Why::Once | Why::NotText | Why::TooLong | Why::Spent) => {
+                Some(Some(Err(cut.to_owned())))
+            }
+            Then::Cut(why) => Some(Some(Err(said(why).to_owned()))),
+        }
+    }
+}
+
+fn said(why: Why) -> &'static str {
+    match why {
+        Why::Diverged => "another server came to other words",
+        Why::NoServer => "the server's stream broke, and no other server had room",
+        _ => "the server's stream broke",
+    }
+}
+
+/// What of a server's events the client gets, now that others may have come before.
+fn passed(stream: &mut Stream, events: Vec<Value>) -> Result<Vec<Value>, Why> {
+    let mut passed = Vec::with_capacity(events.len());
+    for mut event in events {
+        // Never by an index that is written to: what servers send may be of any shape.
+        let Some(choice) = event.get_mut("choices").and_then(|choices| choices.get_mut(0)) else {
+            passed.push(event);
+            continue;
+        };
+        let delta = &choice["delta"];
+        let more = ["tool_calls", "refusal", "function_call"].iter().any(|name| !delta[*name].is_null());
+        let seen = stream.event(dewladder_resume::Event {
+            text: delta["content"].as_str().unwrap_or(""),
+            more: more || !choice["logprobs"].is_null(),
+            finishes: !choice["finish_reason"].is_null(),
+        });
+        match seen {
+            Passed::Whole => passed.push(event),
+            Passed::Text(text) => {
+                if let Some(delta) = choice.get_mut("delta").and_then(Value::as_object_mut) {
+                    delta.insert("content".to_owned(), Value::String(text));
+                }
+                passed.push(event);
+            }
+            Passed::Nothing => {}
+            Passed::Cut(why) => return Err(why),
+        }
+    }
+    Ok(passed)
 }
 
 /// The events of all choices, as they come.
 struct Parts {
     parts: Vec<Part>,
+    resuming: Option<Resuming>,
     /// Which part is looked at first: in turns, so that no choice holds up the others.
     next: usize,
     ready: VecDeque<(usize, Value)>,
 }
 
 impl Parts {
-    fn new(sources: Vec<Source>) -> Self {
-        let part = |(choice, source)| Part { choice, source: Some(source), events: Events::default() };
-        Self { parts: sources.into_iter().enumerate().map(part).collect(), next: 0, ready: VecDeque::new() }
+    fn new(sources: Vec<Source>, resuming: Option<Resuming>) -> Self {
+        let part = |(choice, source)| Part {
+            choice,
+            source: Some(source),
+            events: Events::default(),
+            stream: resuming.as_ref().map(|resuming| Stream::new(resuming.policy, resuming.shape)),
+            asking: None,
+        };
+        let parts = sources.into_iter().enumerate().map(part).collect();
+        Self { parts, resuming, next: 0, ready: VecDeque::new() }
     }
 
     /// The next event of any choice; `None` once all have ended in good order.
@@ -90,26 +269,19 @@
             let (count, mut open, mut moved) = (self.parts.len(), false, false);
             for step in 0..count {
                 let part = &mut self.parts[(self.next + step) % count];
-                let Some(source) = &mut part.source else { continue };
+                if part.source.is_none() && part.asking.is_none() {
+                    continue;
+                }
                 open = true;
-                let mut found = Vec::new();
-                let taken = match source.poll(context) {
+                let choice = part.choice;
+                match part.poll(self.resuming.as_ref(), context) {
                     Poll::Pending => continue,
-                    Poll::Ready(Some(Ok(data))) => part.events.take(&data, &mut found),
-                    Poll::Ready(Some(Err(cut))) => return Poll::Ready(Some(Err(cut.to_string()))),
-                    Poll::Ready(None) => {
-                        part.source = None;
-                        part.events.end(&mut found)
+                    Poll::Ready(Some(Ok(events))) => {
+                        self.ready.extend(events.into_iter().map(|event| (choice, event)));
                     }
-                };
-                if let Err(bad) = taken {
-                    return Poll::Ready(Some(Err(bad.message)));
+                    Poll::Ready(Some(Err(what))) => return Poll::Ready(Some(Err(what))),
+                    Poll::Ready(None) => {}
                 }
-                let choice = part.choice;
-                self.ready.extend(found.into_iter().filter_map(|found| match found {
-                    Incoming::Event(event) => Some((choice, event)),
-                    Incoming::Done => None,
-                }));
                 self.next = (self.next + step + 1) % count;
                 moved = true;
                 break;
@@ -143,10 +315,11 @@
         sources: Vec<Source>,
         writer: Writer,
         keeping: Option<Keeping>,
+        resuming: Option<Resuming>,
         quiet: Option<Duration>,
     ) -> Self {
         let quiet = quiet.map(|quiet| (quiet, Box::pin(sleep_until(Instant::now() + quiet))));
-        Self { parts: Some(Parts::new(sources)), writer, opened: false, keeping, quiet }
+        Self { parts: Some(Parts::new(sources, resuming)), writer, opened: false, keeping, quiet }
     }
 
     fn next(&mut self, context: &mut Context<'_>) -> Poll<Option<String>> {
@@ -219,8 +392,9 @@
     request: &Request,
     names: Names,
     keeping: Option<Keeping>,
+    resuming: Option<Resuming>,
 ) -> Result<Value, String> {
-    let mut parts = Parts::new(sources);
+    let mut parts = Parts::new(sources, resuming);
     let (mut collected, mut writer) = (Collected::default(), Writer::new(request, names.clone()));
     while let Some(event) = std::future::poll_fn(|context| parts.poll(context)).await {
         let (choice, event) = event?;
--- a/src/edge/clients/chat.rs
+++ b/src/edge/clients/chat.rs
@@ -23,10 +23,12 @@
 use dewladder_chat::{Names, Shape, Store, Writer};
 use dewladder_ledger::{Ending, Offer, Verdict};
 use dewladder_router::mix;
+use log::warn;
 use serde_json::{json, Value};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::sleep_until;
 
-use crate::edge::clients::answers::{whole, Answering, Keeping, Source};
+use crate::edge::clients::answers::{whole, Answering, Ask, Asked as Rest, Keeping, Resuming, Source};
 use crate::edge::clients::platform::body_within;
 use crate::edge::clients::problem::{json_answer, told, with_id, Problem};
 use crate::edge::clients::repeats::{Begun, Judged, Repeats};
@@ -81,6 +83,7 @@
     limits: api::Limits,
     origins: Vec<String>,
     quiet: Option<Duration>,
+    resume: Option<dewladder_resume::Policy>,
     ids: Ids,
     /// Responses that others go on from.
     store: Arc<Mutex<Store>>,
@@ -118,6 +121,7 @@
 pub fn check(chat: &ChatSettings, config: &Config) -> Result<(), String> {
     chat.repeats.policy(&config.limits)?;
     chat.bounds(&config.limits)?;
+    chat.resume.policy()?;
     models(chat, config).map(drop)
 }
 
@@ -137,6 +141,10 @@
     };
     let policy = chat.repeats.policy(&config.limits)?;
     let (store_bytes, tenant_bytes) = chat.bounds(&config.limits)?;
+    let resume = chat.resume.policy()?;
+    if resume.is_some() && !config.resume {
+        warn!("chat.resume: off, as the platform's settings do not let streams go on elsewhere");
+    }
     let secret = mix(config.seed ^ mix(clock.now()));
     let headers = chat.repeats.retry_headers.clone();
     let repeats = chat.repeats.enabled.then(|| Repeats::start(policy, headers, clock, secret));
@@ -154,6 +162,7 @@
         limits: api::Limits { most_choices: chat.most_choices, ..api::Limits::default() },
         origins: chat.origins.clone(),
         quiet: Some(chat.keepalive_s).filter(|&seconds| seconds > 0.0).map(Duration::from_secs_f64),
+        resume: resume.filter(|_| config.resume),
         ids: Ids { base: mix(config.seed ^ mix(clock.now())), next: AtomicU64::new(0) },
         store: Arc::new(Mutex::new(Store::new(store_bytes, tenant_bytes))),
         repeats,
@@ -222,7 +231,12 @@
         known.then(|| origin.clone())
     }
 
-    async fn route(&self, head: &Parts, body: Body, browser: bool) -> Result<Response<Body>, Problem> {
+    async fn route(
+        self: &Arc<Self>,
+        head: &Parts,
+        body: Body,
+        browser: bool,
+    ) -> Result<Response<Body>, Problem> {
         let Some((place, methods)) = Place::at(head.uri.path()) else {
             return Err(Problem::new(StatusCode::NOT_FOUND, "not_found", "there is no such path"));
         };
@@ -267,7 +281,7 @@
     }
 
     async fn make(
-        &self,
+        self: &Arc<Self>,
         shape: Shape,
         tenant: &Tenant,
         head: &Parts,
@@ -323,7 +337,7 @@
     }
 
     /// Has a request run of which nothing is remembered: each choice as a request of its own.
-    async fn once(&self, asked: &Asked<'_>) -> Result<Response<Body>, Problem> {
+    async fn once(self: &Arc<Self>, asked: &Asked<'_>) -> Result<Response<Body>, Problem> {
         let mut waiting = Vec::new();
         for part in 0..asked.request.parts() {
             let permit = self.permit(asked.tenant)?;
@@ -345,12 +359,12 @@
                 }
             }
         }
-        self.answer(asked, id, sources).await
+        self.answer(asked, id, sources, true).await
     }
 
     /// Does with a request what is decided of it: it may be a repeat.
     async fn as_judged(
-        &self,
+        self: &Arc<Self>,
         repeats: &Arc<Repeats>,
         offer: &Offer,
         asked: &Asked<'_>,
@@ -376,7 +390,7 @@
             match reader.begun().await {
                 Begun::Streams => {
                     let id = reader.request();
-                    let mut response = self.answer(asked, id, vec![Source::Reader(reader)]).await?;
+                    let mut response = self.answer(asked, id, vec![Source::Reader(reader)], !joined).await?;
                     if joined {
                         response.headers_mut().insert(REPLAYED, HeaderValue::from_static("true"));
                     }
@@ -394,12 +408,15 @@
 
     /// The answer to a client, from a source for each choice.
     async fn answer(
-        &self,
+        self: &Arc<Self>,
         asked: &Asked<'_>,
         id: RequestId,
         sources: Vec<Source>,
+        first: bool,
     ) -> Result<Response<Body>, Problem> {
         let request = asked.request;
+        // Who joined another's answer must not each ask for its rest.
+        let resuming = self.resume.filter(|_| first).map(|policy| self.resuming(asked, policy));
         let names = Names {
             id: format!("{:016x}", id.0),
             model: request.model.clone(),
@@ -413,13 +430,14 @@
         });
         let mut response = if request.stream {
             let writer = Writer::new(request, names);
-            let mut response = Response::new(Body::new(Answering::new(sources, writer, keeping, self.quiet)));
+            let mut response =
+                Response::new(Body::new(Answering::new(sources, writer, keeping, resuming, self.quiet)));
             let headers = response.headers_mut();
             headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
             headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-cache"));
             response
         } else {
-            let whole = whole(sources, request, names, keeping).await;
+            let whole = whole(sources, request, names, keeping, resuming).await;
             let whole = whole.map_err(|what| Problem {
                 never_again: asked.model.once,
                 ..Problem::new(StatusCode::BAD_GATEWAY, "server_error", what)
@@ -430,6 +448,58 @@
         Ok(response)
     }
 
+    /// How this request's choices go on elsewhere whose server breaks off: each time as one more request.
+    fn resuming(self: &Arc<Self>, asked: &Asked<'_>, policy: dewladder_resume::Policy) -> Resuming {
+        let request = Arc::new(asked.request.clone());
+        let (class, number) = (asked.model.class, asked.tenant.number);
+        let (name, open) = (asked.tenant.name.clone(), asked.tenant.open.clone());
+        let front = self.clone();
+        let ask: Ask = Arc::new(move |part, text, max_tokens, until, wait| {
+            let (front, request, name, open) = (front.clone(), request.clone(), name.clone(), open.clone());
+            Box::pin(async move {
+                sleep_until(front.clock.instant(front.clock.now() + wait)).await;
+                let tenant = Tenant { name, number, open };
+                let model = Model { class, once: false };
+                let asked =
+                    Asked { request: &request, model: &model, tenant: &tenant, now: front.clock.now() };
+                front.rest(&asked, part, &text, max_tokens, until).await
+            })
+        });
+        let shape = dewladder_resume::Shape {
+            may_repeat: !asked.model.once,
+            more_than_text: asked.request.body["logprobs"] == true,
+            max_tokens: asked.request.max_tokens.unwrap_or(self.max_tokens).min(self.max_tokens),
+        };
+        Resuming { policy, shape, ask, clock: self.clock }
+    }
+
+    async fn rest(&self, asked: &Asked<'_>, part: usize, text: &str, max_tokens: u64, until: Micros) -> Rest {
+        let permit = self.permit(asked.tenant).map_err(|_| Some(self.settings.max_retry_after))?;
+        let mut prompt = asked.request.prompts[part / asked.request.choices as usize].clone();
+        let mut body = asked.request.to_servers(part);
+        if let Some(fields) = body.as_object_mut() {
+            fields.remove("max_completion_tokens");
+            fields.insert("max_tokens".to_owned(), json!(max_tokens));
+        }
+        let continues = self.resume.is_some_and(|policy| policy.mode == dewladder_resume::Mode::Continue);
+        if let Some(messages) = body["messages"].as_array_mut().filter(|_| continues && !text.is_empty()) {
+            messages.push(json!({"role": "assistant", "content": text}));
+            body["continue_final_message"] = json!(true);
+            body["add_generation_prompt"] = json!(false);
+            prompt.push(("assistant".to_owned(), text.to_owned()));
+        }
+        let id = self.ids.mint();
+        let mut call = self.call(id, asked, &prompt);
+        (call.max_tokens, call.not_after) = (max_tokens, call.not_after.min(until));
+        let txn = format!("{:016x}", id.0);
+        let payload = Payload { txn, target: TARGET.to_owned(), body: Bytes::from(body.to_string()) };
+        match self.driver.ask(call, Arc::new(payload)).await {
+            Reply::Stream(relay) => Ok(Source::Relay(Box::new(relay), permit)),
+            Reply::Refused { retry_in } => Err(Some(retry_in)),
+            Reply::Failed { .. } | Reply::Taken => Err(None),
+        }
+    }
+
     fn permit(&self, tenant: &Tenant) -> Result<OwnedSemaphorePermit, Problem> {
         tenant.open.clone().try_acquire_owned().map_err(|_| Problem {
             retry_in: Some(self.settings.max_retry_after),
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -111,6 +111,8 @@
     pub connect_timeout: Duration,
     /// A stream without an event for so long has stalled and is cut.
     pub stall: Duration,
+    /// A stream that broke may go on elsewhere.
+    pub resume: bool,
 }
 
 impl Config {
@@ -190,6 +192,7 @@
             keepalive: seconds("limits.keepalive_s", 30.0),
             connect_timeout: seconds("limits.connect_timeout_s", 0.25),
             stall: if resume { STALL_RESUMED } else { STALL_LOST },
+            resume,
             settings,
         })
     }
@@ -263,6 +266,58 @@
     /// What is known of requests that clients repeat.
     #[serde(default)]
     pub repeats: RepeatSettings,
+    /// How answers go on elsewhere whose server broke off.
+    #[serde(default)]
+    pub resume: ResumeSettings,
+}
+
+/// How answers go on elsewhere. Off, a break ends the answer with an error.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct ResumeSettings {
+    /// Whether they do, where the platform's settings allow it too.
+    pub enabled: bool,
+    /// What servers do with an answer's beginning: `continue` or `restart`.
+    pub mode: String,
+    /// How often one answer goes on.
+    pub most: u32,
+    /// For how long after its first break (seconds).
+    pub within_s: f64,
+    /// Longer answers do not go on (KiB).
+    pub most_text_kib: usize,
+}
+
+impl Default for ResumeSettings {
+    fn default() -> Self {
+        Self { enabled: false, mode: "continue".to_owned(), most: 2, within_s: 10.0, most_text_kib: 64 }
+    }
+}
+
+impl ResumeSettings {
+    /// The policy; `None` where it is off.
+    ///
+    /// # Errors
+    /// The field that can't be used, and why.
+    pub fn policy(&self) -> Result<Option<dewladder_resume::Policy>, String> {
+        let mode = match self.mode.as_str() {
+            "continue" => dewladder_resume::Mode::Continue,
+            "restart" => dewladder_resume::Mode::Restart,
+            other => return Err(format!("chat.resume.mode: '{other}' is neither continue nor restart")),
+        };
+        if !(0.1..=600.0).contains(&self.within_s) {
+            return Err(format!("chat.resume.within_s: {} is not 0.1 to 600", self.within_s));
+        }
+        if self.most > 100 || self.most_text_kib > 1_024 {
+            return Err("chat.resume: most is at most 100, most_text_kib at most 1024".to_owned());
+        }
+        let policy = dewladder_resume::Policy {
+            mode,
+            most: self.most,
+            within: (self.within_s * 1e6) as Micros,
+            most_text: self.most_text_kib << 10,
+        };
+        Ok(Some(policy).filter(|_| self.enabled))
+    }
 }
 
 impl ChatSettings {
--- /dev/null
+++ b/tests/client_library.rs
@@ -0,0 +1,85 @@
+//! A client library as apps use it, with its own retries on, against the program and the stand-in fleet.
+
+mod stand_in;
+
+use std::time::Duration;
+
+use async_openai::config::OpenAIConfig;
+use async_openai::error::OpenAIError;
+use async_openai::types::chat::{CreateChatCompletionRequest, FinishReason};
+use async_openai::Client;
+use serde_json::json;
+use stand_in::*;
+
+fn client(site: &FleetSite) -> Client<OpenAIConfig> {
+    let config =
+        OpenAIConfig::new().with_api_base(format!("http://{}/v1", site.chat)).with_api_key("key-of-clay");
+    Client::with_config(config)
+}
+
+fn request(body: serde_json::Value) -> CreateChatCompletionRequest {
+    serde_json::from_value(body).expect("a request as the library has it")
+}
+
+fn plain(model: &str, what: &str) -> CreateChatCompletionRequest {
+    request(json!({"model": model, "messages": [{"role": "user", "content": what}]}))
+}
+
+async fn site() -> FleetSite {
+    let (read, pause) = (Duration::from_millis(1), Duration::from_millis(1));
+    FleetSite::start(Shape { read, pause, ..Shape::default() }, "enabled = true\nafter_start_s = 0.0\n").await
+}
+
+#[tokio::test]
+async fn a_plain_answer() {
+    let site = site().await;
+    let answer = client(&site).chat().create(plain("kiln-ask", "plain")).await.unwrap();
+    assert_eq!(answer.choices[0].message.content.as_deref(), Some("w0 w1 w2 w3 w4 w5 "));
+    assert_eq!((answer.object.as_str(), answer.usage.is_some()), ("chat.completion", true));
+}
+
+#[tokio::test]
+async fn a_streamed_answer() {
+    use futures_util::StreamExt as _;
+    let site = site().await;
+    let mut stream = client(&site).chat().create_stream(plain("kiln-book", "streamed")).await.unwrap();
+    let (mut said, mut finish) = (String::new(), None);
+    while let Some(chunk) = stream.next().await {
+        let chunk = chunk.expect("a chunk as the library wants it");
+        said.push_str(chunk.choices[0].delta.content.as_deref().unwrap_or(""));
+        finish = chunk.choices[0].finish_reason.or(finish);
+    }
+    assert_eq!((said.as_str(), finish), ("w0 w1 w2 w3 w4 w5 ", Some(FinishReason::Stop)));
+}
+
+/// Two calls whose pieces come in turns are put together by their index.
+#[tokio::test]
+async fn calls_of_tools() {
+    let site = site().await;
+    let body = json!({"model": "kiln-ask", "messages": [{"role": "user", "content": "book"}], "tool_choice": "required",
+        "tools": [{"type": "function", "function": {"name": "book_kiln", "parameters": {"type": "object"}}}]});
+    let answer = client(&site).chat().create(request(body)).await.unwrap();
+    let choice = serde_json::to_value(&answer.choices[0]).unwrap();
+    let calls = choice["message"]["tool_calls"].as_array().unwrap();
+    let arguments: Vec<&str> =
+        calls.iter().map(|call| call["function"]["arguments"].as_str().unwrap()).collect();
+    assert_eq!(arguments, [r#"{"day":"fri"}"#, r#"{"day":"sat"}"#]);
+    assert!(calls.iter().all(|call| call["function"]["name"] == "book_kiln"));
+    assert_eq!(
+        (choice["finish_reason"].as_str(), &choice["message"]["content"]),
+        (Some("tool_calls"), &json!(null))
+    );
+}
+
+/// The library's own retries after a refusal come to an answer, and a bad request is told as one at once.
+#[tokio::test]
+async fn failures_are_told_in_words_that_the_library_knows() {
+    let site = site().await;
+    let wrong = client(&site).chat().create(plain("no-such-model", "x")).await.unwrap_err();
+    let OpenAIError::ApiError(error) = wrong else { panic!("an error of the API: {wrong:?}") };
+    let error = format!("{error:?}");
+    assert!(error.contains("model_not_found") && error.contains("Some(\"model\")"), "{error}");
+    site.fleet.script([Fault::TurnsAway; 6]);
+    let answer = client(&site).chat().create(plain("kiln-book", "again")).await.unwrap();
+    assert_eq!((answer.choices.len(), site.fleet.runs_of("again")), (1, 1));
+}
--- a/tests/stand_in/mod.rs
+++ b/tests/stand_in/mod.rs
@@ -56,6 +56,11 @@
 
     /// One whose dispatcher may have so many descriptors.
     pub async fn with_sockets(reads: Does, writes: Does, sockets: usize) -> Self {
+        Self::with_fronts(reads, writes, sockets, FRONTS).await
+    }
+
+    /// One with other fronts, as their file would say.
+    pub async fn with_fronts(reads: Does, writes: Does, sockets: usize, fronts: &str) -> Self {
         let (reader, writer) = (Server::start(reads).await, Server::start(writes).await);
         let members = [member(&reader, 1, "prefill", "up"), member(&writer, 2, "decode", "up")];
         let list = json!({"revision": 1, "complete": true, "members": members});
@@ -63,7 +68,7 @@
         let mut config = Config::parse("config", &config(agent.address, &list), |_| None).unwrap();
         config.stall = Duration::from_millis(300);
         config.limits.sockets = sockets;
-        let fronts = Fronts::parse("fronts", FRONTS).unwrap();
+        let fronts = Fronts::parse("fronts", fronts).unwrap();
         let dispatcher = Dispatcher::bind(config, &fronts).unwrap();
         let addresses = dispatcher.addresses();
         let (end, ended) = oneshot::channel();
