--- a/crates/stand-in/src/fleet.rs
+++ b/crates/stand-in/src/fleet.rs
@@ -400,7 +400,9 @@
             return false;
         }
         lock(state).begun[at].events = event + 1;
-        sleep(shape.pause).await;
+        if shape.pause > Duration::ZERO {
+            sleep(shape.pause).await;
+        }
     }
     let usage = json!({"choices": [], "usage": {"prompt_tokens": body.len() / 4, "completion_tokens": events,
         "total_tokens": body.len() / 4 + events, "prompt_tokens_details": {"cached_tokens": 0}}});
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -40,6 +40,16 @@
         (Some(&good), "[chat", "line 1"),
         (Some(&good), "[chat]\nlisten = 5", "line 2"),
         (Some(&good), &fronts.replace("\"book\"", "\"cook\""), "no class is named cook"),
+        (Some(&good), &format!("{fronts}[chat.repeats]\nwindow_s = -1.0\n"), "chat.repeats.window_s"),
+        (Some(&good), &format!("{fronts}[chat.repeats]\nmost_entries = 0\n"), "chat.repeats.most_entries"),
+        (
+            Some(&good),
+            &format!("{fronts}[chat.repeats]\nretry_headers = [\"a b\"]\n"),
+            "retry_headers: 'a b'",
+        ),
+        (Some(&good), &format!("{fronts}[chat.repeats]\nlinger = 1.0\n"), "unknown field `linger`"),
+        (Some(&good), &format!("{fronts}[chat.resume]\nmode = \"guess\"\n"), "chat.resume.mode: 'guess'"),
+        (Some(&good), &fronts.replace("most_open = 2", "keepalive_s = -1.0"), "chat.keepalive_s"),
     ]
     .into_iter()
     .enumerate()
@@ -141,3 +151,47 @@
     tell("-TERM");
     assert_eq!(child.wait().await.unwrap().code(), Some(0));
 }
+
+/// The first run: what it prints can be used as printed, and Ctrl-C ends it in good order.
+#[test]
+fn the_demo_serves_both_fronts_and_ends() {
+    let mut program = Command::new(env!("CARGO_BIN_EXE_dewladder"));
+    let mut child =
+        program.arg("demo").env_clear().stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().unwrap();
+    let lines = BufReader::new(child.stdout.take().unwrap()).lines().map_while(Result::ok);
+    let text: Vec<String> = lines.take_while(|line| !line.contains("Ctrl-C")).collect();
+    let url = text.iter().find_map(|line| line.split("--url ").nth(1)).unwrap().split(' ').next().unwrap();
+    let conform = |arguments: &[&str]| {
+        let mut program = Command::new(env!("CARGO_BIN_EXE_dewladder"));
+        let output = program.arg("conform").args(arguments).env_clear().output().unwrap();
+        (
+            output.status.code(),
+            String::from_utf8(output.stdout).unwrap(),
+            String::from_utf8(output.stderr).unwrap(),
+        )
+    };
+    let told = conform(&["--url", url, "--key", "key-of-clay", "--only", "answer/stream"]);
+    assert_eq!(
+        (told.0, told.1.trim()),
+        (Some(0), "3 passed, 0 failed, 0 could not be tried, of 3"),
+        "{told:?}"
+    );
+    let told = conform(&["--url", url, "--key", "not-a-key", "--only", "answer/whole"]);
+    assert!(told.0 == Some(1) && told.1.contains("FAILED") && told.2.contains("1 of 1 cases"), "{told:?}");
+    let told = conform(&["--url", "http://192.0.2.1:80", "--only", "answer/whole"]);
+    assert!(told.0 == Some(1) && told.2.contains("only addresses on loopback"), "{told:?}");
+    let told = conform(&["--url", url, "--only", "no-such-case"]);
+    assert!(told.0 == Some(1) && told.2.contains("no case's name"), "{told:?}");
+    let platform = text.iter().find_map(|line| line.strip_prefix("  the platform's front   ")).unwrap();
+    let mut stream = std::net::TcpStream::connect(platform.trim()).unwrap();
+    std::io::Write::write_all(&mut stream, stand_in::platform("9b1f03aa5c7e2d41", "ask", "5").as_bytes())
+        .unwrap();
+    let mut answer = String::new();
+    std::io::Read::read_to_string(&mut stream, &mut answer).unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200") && answer.contains("[DONE]"), "{answer}");
+    assert!(Command::new("kill").args(["-INT", &child.id().to_string()]).status().unwrap().success());
+    let rest: Vec<String> =
+        BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok).collect();
+    assert!(rest.last().unwrap().ends_with("nothing is held any more: ending"), "{rest:?}");
+    assert_eq!(child.wait().unwrap().code(), Some(0));
+}
--- /dev/null
+++ b/tests/front_failures.rs
@@ -0,0 +1,124 @@
+//! The second front with everything on while the dispatcher ends, the fleet drains, and clients read slowly.
+
+mod stand_in;
+
+use std::time::Duration;
+
+use stand_in::*;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::time::sleep;
+
+const ALL: &str = "enabled = true\nafter_start_s = 0.0\n[chat.resume]\nenabled = true\n";
+
+fn status(answer: &str) -> u16 {
+    answer.split(' ').nth(1).unwrap().parse().unwrap()
+}
+
+fn slow() -> Shape {
+    Shape { events: 20, pause: Duration::from_millis(25), ..Shape::default() }
+}
+
+/// Told to end in mid-stream, it finishes each answer for all who read it, and then ends.
+#[tokio::test]
+async fn told_to_end_in_mid_stream_every_answer_is_finished() {
+    let mut site = FleetSite::start(slow(), ALL).await;
+    let end = site.end.take().unwrap();
+    let book = booking("kiln-book", "one", true, "Idempotency-Key: k1\r\n");
+    let three = r#"{"model":"kiln-ask","n":3,"stream":true,"messages":[{"role":"user","content":"three"}]}"#;
+    let three = post(three, "key-of-clay");
+    let (first, joined, choices, ()) = tokio::join!(
+        until_close(site.chat, &book),
+        async {
+            sleep(Duration::from_millis(100)).await;
+            until_close(site.chat, &book).await
+        },
+        until_close(site.chat, &three),
+        async {
+            sleep(Duration::from_millis(250)).await;
+            end.send(()).unwrap();
+        }
+    );
+    for answer in [&first, &joined, &choices] {
+        assert!(body(answer).0.ends_with("data: [DONE]\n\n"), "{answer}");
+    }
+    assert_eq!(body(&first), body(&joined));
+    assert_eq!((site.running.await.unwrap(), site.fleet.runs_of("\"one\"")), (Ok(()), 1));
+    assert_eq!(site.fleet.kept(), 0);
+}
+
+/// A client that goes while the dispatcher ends holds nothing up, also where a booking would linger for longer.
+#[tokio::test]
+async fn a_lingering_booking_is_finished_before_the_end() {
+    let mut site = FleetSite::start(slow(), "enabled = true\nafter_start_s = 0.0\nlinger_s = 30.0\n").await;
+    let book = booking("kiln-book", "one", true, "Idempotency-Key: k1\r\n");
+    talk(site.chat, &book, |read| read.contains("w1 ")).await;
+    site.end.take().unwrap().send(()).unwrap();
+    assert_eq!(site.running.await.unwrap(), Ok(()));
+    assert!(site.fleet.begun()[0].whole, "its answer came to its end: {:?}", site.fleet.begun());
+}
+
+/// While the whole fleet drains nothing is sent, and everybody is told when to come back; then they are served.
+#[tokio::test]
+async fn a_fleet_that_drains_entirely_and_comes_back() {
+    let site = FleetSite::start(Shape::default(), ALL).await;
+    let ask = |what: &str| booking("kiln-ask", what, false, "");
+    assert_eq!(status(&until_close(site.chat, &ask("before")).await), 200);
+    site.fleet.drain(true);
+    sleep(Duration::from_millis(300)).await;
+    let (reads, begun) = (site.fleet.reads(), site.fleet.begun().len());
+    for at in 0..5 {
+        let answer = until_close(
+            site.chat,
+            &booking("kiln-book", &format!("k{at}"), false, &format!("Idempotency-Key: k{at}\r\n")),
+        )
+        .await;
+        let head = answer.split("\r\n\r\n").next().unwrap();
+        assert_eq!((status(&answer), field(head, "retry-after").is_some()), (503, true), "{answer}");
+    }
+    assert_eq!((site.fleet.reads(), site.fleet.begun().len()), (reads, begun));
+    site.fleet.drain(false);
+    sleep(Duration::from_millis(100)).await;
+    let mut answer = String::new();
+    for _ in 0..20 {
+        answer = until_close(site.chat, &booking("kiln-book", "k1", false, "Idempotency-Key: k1\r\n")).await;
+        if status(&answer) == 200 {
+            break;
+        }
+        sleep(Duration::from_millis(200)).await;
+    }
+    assert_eq!((status(&answer), site.fleet.runs_of("\"k1\"")), (200, 1), "{answer}");
+}
+
+/// Two read the same answer, which outgrows what is kept: the one that reads goes on to the end at its own pace,
+/// and the one that does not is cut with an error, and holds up nobody.
+#[tokio::test]
+async fn who_reads_too_slowly_is_cut_and_holds_up_nobody() {
+    // More than the system holds for a client that reads nothing.
+    const EVENTS: usize = 30_000;
+    let shape = Shape { events: EVENTS, pause: Duration::ZERO, ..Shape::default() };
+    let site = FleetSite::start(shape, "enabled = true\nafter_start_s = 0.0\nmost_answer_kib = 8\n").await;
+    let text = booking("kiln-ask", "long", true, "Idempotency-Key: k1\r\n");
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(4_096).unwrap();
+    let mut slow = socket.connect(site.chat).await.unwrap();
+    slow.write_all(text.as_bytes()).await.unwrap();
+    let answer = until_close(site.chat, &text).await;
+    let (events, ended) = body(&answer);
+    assert!(
+        ended && events.contains(&format!("w{} ", EVENTS - 1)) && events.ends_with("[DONE]\n\n"),
+        "the reader has it all"
+    );
+    let mut read = Vec::new();
+    slow.read_to_end(&mut read).await.unwrap();
+    let read = String::from_utf8_lossy(&read);
+    assert!(read.contains("was too slow") && !read.contains("[DONE]"), "cut: {}", &read[read.len() - 300..]);
+    assert_eq!(site.fleet.runs_of("long"), 1);
+    let book =
+        r#"{"model":"kiln-book","stream":true,"max_tokens":400,"messages":[{"role":"user","content":"b"}]}"#;
+    let book = post(book, "key-of-clay").replace("Host: h\r\n", "Host: h\r\nIdempotency-Key: k2\r\n");
+    let passed_on = until_close(site.chat, &book).await;
+    let (text, _) = body(&passed_on);
+    assert!(text.contains("w399 ") && text.ends_with("[DONE]\n\n"), "passed on whole, though not kept");
+    let refused = until_close(site.chat, &book).await;
+    assert_eq!((status(&refused), refused.contains("already_answered")), (409, true), "{refused}");
+}
