Hold failures of servers, preflights and a lost fleet against the conformance suite and tests

Need: the suite knew no failures, and comments, origins and a fleet that is lost from the list were not tested. Change: 13 cases ask the stand-in servers to fail by name (--faults), with grammars for streams that break off; tests for configured origins, comment lines and a fleet that goes and comes back; the stand-in says of places held ahead that there are none; the load bench plays the platform's front too.

--- a/benches/load.rs
+++ b/benches/load.rs
@@ -37,7 +37,7 @@
     Plain::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).expect("a port")
 }
 
-async fn start(program: &Path, fleet: &Fleet, fronts: &str) -> (Child, SocketAddr) {
+async fn start(program: &Path, fleet: &Fleet, fronts: &str) -> (Child, SocketAddr, SocketAddr) {
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
     let mut platform: Value =
         serde_json::from_str(&config(fleet.agent.address, &fleet.listing())).expect("JSON");
@@ -59,12 +59,17 @@
         sleep(Duration::from_millis(20)).await;
     }
     sleep(Duration::from_millis(300)).await;
-    (child, chat)
+    (child, listen, chat)
 }
 
 /// One client; the time from when it was due to its first event, so that a program that holds up its clients
 /// does not look fast.
-async fn client(to: SocketAddr, number: usize, due: Instant) -> (Option<Duration>, &'static str) {
+async fn client(
+    to: SocketAddr,
+    number: usize,
+    due: Instant,
+    platform: bool,
+) -> (Option<Duration>, &'static str) {
     sleep_until(due).await;
     let model = if number % 4 == 0 { "kiln-book" } else { "kiln-ask" };
     let body = json!({"model": model, "stream": true, "messages": [
@@ -76,6 +81,15 @@
          Content-Length: {}\r\nConnection: close\r\n\r\n{body}",
         body.len()
     );
+    let text = if platform {
+        let (id, lane) =
+            (format!("{:016x}", 0x5eed_0000_0000 + number), if number % 4 == 0 { "book" } else { "ask" });
+        dewladder_stand_in::platform(&id, lane, "6.0")
+            .replace("{\"stream\":true}", &body)
+            .replace("Content-Length: 15", &format!("Content-Length: {}", body.len()))
+    } else {
+        text
+    };
     let mut first = None;
     let talk = async {
         let mut read = Vec::new();
@@ -94,6 +108,10 @@
     let status = text.split(' ').nth(1).unwrap_or("");
     let (dones, errors) = (text.matches("data: [DONE]").count(), text.matches("\"error\"").count());
     let came = match (status, dones, errors) {
+        // The platform's front cuts a stream that broke off, without the last chunk.
+        ("200", 0, 0) if platform && !text.ends_with("0\r\n\r\n") => "error",
+        ("503", 0, 0) if platform && text.contains("retry-after") => "refused",
+        ("502", 0, 0) if platform => "failed",
         ("200", 1, 0) => "whole",
         ("200", 0, 1) => "error",
         ("429" | "503", 0, 1) if text.contains("retry-after") => "refused",
@@ -114,7 +132,7 @@
     std::fs::read_dir(format!("/proc/{}/fd", child.id().unwrap_or(0))).map_or(0, Iterator::count)
 }
 
-async fn play(what: &str, program: &Path, extra: &str) {
+async fn play(what: &str, program: &Path, extra: &str, platform: bool) {
     let (read, pause) = (Duration::from_millis(3), Duration::from_millis(40));
     let shape = Shape { readers: 4, writers: 6, events: 60, read, pause };
     let fleet = Fleet::start(shape).await.expect("a fleet");
@@ -126,7 +144,8 @@
     let fronts = format!(
         "[chat]\nenabled = true\nlisten = \"CHAT\"\nmost_open = 1000\n[chat.models]\nkiln-ask = \"ask\"\nkiln-book = \"book\"\n{extra}"
     );
-    let (mut child, chat) = start(program, &fleet, &fronts).await;
+    let (mut child, listen, chat) = start(program, &fleet, &fronts).await;
+    let front = if platform { listen } else { chat };
     let (mut came, mut most) = (Came::default(), 0);
     let mut firsts = Histogram::<u64>::new_with_bounds(1, 60_000_000, 3).expect("bounds");
     for round in 0..ROUNDS {
@@ -134,7 +153,7 @@
         let mut clients = JoinSet::new();
         for number in 0..STREAMS {
             let due = begin + WITHIN * number as u32 / STREAMS as u32;
-            clients.spawn(client(chat, round * STREAMS + number, due));
+            clients.spawn(client(front, round * STREAMS + number, due, platform));
         }
         let mut look = tokio::time::interval(Duration::from_millis(50));
         loop {
@@ -208,12 +227,17 @@
         .expect("a runtime");
     let now = Path::new(env!("CARGO_BIN_EXE_dewladder"));
     runtime.block_on(async {
-        if let Ok(baseline) = std::env::var("BASELINE") {
-            play("as it stood", Path::new(&baseline), "").await;
+        let baseline = std::env::var("BASELINE").ok();
+        if let Some(baseline) = &baseline {
+            play("platform, as it stood", Path::new(baseline), "", true).await;
+        }
+        play("platform, now", now, "", true).await;
+        if let Some(baseline) = &baseline {
+            play("chat, as it stood", Path::new(baseline), "", false).await;
         }
-        play("now", now, "").await;
-        play("now, with the ledger", now, "[chat.repeats]\nenabled = true\nafter_start_s = 0.0\n").await;
+        play("chat, now", now, "", false).await;
+        play("chat, with the ledger", now, "[chat.repeats]\nenabled = true\nafter_start_s = 0.0\n", false).await;
         let all = "[chat.repeats]\nenabled = true\nafter_start_s = 0.0\nlinger_s = 10.0\n[chat.resume]\nenabled = true\n";
-        play("now, all on", now, all).await;
+        play("chat, all on", now, all, false).await;
     });
 }
--- a/crates/conform/src/cases.rs
+++ b/crates/conform/src/cases.rs
@@ -10,6 +10,9 @@
 pub struct Case {
     /// Its name: `section/what`.
     pub name: String,
+    /// It asks servers to fail by name, as this repository's stand-in fleet does: tried only where that is said.
+    #[serde(default)]
+    pub faults: bool,
     /// Its requests.
     #[serde(default)]
     pub step: Vec<Step>,
@@ -60,7 +63,7 @@
     /// JSON pointers into the answer and the values there, `"*"` for any that is not null.
     #[serde(default)]
     pub json: BTreeMap<String, Value>,
-    /// The stream's grammar: `chat`, `completion` or `response`.
+    /// The stream's grammar: `chat`, `completion` or `response`; `cut` or `cut-response` for one that breaks off.
     pub grammar: Option<String>,
     /// Choices of the stream (1).
     pub choices: Option<usize>,
@@ -98,6 +101,7 @@
         ("answers", include_str!("../cases/answers.toml")),
         ("responses", include_str!("../cases/responses.toml")),
         ("repeats", include_str!("../cases/repeats.toml")),
+        ("failures", include_str!("../cases/failures.toml")),
     ];
     let mut all = Vec::new();
     for (name, text) in files {
--- a/crates/conform/src/grammar.rs
+++ b/crates/conform/src/grammar.rs
@@ -57,10 +57,43 @@
         "chat" => chunks(body, "chat.completion.chunk", choices, usage),
         "completion" => chunks(body, "text_completion", choices, usage),
         "response" => typed(body),
+        "cut" => cut(body),
+        "cut-response" => cut_response(body),
         other => Err(format!("there is no grammar '{other}'")),
     }
 }
 
+/// A stream that breaks off: events, then exactly one error, and nothing that looks like an end.
+fn cut(body: &str) -> Result<(), String> {
+    let events = events(body)?;
+    let (last, before) = events.split_last().ok_or("the stream is empty")?;
+    must(!before.is_empty(), || "nothing came before the error".to_owned())?;
+    for event in before {
+        must(event.data != "[DONE]", || "[DONE] in a stream that broke off".to_owned())?;
+        let chunk = json(event)?;
+        must(chunk["error"].is_null(), || "more than one error".to_owned())?;
+        let finish = &chunk["choices"][0]["finish_reason"];
+        must(finish.is_null(), || format!("an answer that broke off has finish_reason {finish}"))?;
+    }
+    let error = &json(last)?["error"];
+    let told = error["message"].is_string() && error["type"] == "server_error" && error["code"].is_string();
+    must(told, || format!("the last event is no error: {}", last.data))
+}
+
+fn cut_response(body: &str) -> Result<(), String> {
+    let events = events(body)?;
+    let (last, before) = events.split_last().ok_or("the stream is empty")?;
+    for (at, event) in events.iter().enumerate() {
+        let number = &json(event)?["sequence_number"];
+        must(*number == at, || format!("event {at} has number {number}"))?;
+    }
+    let ends = |event: &Event| event.name.as_deref().is_some_and(|name| name == "response.completed");
+    must(!before.iter().any(ends), || "completed, and yet it goes on".to_owned())?;
+    let response = &json(last)?["response"];
+    let told = response["status"] == "failed" && response["error"]["message"].is_string();
+    must(told && last.name.as_deref() == Some("response.failed"), || format!("the last event: {}", last.data))
+}
+
 fn chunks(body: &str, object: &str, choices: usize, usage: bool) -> Result<(), String> {
     let events = events(body)?;
     let (last, chunks) = events.split_last().ok_or("the stream is empty")?;
--- a/crates/stand-in/src/fleet.rs
+++ b/crates/stand-in/src/fleet.rs
@@ -219,9 +219,24 @@
     }
 }
 
+/// What a prompt asks for by name, as `{fault:cuts:2}`: so that who can send requests only can try failures too.
+fn asked_for(body: &str) -> Option<Fault> {
+    let mut words = body.split_once("{fault:")?.1.split_once('}')?.0.split(':');
+    let kind = words.next()?;
+    let events = words.next().and_then(|word| word.parse().ok()).unwrap_or(0);
+    Some(match kind {
+        "turns-away" => Fault::TurnsAway,
+        "fails" => Fault::Fails,
+        "vanishes" => Fault::Vanishes,
+        "cuts" => Fault::Cuts(events),
+        "stalls" => Fault::Stalls(events),
+        _ => return None,
+    })
+}
+
 impl State {
-    fn fault(&mut self) -> Fault {
-        if let Some(fault) = self.script.pop_front() {
+    fn fault(&mut self, body: &str) -> Fault {
+        if let Some(fault) = self.script.pop_front().or_else(|| asked_for(body)) {
             return fault;
         }
         let (lot, which) = (self.lots.next_u32() % 1_000, self.lots.next_u32() as usize);
@@ -248,6 +263,9 @@
                 state.releases += usize::from(state.kept.remove(id).is_some());
             }
             stream.write_all(plain(204, "", "").as_bytes()).await.is_ok()
+        } else if line.starts_with("POST /kv/leases/") {
+            // Places are not held ahead here, which is what a caller is told.
+            stream.write_all(plain(404, "", "").as_bytes()).await.is_ok()
         } else if line.starts_with("GET ") {
             let text = report(&lock(&state), &shape);
             stream.write_all(plain(200, "", &text).as_bytes()).await.is_ok()
@@ -291,7 +309,7 @@
 ) -> bool {
     let (fault, at) = {
         let mut state = lock(state);
-        let fault = state.fault();
+        let fault = state.fault(&body);
         if fault == Fault::TurnsAway {
             (fault, usize::MAX)
         } else if fault == Fault::Forgets || state.kept.remove(&id).is_none() {
--- a/src/conform.rs
+++ b/src/conform.rs
@@ -16,7 +16,7 @@
     };
     let (url, key, other_key) = (option("--url")?, option("--key")?, option("--other-key")?);
     let (model, once, only) = (option("--model")?, option("--once")?, option("--only")?);
-    let all = arguments.contains("--verbose");
+    let (all, faults) = (arguments.contains("--verbose"), arguments.contains("--faults"));
     if let Some(unknown) = arguments.finish().first() {
         return Err(format!("{} is not known; 'dewladder help' lists what is", unknown.to_string_lossy()));
     }
@@ -31,6 +31,7 @@
         nonce: format!("{nonce:x}"),
     };
     let mut cases = cases()?;
+    cases.retain(|case| faults || !case.faults);
     if let Some(only) = only {
         cases.retain(|case| case.name.contains(&only));
         if cases.is_empty() {
--- a/src/main.rs
+++ b/src/main.rs
@@ -24,7 +24,7 @@
   demo                                          a first run: a stand-in fleet on loopback, both fronts
   conform --url URL [--key K] [--other-key K]   hold a chat front on loopback against the conformance suite
           [--model M] [--once M] [--only TEXT]  (models: one that may repeat, one that runs once)
-          [--verbose]
+          [--verbose] [--faults]                 (--faults: with cases that ask stand-in servers to fail)
   version                                       print the version
   help                                          print this text
 
--- a/tests/conform.rs
+++ b/tests/conform.rs
@@ -39,15 +39,23 @@
     names.sort_unstable();
     names.dedup();
     assert_eq!(names.len(), all.len(), "each name once");
+    // Failures each on a site of its own: servers that fail are left out for a while, and others would fill them.
+    let (failing, all): (Vec<_>, Vec<_>) = all.into_iter().partition(|case| case.faults);
     let outcomes = run(&target(site.chat, "right"), &all).await;
     assert_eq!(not_passed(&outcomes), Vec::<&Outcome>::new());
+    assert!(failing.len() >= 12);
+    for case in failing {
+        let site = FleetSite::start(fast(), ON).await;
+        let outcomes = run(&target(site.chat, "failing"), &[case]).await;
+        assert_eq!(not_passed(&outcomes), Vec::<&Outcome>::new());
+    }
 }
 
 /// A suite that can't fail says nothing: each of these must be caught, and a front that changes nothing passes.
 #[tokio::test]
 async fn each_wrong_front_is_caught() {
     let site = FleetSite::start(fast(), ON).await;
-    let all = cases().unwrap();
+    let all: Vec<_> = cases().unwrap().into_iter().filter(|case| !case.faults).collect();
     let right = wrong_front(site.chat, Wrong::Nothing, "key-of-clay").await.unwrap();
     let outcomes = run(&target(right, "nothing"), &all).await;
     assert_eq!(not_passed(&outcomes), Vec::<&Outcome>::new());
--- a/tests/front_failures.rs
+++ b/tests/front_failures.rs
@@ -122,3 +122,58 @@
     let refused = until_close(site.chat, &book).await;
     assert_eq!((status(&refused), refused.contains("already_answered")), (409, true), "{refused}");
 }
+
+/// The whole fleet is lost from the list and comes back.
+#[tokio::test]
+async fn a_fleet_that_is_lost_and_comes_back() {
+    let site = FleetSite::start(Shape::default(), ALL).await;
+    let mut gone = site.fleet.listing();
+    gone["revision"] = 50.into();
+    gone["members"] = serde_json::json!([]);
+    site.fleet.agent.tells(Some(gone));
+    sleep(Duration::from_millis(200)).await;
+    let answer = until_close(site.chat, &booking("kiln-book", "lost", false, "Idempotency-Key: k\r\n")).await;
+    assert!(
+        matches!(status(&answer), 503 | 504) && !answer.contains("x-should-retry"),
+        "it never ran: {answer}"
+    );
+    let mut back = site.fleet.listing();
+    back["revision"] = 51.into();
+    site.fleet.agent.tells(Some(back));
+    sleep(Duration::from_millis(200)).await;
+    let mut answer = String::new();
+    for _ in 0..20 {
+        answer = until_close(site.chat, &booking("kiln-book", "lost", false, "Idempotency-Key: k\r\n")).await;
+        if status(&answer) == 200 {
+            break;
+        }
+        sleep(Duration::from_millis(200)).await;
+    }
+    assert_eq!((status(&answer), site.fleet.runs_of("lost")), (200, 1), "{answer}");
+}
+
+/// Browser apps of the origins that are configured are let in, and no others; a comment keeps a quiet stream alive.
+#[tokio::test]
+async fn origins_and_comments_as_configured() {
+    let shape = Shape { events: 3, pause: Duration::from_millis(180), ..Shape::default() };
+    let chat = "keepalive_s = 0.05\norigins = [\"https://kilns.example\"]\n";
+    let site = FleetSite::with_chat(shape, chat, "").await;
+    let preflight = |origin: &str| {
+        format!(
+            "OPTIONS /v1/chat/completions HTTP/1.1\r\nHost: h\r\nOrigin: {origin}\r\n\
+             Access-Control-Request-Method: POST\r\nConnection: close\r\n\r\n"
+        )
+    };
+    let known = until_close(site.chat, &preflight("https://kilns.example")).await;
+    assert_eq!(status(&known), 204, "{known}");
+    assert_eq!(field(&known, "access-control-allow-origin").as_deref(), Some("https://kilns.example"));
+    assert!(field(&known, "access-control-allow-headers").unwrap().contains("idempotency-key"));
+    let stranger = until_close(site.chat, &preflight("https://stranger.example")).await;
+    assert_eq!((status(&stranger), field(&stranger, "access-control-allow-origin")), (405, None));
+    let text = booking("kiln-ask", "quiet", true, "Origin: https://kilns.example\r\n");
+    let answer = until_close(site.chat, &text).await;
+    assert!(field(&answer, "access-control-expose-headers").unwrap().contains("x-should-retry"));
+    let (text, ended) = body(&answer);
+    assert!(ended && text.matches(": waiting\n\n").count() >= 3 && text.contains("w2 "), "{text}");
+    assert!(!text.contains("w0 : waiting"), "never within an event");
+}
--- a/tests/stand_in/mod.rs
+++ b/tests/stand_in/mod.rs
@@ -102,12 +102,17 @@
 impl FleetSite {
     /// `repeats` are lines of the table `[chat.repeats]`.
     pub async fn start(shape: Shape, repeats: &str) -> Self {
+        Self::with_chat(shape, "", repeats).await
+    }
+
+    /// `chat` are lines of the table `[chat]`.
+    pub async fn with_chat(shape: Shape, chat: &str, repeats: &str) -> Self {
         let fleet = Fleet::start(shape).await.unwrap();
         let config = config(fleet.agent.address, &fleet.listing());
         let mut config = Config::parse("config", &config, |_| None).unwrap();
         config.stall = Duration::from_millis(300);
         let fronts = format!(
-            "[chat]\nenabled = true\nlisten = \"127.0.0.1:0\"\nmost_open = 400\n\
+            "[chat]\nenabled = true\nlisten = \"127.0.0.1:0\"\nmost_open = 400\n{chat}\
              [chat.models]\nkiln-ask = \"ask\"\nkiln-book = \"book\"\n\
              [chat.tenants]\nkey-of-clay = \"chiangmai-clay\"\nkey-of-jars = \"ratchaburi-jars\"\n\
              [chat.repeats]\n{repeats}"
