Give every reader of one answer the same created time, and test clients that half-close

Cause: a joined or kept answer told the time at which its own client came as created, so that two readers of one answer differed; a test that compared them byte for byte failed on a second's turn. Change: the ledger keeps when the run began with its id, and the conformance suite compares repeats byte for byte. Tests for half-closed and vanished clients and for the watch that moves under load.

--- a/crates/conform/src/runner.rs
+++ b/crates/conform/src/runner.rs
@@ -298,7 +298,7 @@
             .map_err(|what| format!("{what}: {}", short(&answer.body)))?;
     }
     if let Some(at) = expect.same_as {
-        let same = before.get(at).is_some_and(|before| alike(before) == alike(&answer.body));
+        let same = before.get(at).is_some_and(|before| *before == answer.body);
         if !same {
             return Err(format!("the answer is not that of step {at}: {}", short(&answer.body)));
         }
@@ -306,19 +306,6 @@
     Ok(())
 }
 
-/// A body without the time at which it was made up for its client.
-fn alike(body: &str) -> String {
-    let mut text = String::new();
-    for part in body.split("\"created") {
-        let part = part.strip_prefix("_at").unwrap_or(part);
-        text.push_str(
-            part.strip_prefix("\":")
-                .map_or(part, |rest| rest.trim_start_matches(|c: char| c.is_ascii_digit())),
-        );
-    }
-    text
-}
-
 fn short(body: &str) -> String {
     let text: String = body.chars().take(300).collect();
     text.replace('\n', " ")
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -246,8 +246,8 @@
     readers: u32,
     /// The number of its run among all runs: later ones have greater ones.
     turn: u32,
-    /// A number of the caller's own.
-    note: u64,
+    /// Numbers of the caller's own.
+    note: [u64; 2],
     /// What is counted for it (bytes).
     charge: u32,
     once: bool,
@@ -540,7 +540,7 @@
             run: 0,
             readers: 1,
             turn: 0,
-            note: 0,
+            note: [0; 2],
             charge: 0,
             once: offer.once,
             keyed: matches!(name, Name::Key(_)),
@@ -572,16 +572,16 @@
         (slot.turn, slot.due, slot.answer) = (self.turns, Micros::MAX, Some(Box::default()));
     }
 
-    /// Keeps a number of the caller's own with a run: the id under which it goes to servers, say.
-    pub fn note(&mut self, id: EntryId, note: u64) {
+    /// Keeps numbers of the caller's own with a run: the id under which it goes to servers, and when it did, say.
+    pub fn note(&mut self, id: EntryId, note: [u64; 2]) {
         if let Some(slot) = self.slot(id) {
             slot.note = note;
         }
     }
 
-    /// The number kept with a run; 0 where there is none.
-    pub fn noted(&mut self, id: EntryId) -> u64 {
-        self.slot(id).map_or(0, |slot| slot.note)
+    /// The numbers kept with a run; 0 where there are none.
+    pub fn noted(&mut self, id: EntryId) -> [u64; 2] {
+        self.slot(id).map_or([0; 2], |slot| slot.note)
     }
 
     /// The first of an answer is here.
--- a/src/edge/clients/chat.rs
+++ b/src/edge/clients/chat.rs
@@ -359,7 +359,7 @@
                 }
             }
         }
-        self.answer(asked, id, sources, true).await
+        self.answer(asked, (id, self.clock.now()), sources, true).await
     }
 
     /// Does with a request what is decided of it: it may be a repeat.
@@ -410,7 +410,7 @@
     async fn answer(
         self: &Arc<Self>,
         asked: &Asked<'_>,
-        id: RequestId,
+        (id, since): (RequestId, Micros),
         sources: Vec<Source>,
         first: bool,
     ) -> Result<Response<Body>, Problem> {
@@ -420,11 +420,8 @@
         let prompt: usize = request.prompts.iter().flatten().map(|(_, text)| text.len()).sum();
         let resume = self.resume.filter(|policy| first && prompt <= policy.most_text);
         let resuming = resume.map(|policy| self.resuming(asked, policy));
-        let names = Names {
-            id: format!("{:016x}", id.0),
-            model: request.model.clone(),
-            created: self.clock.now() / 1_000_000,
-        };
+        let names =
+            Names { id: format!("{:016x}", id.0), model: request.model.clone(), created: since / 1_000_000 };
         let keeping = request.store.then(|| Keeping {
             store: self.store.clone(),
             tenant: asked.tenant.number,
--- a/src/edge/clients/repeats.rs
+++ b/src/edge/clients/repeats.rs
@@ -139,7 +139,7 @@
     ) {
         let (id, (stop, stopped)) = (reader.id, oneshot::channel());
         let mut inner = self.lock();
-        inner.ledger.note(id, call.id.0);
+        inner.ledger.note(id, [call.id.0, self.clock.now()]);
         inner.recording.insert(id, stop);
         drop(inner);
         let (asked, over) = driver.begin(call, payload);
@@ -321,10 +321,11 @@
 }
 
 impl Reader {
-    /// The id under which the request goes to servers.
+    /// The id under which the request goes to servers, and when it began to run: the same for all who read it.
     #[must_use]
-    pub fn request(&self) -> RequestId {
-        RequestId(self.repeats.lock().ledger.noted(self.id))
+    pub fn request(&self) -> (RequestId, Micros) {
+        let [id, since] = self.repeats.lock().ledger.noted(self.id);
+        (RequestId(id), since)
     }
 
     /// Waits until the answer begins, or turns out not to.
--- a/tests/front_failures.rs
+++ b/tests/front_failures.rs
@@ -177,3 +177,50 @@
     assert!(ended && text.matches(": waiting\n\n").count() >= 3 && text.contains("w2 "), "{text}");
     assert!(!text.contains("w0 : waiting"), "never within an event");
 }
+
+/// What SIGHUP does: the watch moves to another agent while streams run, and nobody notices.
+#[tokio::test]
+async fn the_watch_of_the_list_moves_under_load() {
+    let site = FleetSite::start(slow(), ALL).await;
+    let other = Agent::start(site.fleet.listing()).await;
+    let mut clients = Vec::new();
+    // A few, apart: one that has just started turns away part of a burst.
+    for at in 0..6 {
+        let model = if at % 2 == 0 { "kiln-book" } else { "kiln-ask" };
+        let text = booking(model, &format!("a{at}"), true, "");
+        clients.push(tokio::spawn(async move { until_close(site.chat, &text).await }));
+        sleep(Duration::from_millis(20)).await;
+    }
+    site.discovery.send_replace(other.address);
+    for client in clients {
+        let answer = client.await.unwrap();
+        assert!(body(&answer).0.ends_with("data: [DONE]\n\n"), "{answer}");
+    }
+    eventually("asked", || !other.log().is_empty()).await;
+    let text = booking("kiln-ask", "after", false, "");
+    assert_eq!(status(&until_close(site.chat, &text).await), 200);
+}
+
+/// A client that ends its sending and one that vanishes have left: what is held for them is let go, nothing runs.
+#[tokio::test]
+async fn half_closed_and_vanished_clients_leave_nothing_held() {
+    let shape = Shape { read: Duration::from_millis(80), ..Shape::default() };
+    for repeats in ["", ALL] {
+        let site = FleetSite::start(shape, repeats).await;
+        for half in [true, false] {
+            let text =
+                booking("kiln-book", &format!("half-{half}"), true, &format!("Idempotency-Key: {half}\r\n"));
+            let mut stream = tokio::net::TcpStream::connect(site.chat).await.unwrap();
+            stream.write_all(text.as_bytes()).await.unwrap();
+            sleep(Duration::from_millis(30)).await;
+            if half {
+                stream.shutdown().await.unwrap();
+            } else {
+                drop(stream);
+            }
+            sleep(Duration::from_millis(250)).await;
+            eventually("let go", || site.fleet.kept() == 0).await;
+            assert_eq!(site.fleet.runs_of(&format!("half-{half}")), 0, "half {half}");
+        }
+    }
+}
--- a/tests/stand_in/mod.rs
+++ b/tests/stand_in/mod.rs
@@ -96,7 +96,7 @@
     pub chat: SocketAddr,
     pub end: Option<oneshot::Sender<()>>,
     pub running: JoinHandle<Result<(), String>>,
-    _discovery: watch::Sender<SocketAddr>,
+    pub discovery: watch::Sender<SocketAddr>,
 }
 
 impl FleetSite {
@@ -120,11 +120,11 @@
         let dispatcher = Dispatcher::bind(config, &Fronts::parse("fronts", &fronts).unwrap()).unwrap();
         let [platform, chat] = dispatcher.addresses()[..] else { panic!("two listeners") };
         let (end, ended) = oneshot::channel();
-        let (_discovery, at) = watch::channel(fleet.agent.address);
+        let (discovery, at) = watch::channel(fleet.agent.address);
         let running = tokio::spawn(dispatcher.run(at, async {
             let _ = ended.await;
         }));
-        Self { fleet, platform, chat, end: Some(end), running, _discovery }
+        Self { fleet, platform, chat, end: Some(end), running, discovery }
     }
 }
 
