Keep idle connections for less in a large fleet, and release on the reader's own connection

Readers had 100 dispatchers' idle connections, each kept for 18 s (1,535 to servers at once), and no place left; the releases had a pool of their own. Ruled out: restarts (the dispatchers concerned had not restarted), drains. Lines: plain_client's idle time, Driver::release. Change: the idle time shrinks with the number of dispatchers over four; a release takes the connection on which the read was answered, then eight servers that differ by request. Logs have milliseconds, and inputs at debug. Tests: a reader with one place (fails with a pool of its own), the idle sum over 5 to 700 dispatchers.

--- a/crates/stand-in/src/scripted.rs
+++ b/crates/stand-in/src/scripted.rs
@@ -50,13 +50,26 @@
 impl Server {
     /// Starts on a port that the system picks.
     pub async fn start(does: Does) -> Self {
+        Self::with_places(does, usize::MAX).await
+    }
+
+    /// One that holds so many connections at once, and drops those that come beyond them.
+    pub async fn with_places(does: Does, places: usize) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let (address, does) = (listener.local_addr().unwrap(), Arc::new(Mutex::new(does)));
         let log = Arc::new(Mutex::new(Vec::new()));
         let (shared, lines) = (does.clone(), log.clone());
         tokio::spawn(async move {
+            let taken = Arc::new(());
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(connection(stream, shared.clone(), lines.clone()));
+                if Arc::strong_count(&taken) > places {
+                    continue;
+                }
+                let (place, shared, lines) = (taken.clone(), shared.clone(), lines.clone());
+                tokio::spawn(async move {
+                    connection(stream, shared, lines).await;
+                    drop(place);
+                });
             }
         });
         Self { address, does, log }
--- a/src/edge/connections.rs
+++ b/src/edge/connections.rs
@@ -5,6 +5,7 @@
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use http_body::Body;
 use hyper::rt::{Read, ReadBufCursor, Write};
@@ -20,6 +21,22 @@
 /// A server's head, and what is read of its answer at once, hold this many bytes at most.
 const MOST_HEAD: usize = 32 << 10;
 
+/// Servers close idle connections at `limits.keepalive_s` at the latest; what is written then is a reset. So
+/// much of that time an idle one is kept at most.
+const KEPT_SHARE: f64 = 0.6;
+/// So many dispatchers may each keep idle connections for that time. More keep them for less: a server holds
+/// only so many connections, and what all dispatchers leave idle there must not grow with their number.
+const KEEPERS: f64 = 4.0;
+/// Shorter than this, not even the two calls for one request would share a connection.
+const LEAST_KEPT: Duration = Duration::from_millis(100);
+
+/// How long a connection to a server is kept idle by each of so many dispatchers.
+#[must_use]
+pub fn kept_idle(keepalive: Duration, dispatchers: u32) -> Duration {
+    let share = KEPT_SHARE * (KEEPERS / f64::from(dispatchers.max(1))).min(1.0);
+    keepalive.mul_f64(share).max(LEAST_KEPT.min(keepalive.mul_f64(KEPT_SHARE)))
+}
+
 /// A client without any repeats of its own.
 pub type Plain<B> = Client<Connector, B>;
 
@@ -37,8 +54,7 @@
         .retry_canceled_requests(false)
         .pool_timer(TokioTimer::new())
         .timer(TokioTimer::new())
-        // Servers close idle connections at `keepalive` at the latest; what is written then is a reset.
-        .pool_idle_timeout(config.keepalive.mul_f64(0.6))
+        .pool_idle_timeout(kept_idle(config.keepalive, config.settings.balancers))
         .pool_max_idle_per_host(most_idle)
         // Bounds a head that does not end.
         .http1_max_buf_size(MOST_HEAD)
--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -6,23 +6,21 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 
-use bytes::Bytes;
-use http_body_util::Empty;
 use log::{debug, info};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout_at;
 
 use crate::edge::clock::Clock;
-use crate::edge::connections::{plain_client, Plain};
 use crate::edge::core::{Core, Effect, Ending, Input};
 use crate::edge::servers::{self, Opened, Payload, Progress, Relay, Servers, StreamEnd};
 use crate::edge::settings::Config;
 use crate::interface::{Call, EngineId, Entry, Health, ListKind, Micros, Outcome, RequestId};
+use dewladder_router::mix;
 
 /// Time between two lines of what clients got.
 const TALLY: Micros = 10_000_000;
 /// Servers that a release turns to where the holders don't answer.
-const STAND_INS: usize = 4;
+const STAND_INS: usize = 8;
 
 /// What the driver is told.
 #[derive(Debug)]
@@ -198,7 +196,6 @@
     inbox: mpsc::UnboundedReceiver<Message>,
     to_self: Sender,
     servers: Servers,
-    releases: Plain<Empty<Bytes>>,
     addresses: BTreeMap<EngineId, (String, bool)>,
     clients: HashMap<RequestId, Waiting>,
     flying: HashMap<(RequestId, u32), Flying>,
@@ -219,7 +216,6 @@
             inbox,
             to_self: to_self.clone(),
             servers: Servers::new(config),
-            releases: plain_client(config, 1),
             addresses: BTreeMap::new(),
             clients: HashMap::new(),
             flying: HashMap::new(),
@@ -320,6 +316,9 @@
     }
 
     fn step(&mut self, input: Input) {
+        if !matches!(input, Input::Tick) {
+            debug!("{input:?}");
+        }
         let mut inputs = VecDeque::from([input]);
         while let Some(input) = inputs.pop_front() {
             for effect in self.core.step(self.clock.now(), input) {
@@ -434,15 +433,19 @@
     fn release(&mut self, id: RequestId, holders: &[EngineId]) {
         let Some(client) = self.clients.get(&id) else { return };
         let others = self.addresses.iter().filter(|(engine, (_, ready))| *ready && !holders.contains(engine));
-        let others: Vec<&String> = others.map(|(_, (address, _))| address).take(STAND_INS).collect();
+        let mut others: Vec<&String> = others.map(|(_, (address, _))| address).collect();
+        // Not the same few for every request and every dispatcher: those would have no place left.
+        let first = (mix(id.0) % others.len().max(1) as u64) as usize;
+        others.rotate_left(first);
+        others.truncate(STAND_INS);
         for holder in holders {
             let first = self.addresses.get(holder).map(|(address, _)| address);
             let addresses: Vec<String> = first.into_iter().chain(others.clone()).cloned().collect();
-            let (client, txn) = (self.releases.clone(), client.payload.txn.clone());
+            let (servers, txn) = (self.servers.clone(), client.payload.txn.clone());
             let figures = self.figures.clone();
             figures.0[1].fetch_add(1, Ordering::Relaxed);
             tokio::spawn(async move {
-                servers::release(client, txn, addresses).await;
+                servers.release(txn, addresses).await;
                 figures.0[1].fetch_sub(1, Ordering::Relaxed);
             });
         }
--- a/src/edge/servers.rs
+++ b/src/edge/servers.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
-use http_body_util::{BodyExt as _, Empty, Limited};
+use http_body_util::{BodyExt as _, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use hyper::http::Extensions;
@@ -107,6 +107,10 @@
         Poll::Ready(self.body.take().map(|body| Ok(Frame::data(body))))
     }
 
+    fn is_end_stream(&self) -> bool {
+        self.body.is_none()
+    }
+
     fn size_hint(&self) -> SizeHint {
         SizeHint::with_exact(self.body.as_ref().map_or(0, |body| body.len() as u64))
     }
@@ -225,6 +229,36 @@
         }
     }
 
+    /// Has everything that is held for a request let go: the holder is asked first, then, as any server takes
+    /// the call, the others, until one has answered. It takes the connection on which the holder has just
+    /// answered a read: where a server's places for connections are all taken, a new one would be refused.
+    pub async fn release(self, txn: String, addresses: Vec<String>) {
+        let end = Instant::now() + RELEASE_FOR;
+        for address in addresses.iter().cycle() {
+            let start = Instant::now();
+            let request = Request::builder()
+                .method(Method::DELETE)
+                .uri(format!("http://{address}/kv/leases/{txn}"))
+                .body(Marked { body: None, progress: Arc::default() });
+            let Ok(request) = request else { return };
+            match timeout_at(start + RELEASE_TRY, self.client.request(request)).await {
+                Ok(Ok(response)) => {
+                    let drained = Limited::new(response.into_body(), MOST_ANSWER).collect();
+                    let _ = timeout_at(start + RELEASE_TRY, drained).await;
+                    return;
+                }
+                Ok(Err(error)) => debug!("server {address}: release of {txn}: {error}"),
+                Err(_) => debug!("server {address}: release of {txn}: no answer"),
+            }
+            if Instant::now() >= end {
+                warn!("request {txn}: nobody took the release of what is held");
+                return;
+            }
+            // One that refuses at once must not be asked in a tight loop.
+            sleep_until(start + RELEASE_TRY / 6).await;
+        }
+    }
+
     /// The relay of an attempt's stream; its end goes to `end`.
     #[must_use]
     pub fn relay(&self, opened: Opened, id: RequestId, attempt: u32, end: Box<dyn StreamEnd>) -> Relay {
@@ -439,35 +473,6 @@
     }
 }
 
-/// Has everything that is held for a request let go: the holder is asked first, then, as any server takes
-/// the call, the others, until one has answered.
-pub async fn release(client: Plain<Empty<Bytes>>, txn: String, addresses: Vec<String>) {
-    let end = Instant::now() + RELEASE_FOR;
-    for address in addresses.iter().cycle() {
-        let start = Instant::now();
-        let request = Request::builder()
-            .method(Method::DELETE)
-            .uri(format!("http://{address}/kv/leases/{txn}"))
-            .body(Empty::new());
-        let Ok(request) = request else { return };
-        match timeout_at(start + RELEASE_TRY, client.request(request)).await {
-            Ok(Ok(response)) => {
-                let drained = Limited::new(response.into_body(), MOST_ANSWER).collect();
-                let _ = timeout_at(start + RELEASE_TRY, drained).await;
-                return;
-            }
-            Ok(Err(error)) => debug!("server {address}: release of {txn}: {error}"),
-            Err(_) => debug!("server {address}: release of {txn}: no answer"),
-        }
-        if Instant::now() >= end {
-            warn!("request {txn}: nobody took the release of what is held");
-            return;
-        }
-        // One that refuses at once must not be asked in a tight loop.
-        sleep_until(start + RELEASE_TRY / 6).await;
-    }
-}
-
 /// A load report's text: `TEXT name=value, name=value`.
 fn load_report(text: &str) -> Option<Report> {
     let pairs = text.trim().strip_prefix("TEXT")?;
--- a/src/main.rs
+++ b/src/main.rs
@@ -35,7 +35,9 @@
 const FRONTS: &str = "deploy/fronts.toml";
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    // Whole seconds would not tell in which order a hundred dispatchers did what.
+    let mut logger = env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"));
+    logger.format_timestamp_millis().init();
     match run(Arguments::from_env()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => {
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use dewladder::edge::clock::Clock;
+use dewladder::edge::connections::kept_idle;
 use dewladder::edge::driver::{Driver, Message, Reply};
 use dewladder::edge::listing::entries;
 use dewladder::edge::servers::{self, Payload, Servers};
@@ -96,6 +97,31 @@
     eventually("released", || site.reader.log().contains(&format!("DELETE /kv/leases/{ID} "))).await;
 }
 
+/// Seen on the bench: with all places for connections taken at readers, no release came through for 3 s, and
+/// what had been read stayed pinned. A release takes the connection on which the read was answered.
+#[tokio::test]
+async fn a_release_comes_through_where_the_reader_has_no_place_for_another_connection() {
+    let reader = Server::with_places(Does::Read, 1).await;
+    let site = Site::with_servers(reader, Server::start(Does::TurnAway(503)).await, 1_024, FRONTS).await;
+    let answer = until_close(site.platform, &platform(ID, "book", "0.9")).await;
+    assert_eq!(status(&answer), 503, "{answer}");
+    eventually("released", || site.reader.log().contains(&format!("DELETE /kv/leases/{ID} "))).await;
+}
+
+/// What all dispatchers together leave idle at a server must not grow with their number.
+#[test]
+fn idle_connections_are_kept_the_shorter_the_more_dispatchers_keep_some() {
+    let kept = |dispatchers| kept_idle(Duration::from_secs(30), dispatchers).as_secs_f64();
+    assert_eq!([kept(0), kept(1), kept(4)], [18.0; 3]);
+    for dispatchers in [5, 30, 100, 120, 700] {
+        let all = kept(dispatchers) * f64::from(dispatchers);
+        assert!((all - 4.0 * kept(4)).abs() < 1e-3, "{dispatchers}: {all}");
+    }
+    // Both calls for one request still share a connection, and a server's own limit still holds.
+    assert_eq!(kept(1_000_000), 0.1);
+    assert_eq!(kept_idle(Duration::from_millis(100), 1_000_000), Duration::from_millis(60));
+}
+
 #[tokio::test]
 async fn an_answer_comes_by_the_deadline_whatever_is_silent() {
     for (reads, writes) in [(Does::Nothing, Does::Stream(1)), (Does::Read, Does::Nothing)] {
--- a/tests/stand_in/mod.rs
+++ b/tests/stand_in/mod.rs
@@ -61,7 +61,11 @@
 
     /// One with other fronts, as their file would say.
     pub async fn with_fronts(reads: Does, writes: Does, sockets: usize, fronts: &str) -> Self {
-        let (reader, writer) = (Server::start(reads).await, Server::start(writes).await);
+        Self::with_servers(Server::start(reads).await, Server::start(writes).await, sockets, fronts).await
+    }
+
+    /// One with these servers.
+    pub async fn with_servers(reader: Server, writer: Server, sockets: usize, fronts: &str) -> Self {
         let members = [member(&reader, 1, "prefill", "up"), member(&writer, 2, "decode", "up")];
         let list = json!({"revision": 1, "complete": true, "members": members});
         let agent = Agent::start(list.clone()).await;
