Space out list calls by the number of dispatchers, so that shared discovery can answer

All asked again after a fixed 100 ms, 920 calls a second; each of 52,876 watch and list calls got 503, at once or after 2 s of waiting. So servers replaced later stayed listed (811 to 1,950 failed connects in 5 s) and new ones were never used. With up to 40 s the service answers about seven a second. Lines: list::follow's PAUSE and HOLD; the module's ASK_AGAIN had the same fault. Change: where the list must be asked for, waits after a failure are drawn from 0.2 s for each dispatcher, doubled up to four times must_ask_in_s; calls hold for 20 s, are not given up early, and begin from the known version. The module and the watch share this (crates/router/src/asking.rs). The agent's own list is followed as before.

--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -13,6 +13,7 @@
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use crate::asking::Asking;
 use crate::figures::{against_mean, lower_median, mix, quantile, unit, Pace, Rate};
 use crate::interface::{
     Action, Call, CellId, DedupGroup, Effect, Ended, EngineId, Entry, Event, Health, Key, ListKind, Micros,
@@ -82,7 +83,6 @@
 /// Time between two sweeps (us). Scales with the shortest time in which a held state must be let go.
 const SWEEP_EVERY: Micros = 40_000;
 const SWEEP: TimerToken = TimerToken(1);
-const ASK_AGAIN: Micros = 200_000; // first wait before asking discovery again (us), doubled with each failure
 
 /// A front's decisions. See the [module](self) for a reading order.
 #[derive(Debug)]
@@ -98,7 +98,7 @@
     call_rate: Rate,
     beginnings: LruCache<Key, Rate>, // calls a second with each shared beginning
     cells: BTreeMap<CellId, Cell>,
-    failed_asks: u32,
+    asking: Asking,
     ask_at: Option<Micros>,
     sweeping: bool,
 }
@@ -119,7 +119,7 @@
             call_rate: Rate::default(),
             beginnings: LruCache::unbounded(),
             cells: BTreeMap::new(),
-            failed_asks: 0,
+            asking: Asking::default(),
             ask_at: settings.must_subscribe.then_some(now),
             sweeping: false,
             settings,
@@ -790,13 +790,12 @@
 
     fn roster(&mut self, how: ListKind, entries: Vec<Entry>) {
         if how == ListKind::Broken {
-            let wait = ASK_AGAIN << self.failed_asks.min(4);
-            let wait = (wait + self.rng.next_u64() % wait).min(self.settings.must_ask_in.max(2) / 2);
-            self.failed_asks += 1;
+            let lot = self.rng.next_u64();
+            let wait = self.asking.failed(self.settings.balancers, self.settings.must_ask_in, lot);
             self.ask_at = self.settings.must_subscribe.then_some(self.now + wait);
             return;
         }
-        self.failed_asks = 0;
+        self.asking.answered();
         if how != ListKind::Patch {
             let named: BTreeSet<EngineId> = entries.iter().map(|entry| entry.engine).collect();
             for (id, engine) in &mut self.engines {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod asking;
 pub mod control;
 mod figures;
 pub mod interface;
@@ -11,5 +12,6 @@
 mod state;
 mod tables;
 
+pub use asking::Asking;
 pub use control::Router;
 pub use figures::mix;
--- a/src/edge/list.rs
+++ b/src/edge/list.rs
@@ -6,7 +6,9 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Empty, Limited};
 use hyper::Request;
-use log::{info, warn};
+use log::{debug, info, warn};
+use rand_core::{RngCore as _, SeedableRng as _};
+use rand_pcg::Pcg64Mcg;
 use tokio::sync::watch;
 use tokio::time::{timeout_at, Instant};
 
@@ -15,46 +17,61 @@
 use crate::edge::listing::{entries, Listing};
 use crate::edge::settings::Config;
 use crate::interface::ListKind;
+use dewladder_router::Asking;
 
 /// The agent is asked to answer after this at the latest. What it has to tell counts as told 2 s after that
 /// wait is over, so a short one bounds how long a silent agent goes unnoticed.
 const HOLD: Duration = Duration::from_secs(4);
-/// The agent answers at once: one that is this late is silent, and is asked anew.
+/// The agent answers at once: one that is this late is silent, and is asked anew after a short pause.
 const SILENT: Duration = Duration::from_millis(1_000);
 const PAUSE: Duration = Duration::from_millis(100);
+/// Where the list is one service for all dispatchers, calls wait there in turn: one that is given up early has
+/// still cost it, and calls are to be few.
+const HOLD_SHARED: Duration = Duration::from_secs(20);
+const SILENT_SHARED: Duration = Duration::from_secs(5);
+/// The list's own row of random numbers.
+const SALT: u64 = 0x6c69_7374;
 const MOST_BYTES: usize = 4 << 20;
 
 /// Follows the list for ever, at the address that `discovery` holds. Another address is turned to at once: the
 /// call that is open at the old one is dropped with its connection, and as versions of the list are the old
 /// agent's own, the whole list is asked for.
 pub async fn watch(config: Config, mut discovery: watch::Receiver<SocketAddr>, to: Sender) {
+    // A shared service is spared the whole list where changes since the one that is known will do.
+    let mut since = Some(config.known.revision)
+        .filter(|_| config.settings.must_subscribe && !config.known.members.is_empty());
     loop {
         let address = *discovery.borrow_and_update();
         tokio::select! {
             // Where nobody can name another address any more, the last one is followed for good.
             Ok(()) = discovery.changed() => info!("list: asked for anew, at {}", *discovery.borrow()),
-            () = follow(&config, address, &to) => {}
+            () = follow(&config, address, since.take(), &to) => {}
         }
     }
 }
 
-/// Follows the list at one address: the whole list first, then a watch that is called again at once after
+/// Follows the list at one address: the whole list first, unless a version is known, then a watch that is called again at once after
 /// every answer. While the agent is silent the old list stands and the agent is asked again.
-async fn follow(config: &Config, address: SocketAddr, to: &Sender) {
+async fn follow(config: &Config, address: SocketAddr, mut revision: Option<u64>, to: &Sender) {
+    let (dispatchers, must_ask_in) = (config.settings.balancers, config.settings.must_ask_in);
+    let shared = config.settings.must_subscribe;
+    let (hold, late) = if shared { (HOLD_SHARED, SILENT_SHARED) } else { (HOLD, SILENT) };
+    let mut asking = Asking::default();
+    let mut lots = Pcg64Mcg::seed_from_u64(config.seed ^ SALT);
     let client: Plain<Empty<Bytes>> = plain_client(config, 1);
     let base = format!("http://{address}/registry/instances");
-    let mut revision = None;
     let mut silent = false;
     loop {
         let (uri, wait) = match revision {
             None => (base.clone(), Duration::ZERO),
-            Some(from) => (format!("{base}?from={from}&hold_ms={}", HOLD.as_millis()), HOLD),
+            Some(from) => (format!("{base}?from={from}&hold_ms={}", hold.as_millis()), hold),
         };
-        match ask(&client, &uri, Instant::now() + wait + SILENT).await {
+        match ask(&client, &uri, Instant::now() + wait + late).await {
             Ok(listing) => {
                 if std::mem::take(&mut silent) {
                     info!("list: the agent answers again");
                 }
+                asking.answered();
                 revision = Some(listing.revision);
                 let how = if listing.complete { ListKind::Whole } else { ListKind::Patch };
                 if listing.complete || !listing.members.is_empty() {
@@ -64,10 +81,16 @@
                 }
             }
             Err(what) => {
+                debug!("list: {uri}: {what}");
                 if !std::mem::replace(&mut silent, true) {
                     warn!("list: no answer from the agent ({what}); the old list stands");
                 }
-                tokio::time::sleep(PAUSE).await;
+                // The agent on this machine costs nobody anything; what all share must not be worn down by it.
+                let wait = match shared {
+                    true => Duration::from_micros(asking.failed(dispatchers, must_ask_in, lots.next_u64())),
+                    false => PAUSE,
+                };
+                tokio::time::sleep(wait).await;
             }
         }
     }
@@ -78,7 +101,7 @@
     let answer = async {
         let response = client.request(request).await.map_err(|error| error.to_string())?;
         if !response.status().is_success() {
-            return Err(format!("status {}", response.status().as_u16()));
+            return Err(format!("status {} {:?}", response.status().as_u16(), response.headers()));
         }
         let body = Limited::new(response.into_body(), MOST_BYTES).collect().await;
         let body = body.map_err(|error| error.to_string())?.to_bytes();
