Let dispatchers tell one another of queues at readers, in ten bytes bounded by their price

In 10 to 15 s the seven readers left got 50 to 84 sends each, one of them ten times slower 66, while new ones got 10; 111 of 513 reads were given up, 284 of 612 in the next 5 s. A queue of 2 to 3 s was known to nobody but those who waited in it. Ruled out: failed connects (0), the list (every change heard), writers (30 ms throughout). Lines: pick_by_match's valve and patience, which knew a front's own sends and ends alone. Change: a front that sees work queue at a reader for longer than all believe tells the others (crates/router/src/ claims.rs; UDP in src/edge/peers.rs). Claims only lower preference and fade; malformed, late or unknown ones are dropped and counted; prices.peer bounds how many are told. Bad fleet settings are errors that name the field. Tests: a buried reader's traffic with and without claims over 40 instances, price bound, any bytes, settings.

--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -14,6 +14,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::asking::Asking;
+use crate::claims::{ClaimCounts, Hearsay};
 use crate::figures::{against_mean, lower_median, mix, quantile, unit, Pace, Rate};
 use crate::interface::{
     Action, Call, CellId, DedupGroup, Effect, Ended, EngineId, Entry, Event, Health, Key, ListKind, Micros,
@@ -101,6 +102,7 @@
     asking: Asking,
     ask_at: Option<Micros>,
     sweeping: bool,
+    hearsay: Hearsay,
 }
 
 impl Router {
@@ -122,10 +124,17 @@
             asking: Asking::default(),
             ask_at: settings.must_subscribe.then_some(now),
             sweeping: false,
+            hearsay: Hearsay::new(&settings),
             settings,
         }
     }
 
+    /// What became of messages between fronts.
+    #[must_use]
+    pub fn claims(&self) -> ClaimCounts {
+        self.hearsay.counts()
+    }
+
     /// Takes an event and adds what is to be done to `out`.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         self.now = now;
@@ -140,8 +149,12 @@
             Event::Ended(ended) => self.ended(ended, out),
             Event::Hangup(id) => self.hangup(id, out),
             Event::Due(SWEEP) => self.sweep(out),
+            Event::Heard(bytes) => {
+                self.hearsay.hear(&bytes, now, |engine| self.engines.contains_key(&engine))
+            }
             Event::Due(_) | Event::Ignored => {}
         }
+        self.hearsay.tell(now, out);
     }
 
     // ---- A request's life ----
@@ -152,6 +165,7 @@
             return;
         }
         self.call_rate.add(1.0, self.now, RATE_TIME);
+        self.hearsay.earn();
         if let Some(key) = call.shared {
             self.beginnings.get_or_insert_mut(key, Rate::default).add(1.0, self.now, RATE_TIME);
             if self.beginnings.len() > PREFIX_KEYS {
@@ -384,6 +398,8 @@
     /// with each failure, so that a jam of the whole pool ends in waiting and not in ever more repeats.
     fn patience(&self, engine: &Engine, stage: Stage, effort: f64, failures: usize) -> Micros {
         let usual = self.stages[stage as usize].usual * (engine.waiting_effort[stage as usize] + effort);
+        let usual = usual
+            + if stage == Stage::Write { 0.0 } else { self.hearsay.believed(engine.entry.engine, self.now) };
         let least = PATIENCE_SHARE_OF_AIM * self.settings.shortest_aim();
         ((PATIENCE_MULTIPLE * usual).max(least) * f64::from(1u32 << failures.min(6))) as Micros
     }
@@ -421,6 +437,7 @@
             let engine = &self.engines[&id];
             let rereading = self.stages[stage as usize].best * held as f64; // a match is worth that wait
             let queued = engine.seen.queued[stage as usize].now(0.0, self.now, PACE_HALF_LIFE);
+            let queued = queued.max(self.hearsay.believed(engine.entry.engine, self.now));
             let free = !self.capped(engine, stage)
                 && queued <= rereading + CAP_SHARE_OF_AIM * self.settings.shortest_aim()
                 && !self.stranded(engine, class)
@@ -429,7 +446,13 @@
                 return Some(id);
             }
         }
-        let fewest = ranking.iter().min_by_key(|rank| (rank.3, rank.4)).map(|rank| rank.5);
+        // Of two with the fewest by lot, the one that is said to queue less: all fronts hear the same.
+        ranking.sort_unstable_by_key(|rank| (rank.3, rank.4));
+        let fewest = ranking.iter().take(2).filter(|rank| rank.3 == ranking[0].3);
+        let fewest = fewest.map(|rank| rank.5).min_by(|a, b| {
+            let [a, b] = [a, b].map(|&id| self.hearsay.believed(id, self.now));
+            a.total_cmp(&b)
+        });
         fewest.filter(|_| !only_free)
     }
 
@@ -697,6 +720,9 @@
         let queued = (taken as f64 - *best * attempt.effort).max(0.0);
         engine.seen.pace[at].sample(pace, usual, self.now, PACE_HALF_LIFE, PACE_WEIGHT);
         engine.seen.queued[at].follow(queued, self.now, PACE_HALF_LIFE, PACE_WEIGHT);
+        if attempt.stage != Stage::Write {
+            self.hearsay.saw(attempt.engine, queued);
+        }
         self.crowds(attempt, queued, false);
         self.press(at, queued.min(MOST_QUEUED * self.settings.shortest_aim()));
         self.take_down(at, queued);
@@ -767,22 +793,24 @@
         self.engines.values().filter(|e| e.role == role).count() as f64
     }
 
+    /// The part of its capacity that a cold server surely has by now; `None` if it is warm.
+    fn cold_share(&self, engine: &Engine) -> Option<f64> {
+        let (from, set) = (engine.entry.started?, &self.settings);
+        let age = self.now.saturating_sub(from) as f64 / set.cold_for.max(1) as f64;
+        (self.now < from + set.cold_for).then_some(set.cold_from * (1.0 + COLD_GAIN * age))
+    }
+
     /// Sends that a window permits to a cold server: the part of its capacity that it surely has, by what a
     /// warm server of its role carries for this front; `None` if it is warm.
     fn cold_permit(&self, engine: &Engine) -> Option<f64> {
         let set = &self.settings;
-        let cold = |e: &Engine| e.entry.started.is_some_and(|started| self.now < started + set.cold_for);
-        if !cold(engine) {
-            return None;
-        }
-        let peers = self.engines.values().filter(|e| e.role == engine.role && !cold(e));
+        let share = self.cold_share(engine)?;
+        let peers = self.engines.values().filter(|e| e.role == engine.role && self.cold_share(e).is_none());
         let ready = peers.filter(|e| e.entry.health == Health::Ready);
         let carried = ready.map(|e| e.seen.carried.young(self.now, RATE_TIME));
         let (sum, warm) = carried.fold((0.0, 0.0), |(sum, count), rate| (sum + rate, count + 1.0));
         let even = self.call_rate.young(self.now, RATE_TIME) / self.count(engine.role).max(1.0);
         let rate = if warm > 0.0 { sum / warm } else { COLD_ROLE_SHARE * even };
-        let age = self.now.saturating_sub(engine.entry.started.unwrap_or(0)) as f64;
-        let share = set.cold_from * (1.0 + COLD_GAIN * age / set.cold_for.max(1) as f64);
         Some(COLD_MARGIN * set.fall_multiple * share * rate * set.fall_window as f64 / 1e6)
     }
 
@@ -808,6 +836,7 @@
             self.list(entry);
         }
         self.engines.retain(|_, e| e.entry.health != Health::Gone || e.tokens > 0 || !e.waiting.is_empty());
+        self.hearsay.keep(|id| self.engines.contains_key(&id));
         self.weigh_cells();
     }
 
@@ -871,6 +900,13 @@
         for id in std::mem::take(&mut self.parked) {
             self.route(id, out);
         }
+        let best = self.stages[Stage::Read as usize].best;
+        let silent = |e: &Engine| e.oldest(self.now) as f64 - best * e.waiting_effort[Stage::Read as usize];
+        let silent =
+            self.engines.iter().filter(|(_, e)| e.role == Role::Reader).map(|(&id, e)| (id, silent(e)));
+        for (id, queued) in silent.filter(|&(_, queued)| queued > 0.0) {
+            self.hearsay.saw(id, queued);
+        }
     }
 }
 
--- a/crates/router/src/interface.rs
+++ b/crates/router/src/interface.rs
@@ -118,6 +118,10 @@
     pub must_ask_in: Micros,
     /// Calling off an attempt is allowed.
     pub may_cancel: bool,
+    /// Messages to other fronts are allowed.
+    pub peers: bool,
+    /// Price of 256 bytes delivered for each first try, in shares of the whole result.
+    pub peer_price: f64,
     /// A writer reads a prompt itself when there is no state to fetch.
     pub writers_read: bool,
     /// Most attempts for a request.
@@ -302,7 +306,9 @@
     Hangup(RequestId),
     /// A timer is due.
     Due(TimerToken),
-    /// News that needs no answer from this design: messages of other fronts, probes, places held ahead.
+    /// A message of another front.
+    Heard(Vec<u8>),
+    /// News that needs no answer from this design: probes, places held ahead.
     Ignored,
 }
 
@@ -345,4 +351,6 @@
     },
     /// Ask for changes of the list.
     Subscribe,
+    /// Send a message to all other fronts; it may be lost.
+    Tell(Vec<u8>),
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -5,6 +5,7 @@
 #![warn(missing_docs)]
 
 mod asking;
+mod claims;
 pub mod control;
 mod figures;
 pub mod interface;
@@ -13,5 +14,6 @@
 mod tables;
 
 pub use asking::Asking;
+pub use claims::{Claim, ClaimCounts};
 pub use control::Router;
 pub use figures::mix;
--- a/crates/router/src/pairs.rs
+++ b/crates/router/src/pairs.rs
@@ -17,6 +17,9 @@
     pub what: String,
 }
 
+/// More dispatchers than this are a mistake in the settings.
+const MOST_BALANCERS: u32 = 100_000;
+
 /// The pairs, looked up by path.
 struct Pairs<'a> {
     values: HashMap<&'a str, &'a str>,
@@ -41,6 +44,12 @@
         }
     }
 
+    fn price(&self, path: &str) -> Result<f64, SettingsError> {
+        let price: f64 = self.get(path, 0.0)?;
+        let fine = price.is_finite() && price >= 0.0;
+        fine.then_some(price).ok_or_else(|| self.bad(path, &format!("{price} is no price")))
+    }
+
     fn flag(&self, path: &str) -> bool {
         matches!(self.values.get(path), Some(&("true" | "1")))
     }
@@ -69,14 +78,19 @@
     let pairs = Pairs { values };
     let lanes = pairs.get("lanes.count", 0)?;
     let balancers: u32 = pairs.get("balancers", 1)?;
+    if !(1..=MOST_BALANCERS).contains(&balancers) {
+        return Err(pairs.bad("balancers", &format!("{balancers} is not 1 to {MOST_BALANCERS}")));
+    }
     Ok(Settings {
-        balancers: balancers.max(1),
+        balancers,
         zone: ZoneId(pairs.get("locality", 0)?),
         classes: (0..lanes).map(|at| class(&pairs, at)).collect::<Result<_, _>>()?,
         kinds: kinds(&pairs)?,
         must_subscribe: pairs.text("discovery") == "subscribe",
         must_ask_in: pairs.time("rules.must_ask_in_s", 0)?,
         may_cancel: pairs.flag("limits.cancel"),
+        peers: pairs.flag("limits.peers"),
+        peer_price: pairs.price("prices.peer")?,
         writers_read: pairs.flag("domain.local_read"),
         max_attempts: pairs.get("limits.max_attempts", u32::MAX)?,
         max_retry_after: pairs.time("limits.max_retry_after_s", 0)?,
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -39,6 +39,8 @@
         must_subscribe: false,
         must_ask_in: 10 * SECOND,
         may_cancel: true,
+        peers: false,
+        peer_price: 0.0,
         writers_read: true,
         max_attempts: 5,
         max_retry_after: SECOND,
@@ -321,6 +323,7 @@
                 self.timers.insert((self.now + delay, token.0));
             }
             Action::Subscribe => self.subscribes.push(self.now),
+            Action::Tell(_) => {}
         }
         self.log.push(action);
     }
--- a/src/edge/core.rs
+++ b/src/edge/core.rs
@@ -10,6 +10,7 @@
     Settings, TimerToken,
 };
 use crate::Router;
+use dewladder_router::ClaimCounts;
 
 /// What has happened outside.
 #[derive(Clone, Debug, PartialEq)]
@@ -50,6 +51,8 @@
     },
     /// The client has left.
     ClientGone(RequestId),
+    /// A message of another dispatcher.
+    Heard(Vec<u8>),
     /// Time has passed: what is due is dealt with.
     Tick,
 }
@@ -120,6 +123,8 @@
         /// Servers that hold or may hold something.
         holders: Vec<EngineId>,
     },
+    /// Send a message to all other dispatchers.
+    Tell(Vec<u8>),
     /// The request is over and nothing of it is out: it can be forgotten.
     Forget {
         /// The request.
@@ -211,6 +216,7 @@
             Input::Finished { id, attempt, ending } => self.finished(id, attempt, ending),
             Input::Stopped { id, attempt, written } => self.stopped(id, attempt, written),
             Input::ClientGone(id) => self.client_gone(id),
+            Input::Heard(bytes) => self.events.push_back(Event::Heard(bytes)),
             Input::Tick => {}
         }
         self.consult();
@@ -237,6 +243,12 @@
         self.requests.len()
     }
 
+    /// What became of messages between dispatchers.
+    #[must_use]
+    pub fn claims(&self) -> ClaimCounts {
+        self.router.claims()
+    }
+
     fn listed(&mut self, how: ListKind, entries: Vec<Entry>) {
         // Servers come under new ids all day: those that have gone are forgotten.
         if matches!(how, ListKind::Whole | ListKind::StaleCopy) {
@@ -384,6 +396,7 @@
             }
             // The list is watched all the time: there is nothing to ask for.
             Action::Subscribe => {}
+            Action::Tell(bytes) => self.effects.push(Effect::Tell(bytes)),
         }
     }
 
--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use log::{error, info};
+use log::{error, info, warn};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
@@ -13,6 +13,7 @@
 use crate::edge::clients::{chat, platform};
 use crate::edge::clock::Clock;
 use crate::edge::driver::{Driver, Figures, Message, Sender};
+use crate::edge::peers::Peers;
 use crate::edge::settings::{Config, Fronts};
 use crate::edge::{list, listing};
 use crate::interface::ListKind;
@@ -30,6 +31,7 @@
     phase: watch::Sender<Phase>,
     fronts: Vec<(TcpListener, axum::Router)>,
     agent: Option<TcpListener>,
+    peers: Option<Peers>,
     health: Health,
 }
 
@@ -40,7 +42,16 @@
     /// One plain line that says what can't be.
     pub fn bind(config: Config, settings: &Fronts) -> Result<Self, String> {
         let clock = Clock::start();
-        let (driver, to_driver) = Driver::new(&config, clock);
+        let (mut driver, to_driver) = Driver::new(&config, clock);
+        let peers = config.peers.and_then(|(at, all)| match Peers::bind(at, all) {
+            Ok(peers) => Some(peers),
+            // What others know is a help, not a need: without it, each learns by itself.
+            Err(error) => {
+                warn!("peers: can't listen on {at}: {error}; messages of other dispatchers are not heard");
+                None
+            }
+        });
+        driver.reaches(peers.clone().unwrap_or_default());
         let figures = driver.figures();
         let (phase, phases) = watch::channel(Phase::Serving);
         let health = Health::new(figures.clone(), phases, config.most_open());
@@ -56,7 +67,7 @@
         }
         let agent = settings.agent_check.as_ref().filter(|agent| agent.enabled);
         let agent = agent.map(|agent| listen(agent.listen)).transpose()?;
-        Ok(Self { config, driver, to_driver, figures, phase, fronts, agent, health })
+        Ok(Self { config, driver, to_driver, figures, phase, fronts, agent, peers, health })
     }
 
     /// Where the fronts listen: the platform's, then the chat front, if it is on; last the agent check.
@@ -76,10 +87,11 @@
         discovery: watch::Receiver<SocketAddr>,
         end: impl std::future::Future<Output = ()>,
     ) -> Result<(), String> {
-        let Self { config, driver, to_driver, figures, phase, fronts, agent, health } = self;
+        let Self { config, driver, to_driver, figures, phase, fronts, agent, peers, health } = self;
         let known = listing::entries(&config.known, &config.names);
         info!("{}: serving on {}, {} servers known", config.name, config.listen, known.len());
         to_driver.send(Message::Listed { how: ListKind::StaleCopy, entries: known });
+        let hearing = peers.map(|peers| tokio::spawn(peers.hear(to_driver.clone())));
         let driver = tokio::spawn(driver.run());
         let watching = tokio::spawn(list::watch(config.clone(), discovery, to_driver));
         let room = Room::new(config.most_connections());
@@ -107,8 +119,8 @@
         while !figures.nothing_held() {
             tokio::time::sleep(LOOK).await;
         }
-        if let Some(agent) = agent {
-            agent.abort();
+        for task in [agent, hearing].into_iter().flatten() {
+            task.abort();
         }
         info!("nothing is held any more: ending");
         Ok(())
--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -12,10 +12,11 @@
 
 use crate::edge::clock::Clock;
 use crate::edge::core::{Core, Effect, Ending, Input};
+use crate::edge::peers::Peers;
 use crate::edge::servers::{self, Opened, Payload, Progress, Relay, Servers, StreamEnd};
 use crate::edge::settings::Config;
 use crate::interface::{Call, EngineId, Entry, Health, ListKind, Micros, Outcome, RequestId};
-use dewladder_router::mix;
+use dewladder_router::{mix, ClaimCounts};
 
 /// Time between two lines of what clients got.
 const TALLY: Micros = 10_000_000;
@@ -141,9 +142,10 @@
     }
 }
 
-/// Figures of the driver that others may see: open requests, releases under way, and servers that are ready.
+/// Figures of the driver that others may see: open requests, releases under way, servers that are ready, and
+/// messages of other dispatchers that were dropped.
 #[derive(Clone, Debug, Default)]
-pub struct Figures(Arc<[AtomicUsize; 3]>);
+pub struct Figures(Arc<[AtomicUsize; 4]>);
 
 impl Figures {
     /// Requests that are open.
@@ -158,6 +160,12 @@
         self.0[2].load(Ordering::Relaxed)
     }
 
+    /// Messages of other dispatchers that were no claim that can be used.
+    #[must_use]
+    pub fn messages_dropped(&self) -> usize {
+        self.0[3].load(Ordering::Relaxed)
+    }
+
     /// Whether neither a request is open nor a release under way.
     #[must_use]
     pub fn nothing_held(&self) -> bool {
@@ -196,6 +204,7 @@
     inbox: mpsc::UnboundedReceiver<Message>,
     to_self: Sender,
     servers: Servers,
+    peers: Peers,
     addresses: BTreeMap<EngineId, (String, bool)>,
     clients: HashMap<RequestId, Waiting>,
     flying: HashMap<(RequestId, u32), Flying>,
@@ -216,6 +225,7 @@
             inbox,
             to_self: to_self.clone(),
             servers: Servers::new(config),
+            peers: Peers::default(),
             addresses: BTreeMap::new(),
             clients: HashMap::new(),
             flying: HashMap::new(),
@@ -231,6 +241,11 @@
         self.figures.clone()
     }
 
+    /// Has messages for other dispatchers sent there.
+    pub fn reaches(&mut self, peers: Peers) {
+        self.peers = peers;
+    }
+
     /// Runs for ever.
     pub async fn run(mut self) {
         loop {
@@ -326,6 +341,8 @@
             }
         }
         self.figures.0[0].store(self.core.open(), Ordering::Relaxed);
+        let dropped = usize::try_from(self.core.claims().dropped).unwrap_or(usize::MAX);
+        self.figures.0[3].store(dropped, Ordering::Relaxed);
         self.tell_tally();
     }
 
@@ -338,7 +355,12 @@
         let Tally { asked, streamed, refused, failed, left, .. } = self.tally;
         if asked + streamed + refused + failed + left > 0 {
             let open = self.core.open();
+            let claims = self.core.claims();
             info!("in 10 s: {asked} asked, {streamed} streamed, {refused} refused, {failed} failed, {left} left; {open} open");
+            if claims != ClaimCounts::default() {
+                let ClaimCounts { told, heard, dropped } = claims;
+                info!("messages between dispatchers since the start: {told} told, {heard} heard, {dropped} dropped");
+            }
         }
         self.tally = Tally { due: now + TALLY, ..Tally::default() };
     }
@@ -376,6 +398,10 @@
                 self.release(id, &holders);
                 None
             }
+            Effect::Tell(bytes) => {
+                self.peers.tell(&bytes);
+                None
+            }
             Effect::Forget { id, may_have_run } => {
                 if let Some(client) = self.clients.remove(&id) {
                     let _ = client.over.send(may_have_run); // few want to know
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -10,5 +10,6 @@
 pub mod driver;
 pub mod list;
 pub mod listing;
+pub mod peers;
 pub mod servers;
 pub mod settings;
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -50,6 +50,8 @@
     name: Option<String>,
     listen: Option<SocketAddr>,
     discovery: Option<SocketAddr>,
+    peer_listen: Option<SocketAddr>,
+    peers_all: Option<SocketAddr>,
     #[serde(default)]
     seed: String,
     #[serde(default)]
@@ -93,6 +95,9 @@
     pub listen: SocketAddr,
     /// Where discovery is.
     pub discovery: SocketAddr,
+    /// Where messages of other dispatchers arrive, and the address that reaches them all; `None` where the
+    /// settings bar such messages or an address is not told.
+    pub peers: Option<(SocketAddr, SocketAddr)>,
     /// For random numbers.
     pub seed: u64,
     /// What the machine gives.
@@ -184,6 +189,7 @@
             name: file.name.or_else(|| environment("ROUTER_NAME")).unwrap_or_default(),
             listen: address(file.listen, "ROUTER_LISTEN")?,
             discovery: address(file.discovery, "ROUTER_DISCOVERY")?,
+            peers: file.peer_listen.zip(file.peers_all).filter(|_| settings.peers),
             seed: u64::from_str_radix(&file.seed, 16).unwrap_or_else(|_| Key::from_text(&file.seed).0),
             limits: file.limits,
             known: file.known.unwrap_or_default(),
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -200,9 +200,9 @@
         "inbox" => {
             parts.number::<u32>("sender")?;
             let text = parts.maybe::<String>("bytes")?.unwrap_or_default();
+            let text = text.trim_start_matches('-');
             let decoded = base64::engine::general_purpose::STANDARD.decode(text);
-            decoded.map_err(|error| parts.bad("bytes", &format!("not base64: {error}")))?;
-            Event::Ignored
+            Event::Heard(decoded.map_err(|error| parts.bad("bytes", &format!("not base64: {error}")))?)
         }
         "seat_news" => {
             parts.request("rid")?;
@@ -397,6 +397,10 @@
         Action::Defer { delay, token } => {
             writeln!(out, "defer\t{front}\t{}\t{:x}", seconds(*delay), token.0)
         }
+        Action::Tell(bytes) => {
+            let text = base64::engine::general_purpose::STANDARD.encode(bytes);
+            writeln!(out, "announce\t{front}\t*\t{text}")
+        }
         Action::Subscribe => writeln!(out, "subscribe\t{front}\t1"),
     }
 }
--- a/tests/connection_model.rs
+++ b/tests/connection_model.rs
@@ -32,6 +32,8 @@
         must_subscribe: false,
         must_ask_in: 0,
         may_cancel: true,
+        peers: false,
+        peer_price: 0.0,
         writers_read: false,
         max_attempts: 5,
         max_retry_after: SECOND,
@@ -137,6 +139,7 @@
                 assert_eq!(&holders, held, "every holder is asked, and no other");
                 held.clear();
             }
+            Effect::Tell(_) => panic!("the settings bar it"),
             Effect::Forget { id, may_have_run } => {
                 let connection = self.connections.get_mut(&id).expect("known");
                 assert_eq!(may_have_run, connection.ran, "what is told of it to who asked");
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -11,6 +11,7 @@
 use dewladder::edge::connections::kept_idle;
 use dewladder::edge::driver::{Driver, Message, Reply};
 use dewladder::edge::listing::entries;
+use dewladder::edge::peers::Peers;
 use dewladder::edge::servers::{self, Payload, Servers};
 use dewladder::edge::settings::Config;
 use dewladder::interface::{Call, ListKind, Outcome, RequestId};
@@ -601,3 +602,33 @@
     }
     assert_eq!(site.writer.posts(), 2);
 }
+
+/// Two dispatchers whose datagrams reach each other: what one finds at a reader, the other hears of; what is no
+/// claim is dropped and counted.
+#[tokio::test]
+async fn dispatchers_hear_of_one_another_and_drop_what_is_no_claim() {
+    let word = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    let peers = Peers::bind("127.0.0.1:0".parse().unwrap(), word.local_addr().unwrap()).unwrap();
+    let at = peers.address().expect("bound");
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut told = config(listener.local_addr().unwrap(), &json!({}));
+    let mut value: Value = serde_json::from_str(&told).unwrap();
+    value["settings"]["limits"]["peers"] = json!(true);
+    value["settings"]["balancers"] = json!(2);
+    told = value.to_string();
+    let (mut driver, sender) =
+        Driver::new(&Config::parse("config", &told, |_| None).unwrap(), Clock::start());
+    driver.reaches(peers.clone());
+    let counts = driver.figures();
+    tokio::spawn(driver.run());
+    tokio::spawn(peers.clone().hear(sender));
+    for junk in [&b""[..], b"x", &[0; 10], &[1; 10], &[7; 256], &[7; 1_400]] {
+        word.send_to(junk, at).unwrap();
+    }
+    eventually("all dropped", || counts.messages_dropped() == 6).await;
+    // A longer message than any may be is not sent at all.
+    peers.tell(&[1; 257]);
+    peers.tell(&[1; 10]);
+    let mut heard = [0; 300];
+    assert_eq!(word.recv(&mut heard).unwrap(), 10);
+}
