--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -669,8 +669,12 @@
 
     /// What attempts lately waited there, or the oldest one out has waited by now, beyond the work itself.
     fn queue_time(&self, engine: &Engine, at: usize) -> f64 {
-        let silent = engine.oldest(self.now) as f64 - self.stages[at].best * engine.waiting_effort[at];
-        engine.seen.queued[at].now(0.0, self.now, PACE_HALF_LIFE).max(silent)
+        engine.seen.queued[at].now(0.0, self.now, PACE_HALF_LIFE).max(self.silent(engine, at))
+    }
+
+    /// How long the oldest attempt out there has waited by now, beyond the work itself.
+    fn silent(&self, engine: &Engine, at: usize) -> f64 {
+        engine.oldest(self.now) as f64 - self.stages[at].best * engine.waiting_effort[at]
     }
 
     /// All classes share the queues: a long aim may make them longer than the shortest aim wants only as far
@@ -900,12 +904,11 @@
         for id in std::mem::take(&mut self.parked) {
             self.route(id, out);
         }
-        let best = self.stages[Stage::Read as usize].best;
-        let silent = |e: &Engine| e.oldest(self.now) as f64 - best * e.waiting_effort[Stage::Read as usize];
-        let silent =
-            self.engines.iter().filter(|(_, e)| e.role == Role::Reader).map(|(&id, e)| (id, silent(e)));
-        for (id, queued) in silent.filter(|&(_, queued)| queued > 0.0) {
-            self.hearsay.saw(id, queued);
+        for (&id, engine) in self.engines.iter().filter(|(_, e)| e.role == Role::Reader) {
+            let queued = self.silent(engine, Stage::Read as usize);
+            if queued > 0.0 {
+                self.hearsay.saw(id, queued);
+            }
         }
     }
 }
--- a/src/edge/list.rs
+++ b/src/edge/list.rs
@@ -50,8 +50,8 @@
     }
 }
 
-/// Follows the list at one address: the whole list first, unless a version is known, then a watch that is called again at once after
-/// every answer. While the agent is silent the old list stands and the agent is asked again.
+/// Follows the list at one address: the whole list first, unless a version is known, then a watch that is
+/// called again at once after every answer. While the agent is silent the old list stands and the agent is asked again.
 async fn follow(config: &Config, address: SocketAddr, mut revision: Option<u64>, to: &Sender) {
     let (dispatchers, must_ask_in) = (config.settings.balancers, config.settings.must_ask_in);
     let shared = config.settings.must_subscribe;
@@ -101,7 +101,7 @@
     let answer = async {
         let response = client.request(request).await.map_err(|error| error.to_string())?;
         if !response.status().is_success() {
-            return Err(format!("status {} {:?}", response.status().as_u16(), response.headers()));
+            return Err(format!("status {}", response.status().as_u16()));
         }
         let body = Limited::new(response.into_body(), MOST_BYTES).collect().await;
         let body = body.map_err(|error| error.to_string())?.to_bytes();
