Leave out an entry of the list that can't be read, instead of the whole list

Need: one malformed entry made the answer unreadable, and the old list stood for as long as it was there. Change: entries are read one by one; a warning names the place of each that is left out.

--- a/src/edge/listing.rs
+++ b/src/edge/listing.rs
@@ -1,6 +1,8 @@
 //! The list of servers in the discovery agent's form, and what its words stand for.
 
-use serde::Deserialize;
+use log::warn;
+use serde::{Deserialize, Deserializer};
+use serde_json::Value;
 
 use crate::interface::{CellId, EngineId, Entry, Health, Key, ZoneId};
 
@@ -22,8 +24,8 @@
     /// Whether this is the whole list.
     #[serde(default)]
     pub complete: bool,
-    /// The entries.
-    #[serde(default)]
+    /// The entries; one that can't be read is left out.
+    #[serde(default, deserialize_with = "readable")]
     pub members: Vec<Member>,
 }
 
@@ -45,6 +47,19 @@
     up_since_ms: u64,
 }
 
+/// Guards the list: one entry that can't be read must not cost all the others.
+fn readable<'de, D: Deserializer<'de>>(input: D) -> Result<Vec<Member>, D::Error> {
+    let all = Vec::<Value>::deserialize(input)?;
+    let read = |(at, entry)| match Member::deserialize(entry) {
+        Ok(member) => Some(member),
+        Err(error) => {
+            warn!("list: members.{at} can't be read and is left out: {error}");
+            None
+        }
+    };
+    Ok(all.into_iter().enumerate().filter_map(read).collect())
+}
+
 fn one() -> f64 {
     1.0
 }
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -10,7 +10,7 @@
 use dewladder::edge::clock::Clock;
 use dewladder::edge::connections::kept_idle;
 use dewladder::edge::driver::{Driver, Message, Reply};
-use dewladder::edge::listing::entries;
+use dewladder::edge::listing::{entries, Listing, Names};
 use dewladder::edge::peers::Peers;
 use dewladder::edge::servers::{self, Payload, Servers};
 use dewladder::edge::settings::Config;
@@ -632,3 +632,23 @@
     let mut heard = [0; 300];
     assert_eq!(word.recv(&mut heard).unwrap(), 10);
 }
+
+#[test]
+fn an_entry_of_the_list_that_can_not_be_read_costs_that_entry_and_a_long_list_is_taken() {
+    let good = |id: u32| {
+        let id = format!("s-{id:08x}");
+        json!({"id": id, "host_port": "127.0.0.1:1", "locality": "a", "flavor": "prefill", "cell": 0, "phase": "up"})
+    };
+    let mut members: Vec<Value> = (0..1_000).map(good).collect();
+    let bad = [
+        json!(null),
+        json!(7),
+        json!({"id": 3}),
+        json!({"id": "x", "host_port": "y", "phase": "up", "size": "z"}),
+    ];
+    members.splice(5..5, bad);
+    let list: Listing =
+        serde_json::from_value(json!({"revision": 4, "complete": true, "members": members})).unwrap();
+    assert_eq!((list.revision, list.members.len()), (4, 1_000));
+    assert_eq!(entries(&list, &Names::default()).len(), 1_000);
+}
