Answer on a second address, count requests once, and let two processes share the port

Change: admin.rs on a thread of its own, stats.rs as the one record, SO_REUSEPORT where admin_addr is set, the accept queue emptied before the listener closes, and a connection just accepted is not closed as idle: hyper shuts one down that has not read anything, found by a test with 200 connections in the queue.

--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -135,6 +135,14 @@
         self.hearsay.counts()
     }
 
+    /// Servers of the list that get no new work now: they drain, or rest after failures of some class.
+    #[must_use]
+    pub fn avoided(&self) -> usize {
+        let listed = self.engines.values().filter(|engine| engine.entry.health != Health::Gone);
+        let rests = |e: &Engine| e.seen.standing.values().any(|class| !class.takes_work(self.now, true));
+        listed.filter(|engine| engine.entry.health != Health::Ready || rests(engine)).count()
+    }
+
     /// Takes an event and adds what is to be done to `out`.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         self.now = now;
--- a/crates/stand-in/src/fleet.rs
+++ b/crates/stand-in/src/fleet.rs
@@ -86,6 +86,7 @@
     lots: Pcg64Mcg,
     releases: usize,
     reads: usize,
+    whole: usize,
     draining: Vec<bool>,
     open: usize,
     most_open: usize,
@@ -122,6 +123,7 @@
             lots: Pcg64Mcg::seed_from_u64(1),
             releases: 0,
             reads: 0,
+            whole: 0,
             draining: vec![false; count],
             open: 0,
             most_open: 0,
@@ -200,6 +202,12 @@
         lock(&self.state).reads
     }
 
+    /// Requests that came whole, at readers and writers, whatever became of them.
+    #[must_use]
+    pub fn whole(&self) -> usize {
+        lock(&self.state).whole
+    }
+
     /// Read states that still wait at readers.
     #[must_use]
     pub fn kept(&self) -> usize {
@@ -256,6 +264,9 @@
     while let Some((head, body)) = message(&mut stream, &mut read).await {
         let line = head.lines().next().unwrap_or("").to_owned();
         let id = field(&head, "x-txn").unwrap_or_default();
+        if line.starts_with("POST /v1/") {
+            lock(&state).whole += 1;
+        }
         let goes_on = if let Some(id) = line.strip_prefix("DELETE /kv/leases/") {
             let id = id.split(' ').next().unwrap_or("");
             {
--- /dev/null
+++ b/src/edge/admin.rs
@@ -0,0 +1,149 @@
+//! The second address, for the staff and the platform: each connection carries one line, is answered and closed.
+//! `READY` says whether this process can serve, `STATS` shows the figures.
+//!
+//! It runs on a thread of its own, so that a caller does not wait behind all that a busy dispatcher has to do.
+
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use log::{error, warn};
+use tokio::io::{AsyncRead, AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+use tokio::time::{timeout_at, Instant};
+
+use crate::edge::balancers::Health;
+
+/// Callers at once. The oldest that has not sent its line yet makes room for a new one.
+const CALLERS: usize = 16;
+/// But each has so long to send it, however many others come.
+const LEAST: Duration = Duration::from_millis(100);
+/// A line that has not come by then is not waited for.
+const LINE_BY: Duration = Duration::from_secs(6);
+/// A caller that does not read its answer by then is not waited for.
+const READ_BY: Duration = Duration::from_secs(1);
+/// What a caller sends behind its line is read for so long: unread, it would take the answer along.
+const LINGER: Duration = Duration::from_millis(200);
+/// A line holds so many bytes at most.
+const MOST_LINE: usize = 256;
+/// After an accept that failed.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Descriptors of the second address: its listener, its runtime's own, its callers.
+pub const DESCRIPTORS: usize = CALLERS + 6;
+
+/// The thread that answers; it ends when this is dropped.
+#[derive(Debug)]
+pub struct Admin {
+    address: SocketAddr,
+    _end: oneshot::Sender<()>,
+}
+
+impl Admin {
+    /// Listens at `address` and answers from then on.
+    ///
+    /// # Errors
+    /// What the system says.
+    pub fn start(address: SocketAddr, health: Health) -> io::Result<Self> {
+        let socket = std::net::TcpListener::bind(address)?;
+        socket.set_nonblocking(true)?;
+        let address = socket.local_addr()?;
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let (end, ended) = oneshot::channel();
+        let serve = move || {
+            runtime.block_on(async {
+                match TcpListener::from_std(socket) {
+                    Ok(listener) => tokio::select! {
+                        () = serve(listener, health) => {}
+                        _ = ended => {}
+                    },
+                    Err(what) => error!("second address: {what}"),
+                }
+            });
+        };
+        std::thread::Builder::new().name("admin".to_owned()).spawn(serve)?;
+        Ok(Self { address, _end: end })
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+/// Answers callers for ever.
+pub async fn serve(listener: TcpListener, health: Health) {
+    let mut callers: VecDeque<(Instant, JoinHandle<()>)> = VecDeque::new();
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                warn!("second address: can't accept: {error}");
+                tokio::time::sleep(PAUSE).await;
+                continue;
+            }
+        };
+        callers.retain(|(_, caller)| !caller.is_finished());
+        if callers.len() >= CALLERS {
+            if let Some((since, caller)) = callers.pop_front() {
+                tokio::time::sleep_until(since + LEAST).await;
+                caller.abort();
+            }
+        }
+        let now = Instant::now();
+        callers.push_back((now, tokio::spawn(answer(stream, health.clone(), now + LINE_BY))));
+    }
+}
+
+async fn answer(mut stream: TcpStream, health: Health, by: Instant) {
+    let said = match timeout_at(by, line(&mut stream)).await {
+        Ok(Ok(line)) => said(&line, &health),
+        Ok(Err(what)) => format!("ERR {what}\n"),
+        Err(_) => "ERR no line came\n".to_owned(),
+    };
+    let write = async {
+        stream.write_all(said.as_bytes()).await?;
+        stream.shutdown().await
+    };
+    // A caller that has left, or does not read, has no use for the answer.
+    if let Ok(Ok(())) = timeout_at(Instant::now() + READ_BY, write).await {
+        let mut nowhere = tokio::io::sink();
+        let _ = timeout_at(Instant::now() + LINGER, tokio::io::copy(&mut stream, &mut nowhere)).await;
+    }
+}
+
+/// The line that a caller sends, without its end; a caller that has no more to send has come to its end too.
+async fn line(stream: &mut (impl AsyncRead + Unpin)) -> Result<Vec<u8>, &'static str> {
+    let mut line = Vec::with_capacity(MOST_LINE);
+    loop {
+        if let Some(end) = line.iter().position(|&byte| byte == b'\n') {
+            line.truncate(end);
+            return Ok(line);
+        }
+        if line.len() >= MOST_LINE {
+            return Err("the line is too long");
+        }
+        match stream.read_buf(&mut line).await {
+            Ok(0) if line.is_empty() => return Err("no line came"),
+            Ok(0) => return Ok(line),
+            Ok(_) => {}
+            Err(_) => return Err("the line can't be read"),
+        }
+    }
+}
+
+fn said(line: &[u8], health: &Health) -> String {
+    match line.strip_suffix(b"\r").unwrap_or(line) {
+        b"READY" => match health.ready() {
+            Ok(()) => "OK ready\n".to_owned(),
+            Err(why) => format!("ERR not ready: {why}\n"),
+        },
+        b"STATS" => format!("{}END\n", health.figures().record().lines()),
+        b"" => "ERR the line is empty\n".to_owned(),
+        _ => "ERR not known; READY and STATS are\n".to_owned(),
+    }
+}
--- a/src/edge/balancers.rs
+++ b/src/edge/balancers.rs
@@ -14,7 +14,7 @@
 use tokio::time::{timeout_at, Instant};
 
 use crate::edge::clients::listener::Phase;
-use crate::edge::driver::Figures;
+use crate::edge::stats::Figures;
 
 /// A balancer that does not read its line by then is not waited for.
 const WRITE: Duration = Duration::from_secs(1);
@@ -38,6 +38,25 @@
         *self.phase.borrow() > Phase::Serving
     }
 
+    /// The figures.
+    #[must_use]
+    pub fn figures(&self) -> &Figures {
+        &self.figures
+    }
+
+    /// Whether this process itself can serve.
+    ///
+    /// # Errors
+    /// Why it can't.
+    pub fn ready(&self) -> Result<(), &'static str> {
+        match *self.phase.borrow() {
+            Phase::Joining => Err("not listening yet"),
+            Phase::Serving if self.figures.servers() == 0 => Err("no servers are known"),
+            Phase::Serving => Ok(()),
+            Phase::Leaving | Phase::Yielding | Phase::Closing => Err("told to end"),
+        }
+    }
+
     /// The agent check's line: `drain` once told to end, `down` without servers, else `up` with the share
     /// of requests that there still is room for, 1% at the least.
     #[must_use]
@@ -45,7 +64,7 @@
         if self.leaving() {
             return "drain\n".to_owned();
         }
-        if self.figures.servers() == 0 {
+        if self.ready().is_err() {
             return "down #no servers\n".to_owned();
         }
         let open = self.figures.open().min(self.most_open);
@@ -63,10 +82,9 @@
 }
 
 async fn ready(State(health): State<Health>) -> StatusCode {
-    if health.leaving() || health.figures.servers() == 0 {
-        StatusCode::SERVICE_UNAVAILABLE
-    } else {
-        StatusCode::OK
+    match health.ready() {
+        Ok(()) => StatusCode::OK,
+        Err(_) => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
 
--- a/src/edge/clients/listener.rs
+++ b/src/edge/clients/listener.rs
@@ -25,6 +25,8 @@
 
 use crate::edge::clients::framing::{Verdict, MOST_HEAD};
 use crate::edge::clients::room::{Place, Room, Seat};
+use crate::edge::servers::header;
+use crate::edge::stats::{End, Figures};
 
 /// A client that takes in nothing of what is sent for so long is cut.
 const DEAF: Duration = Duration::from_secs(30);
@@ -34,14 +36,20 @@
 /// After an accept that failed, for want of descriptors say.
 const PAUSE: Duration = Duration::from_millis(20);
 const BACKLOG: u32 = 1_024;
+/// A connection that has just been accepted is not closed as idle: its request is on the way.
+const JUST_NOW: Duration = Duration::from_millis(60);
 
 /// How far the program has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
+    /// It does not listen yet.
+    Joining,
     /// It serves.
     Serving,
     /// It has been told to end: it serves on, but asks clients to leave with every answer.
     Leaving,
+    /// The same, but another process takes new connections: the listener is closed.
+    Yielding,
     /// Idle connections are closed and no new ones taken.
     Closing,
 }
@@ -50,48 +58,83 @@
 #[derive(Clone, Copy, Debug)]
 pub struct WholeBy(pub Instant);
 
-/// Listens on this address only.
+/// Listens on this address only; where it is `shared`, another process may do so beside this one.
 ///
 /// # Errors
 /// What the system says.
-pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+pub fn listen(address: SocketAddr, shared: bool) -> io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     socket.set_reuseaddr(true)?;
+    if shared {
+        socket.set_reuseport(true)?;
+    }
     socket.bind(address)?;
     socket.listen(BACKLOG)
 }
 
-/// Serves a front until the phase is closing; returns once all its connections have ended.
-pub async fn serve(listener: TcpListener, front: Router, room: Room, mut phase: watch::Receiver<Phase>) {
+/// Serves a front until the phase says to take no more; returns once all its connections have ended. What is answered here,
+/// without the front, is counted in `figures`.
+pub async fn serve(
+    listener: TcpListener,
+    front: Router,
+    room: Room,
+    figures: Figures,
+    mut phase: watch::Receiver<Phase>,
+) {
     // Every connection holds a clone: once all are dropped, all connections have ended.
     let (running, mut ended) = mpsc::channel::<()>(1);
+    let phase_of = phase.clone();
+    let admit = |stream: TcpStream| {
+        let Some(place) = room.enter(Instant::now()) else {
+            debug!("listener: no room even to say so");
+            return;
+        };
+        let seat = place.seat.clone();
+        let wire = Wire { stream: Some(stream), place: Some(place), running: running.clone() };
+        let task = connection(wire, front.clone(), seat.clone(), figures.clone(), phase_of.clone());
+        seat.served_by(tokio::spawn(task).abort_handle());
+    };
     loop {
         let accepted = tokio::select! {
-            _ = phase.wait_for(|phase| *phase == Phase::Closing) => break,
+            _ = phase.wait_for(|phase| *phase >= Phase::Yielding) => break,
             accepted = listener.accept() => accepted,
         };
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
+        match accepted {
+            Ok((stream, _)) => admit(stream),
             Err(error) => {
                 warn!("listener: can't accept: {error}");
                 tokio::time::sleep(PAUSE).await;
-                continue;
             }
-        };
-        let Some(place) = room.enter(Instant::now()) else {
-            debug!("listener: no room even to say so");
-            continue;
-        };
-        let seat = place.seat.clone();
-        let wire = Wire { stream: Some(stream), place: Some(place), running: running.clone() };
-        let task = tokio::spawn(connection(wire, front.clone(), seat.clone(), phase.clone()));
-        seat.served_by(task.abort_handle());
+        }
     }
-    drop((listener, running));
+    last_ones(listener).into_iter().for_each(admit);
+    drop(running);
     let _ = ended.recv().await;
 }
 
-async fn connection(wire: Wire, front: Router, seat: Arc<Seat>, mut phase: watch::Receiver<Phase>) {
+/// Closes a listener, with nobody left in its queue: a connection that waits there would be reset by the close, and
+/// its request would have to be asked again.
+fn last_ones(listener: TcpListener) -> Vec<TcpStream> {
+    let mut streams: Vec<std::net::TcpStream> = Vec::new();
+    let Ok(listener) = listener.into_std() else { return Vec::new() };
+    while let Ok((stream, _)) = listener.accept() {
+        streams.push(stream);
+    }
+    drop(listener); // in the same breath: what comes between the last accept and this is lost
+    let ready = |stream: std::net::TcpStream| {
+        stream.set_nonblocking(true)?;
+        TcpStream::from_std(stream)
+    };
+    streams.into_iter().filter_map(|stream| ready(stream).ok()).collect()
+}
+
+async fn connection(
+    wire: Wire,
+    front: Router,
+    seat: Arc<Seat>,
+    figures: Figures,
+    mut phase: watch::Receiver<Phase>,
+) {
     if let Some(stream) = &wire.stream {
         // Events are passed on as they come: none may wait for more to fill a segment.
         let _ = stream.set_nodelay(true);
@@ -102,13 +145,14 @@
     let service = service_fn(move |mut request: hyper::Request<hyper::body::Incoming>| {
         let (mut front, at) = (front.clone(), at.clone());
         let (verdict, whole_by) = serving.taken(Instant::now());
-        let open = Open(serving.clone());
+        let (open, figures) = (Open(serving.clone()), figures.clone());
         async move {
             let mut response = if verdict == Verdict::Odd {
                 // Guards against a request that hides in another's body: nothing of this one is passed on, and
                 // nothing behind it is read as a request.
                 short(StatusCode::BAD_REQUEST, "where the request ends can't be told")
             } else if open.0.crowded {
+                figures.answered_at_the_door(header(request.headers(), "x-lane"), End::Rejected);
                 crowded()
             } else {
                 request.extensions_mut().insert(WholeBy(whole_by));
@@ -126,7 +170,11 @@
         .serve_connection(TokioIo::new(wire), service));
     let mut armed = Instant::now();
     let mut alarm = pin!(sleep_until(armed));
-    let mut closing = pin!(phase.wait_for(|phase| *phase == Phase::Closing));
+    let accepted = Instant::now();
+    let mut closing = pin!(async move {
+        let _ = phase.wait_for(|phase| *phase == Phase::Closing).await;
+        sleep_until(accepted + JUST_NOW).await;
+    });
     let mut told = false;
     poll_fn(|context| {
         if !told && closing.as_mut().poll(context).is_ready() {
--- a/src/edge/clients/platform.rs
+++ b/src/edge/clients/platform.rs
@@ -20,6 +20,7 @@
 use crate::edge::driver::{Reply, Sender};
 use crate::edge::servers::{header, Payload};
 use crate::edge::settings::{Config, Lane};
+use crate::edge::stats::{End, Figures};
 use crate::interface::{Call, Key, Micros, RequestId};
 
 /// A body holds this many bytes at most.
@@ -37,19 +38,24 @@
     clock: Clock,
     lanes: Arc<[Lane]>,
     driver: Sender,
+    figures: Figures,
 }
 
 /// The front's routes.
-pub fn front(config: &Config, clock: Clock, driver: Sender) -> Router {
-    let state = Front { clock, lanes: config.lanes.clone().into(), driver };
+pub fn front(config: &Config, clock: Clock, driver: Sender, figures: Figures) -> Router {
+    let state = Front { clock, lanes: config.lanes.clone().into(), driver, figures };
     Router::new().route("/v1/chat/completions", post(complete)).with_state(state)
 }
 
 async fn complete(State(front): State<Front>, request: Request<Body>) -> Response<Body> {
     let (head, body) = request.into_parts();
+    let failed = || front.figures.answered_at_the_door(header(&head.headers, "x-lane"), End::Failed);
     let asked = match Asked::read(&head.headers, &front.lanes) {
         Ok(asked) => asked,
-        Err(what) => return short(StatusCode::BAD_REQUEST, what),
+        Err(what) => {
+            failed();
+            return short(StatusCode::BAD_REQUEST, what);
+        }
     };
     let body = match body_within(body, &head.extensions).await {
         Ok(body) => body,
@@ -57,6 +63,7 @@
     };
     // Guards the servers: they turn away what they can't use, which looks as if they were full.
     if serde_json::from_slice::<IgnoredAny>(&body).is_err() {
+        failed();
         return short(StatusCode::BAD_REQUEST, "the body is no JSON");
     }
     let target = head.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
@@ -78,7 +85,10 @@
             response
         }
         Reply::Failed { .. } => short(StatusCode::BAD_GATEWAY, "failed"),
-        Reply::Taken => short(StatusCode::CONFLICT, "a request with this X-Txn is open"),
+        Reply::Taken => {
+            failed();
+            short(StatusCode::CONFLICT, "a request with this X-Txn is open")
+        }
     }
 }
 
--- a/src/edge/connections.rs
+++ b/src/edge/connections.rs
@@ -4,7 +4,9 @@
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
 use http_body::Body;
@@ -40,9 +42,13 @@
 /// A client without any repeats of its own.
 pub type Plain<B> = Client<Connector, B>;
 
-/// A client that sends each request once: hyper-util would by itself send a request again that a closed
+/// A client that sends each request once, and tells `written` of each whose last byte has been written: hyper-util would by itself send a request again that a closed
 /// connection gave back, which could book a slot twice.
-pub fn plain_client<B>(config: &Config, most_idle: usize) -> Plain<B>
+pub fn plain_client<B>(
+    config: &Config,
+    most_idle: usize,
+    written: impl Fn() + Send + Sync + 'static,
+) -> Plain<B>
 where
     B: Body + Send + 'static,
     B::Data: Send,
@@ -60,12 +66,17 @@
         .http1_max_buf_size(MOST_HEAD)
         // A line that can't be read, a load report's say, spoils no answer that is good otherwise.
         .http1_ignore_invalid_headers_in_responses(true)
-        .build(Connector(connector))
+        .build(Connector { connector, written: Arc::new(written) })
 }
 
-/// Opens connections that tell when they have been closed.
+type Written = Arc<dyn Fn() + Send + Sync>;
+
+/// Opens connections that tell when a request has been written and when they have been closed.
 #[derive(Clone)]
-pub struct Connector(HttpConnector);
+pub struct Connector {
+    connector: HttpConnector,
+    written: Written,
+}
 
 type Opening = Pin<Box<dyn Future<Output = Result<Told, Box<dyn std::error::Error + Send + Sync>>> + Send>>;
 
@@ -75,35 +86,48 @@
     type Future = Opening;
 
     fn poll_ready(&mut self, context: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
-        self.0.poll_ready(context).map_err(Into::into)
+        self.connector.poll_ready(context).map_err(Into::into)
     }
 
     fn call(&mut self, uri: Uri) -> Self::Future {
-        let opening = tower_service::Service::call(&mut self.0, uri);
-        Box::pin(async move { Ok(Told { io: opening.await?, open: watch::channel(()).0 }) })
+        let opening = tower_service::Service::call(&mut self.connector, uri);
+        let (written, carries) = (self.written.clone(), Arc::new(AtomicBool::new(false)));
+        Box::pin(async move { Ok(Told { io: opening.await?, written, carries, open: watch::channel(()).0 }) })
     }
 }
 
 /// A connection; `open` is dropped once it has been closed, so the fields must stay in this order.
 pub struct Told {
     io: TokioIo<TcpStream>,
+    written: Written,
+    /// A request's body has been taken in hand, and its last byte is not written yet.
+    carries: Arc<AtomicBool>,
     open: watch::Sender<()>,
 }
 
-/// Tells when a connection has been closed. It travels with what hyper-util says of the connection.
+/// A connection as seen by the attempt that goes over it. It travels with what hyper-util says of the connection.
 #[derive(Clone)]
-pub struct Closing(watch::Receiver<()>);
+pub struct Line {
+    carries: Arc<AtomicBool>,
+    open: watch::Receiver<()>,
+}
+
+impl Line {
+    /// An attempt's last bytes are handed over to be written.
+    pub fn carries(&self) {
+        self.carries.store(true, Ordering::Relaxed);
+    }
 
-impl Closing {
-    /// Waits until it has been closed.
+    /// Waits until the connection has been closed.
     pub async fn closed(mut self) {
-        while self.0.changed().await.is_ok() {}
+        while self.open.changed().await.is_ok() {}
     }
 }
 
 impl Connection for Told {
     fn connected(&self) -> Connected {
-        self.io.inner().connected().extra(Closing(self.open.subscribe()))
+        let line = Line { carries: self.carries.clone(), open: self.open.subscribe() };
+        self.io.inner().connected().extra(line)
     }
 }
 
@@ -127,7 +151,12 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_flush(context)
+        ready!(Pin::new(&mut self.io).poll_flush(context))?;
+        // Nothing is left to be written: hyper flushes once all that it has is out.
+        if self.carries.swap(false, Ordering::Relaxed) {
+            (self.written)();
+        }
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/src/edge/core.rs
+++ b/src/edge/core.rs
@@ -249,6 +249,12 @@
         self.router.claims()
     }
 
+    /// Servers of the list that are avoided now.
+    #[must_use]
+    pub fn avoided(&self) -> usize {
+        self.router.avoided()
+    }
+
     fn listed(&mut self, how: ListKind, entries: Vec<Entry>) {
         // Servers come under new ids all day: those that have gone are forgotten.
         if matches!(how, ListKind::Whole | ListKind::StaleCopy) {
--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -7,14 +7,16 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+use crate::edge::admin::Admin;
 use crate::edge::balancers::{self, Health};
 use crate::edge::clients::listener::{self, Phase};
 use crate::edge::clients::room::Room;
 use crate::edge::clients::{chat, platform};
 use crate::edge::clock::Clock;
-use crate::edge::driver::{Driver, Figures, Message, Sender};
+use crate::edge::driver::{Driver, Message, Sender};
 use crate::edge::peers::Peers;
 use crate::edge::settings::{Config, Fronts};
+use crate::edge::stats::Figures;
 use crate::edge::{list, listing};
 use crate::interface::ListKind;
 
@@ -33,6 +35,7 @@
     agent: Option<TcpListener>,
     peers: Option<Peers>,
     health: Health,
+    admin: Option<Admin>,
 }
 
 impl Dispatcher {
@@ -42,8 +45,10 @@
     /// One plain line that says what can't be.
     pub fn bind(config: Config, settings: &Fronts) -> Result<Self, String> {
         let clock = Clock::start();
+        // Where there is a second address, another process may take over while this one serves.
+        let shared = config.admin.is_some();
         let (mut driver, to_driver) = Driver::new(&config, clock);
-        let peers = config.peers.and_then(|(at, all)| match Peers::bind(at, all) {
+        let peers = config.peers.and_then(|(at, all)| match Peers::bind(at, all, shared) {
             Ok(peers) => Some(peers),
             // What others know is a help, not a need: without it, each learns by itself.
             Err(error) => {
@@ -56,9 +61,9 @@
         let (phase, phases) = watch::channel(Phase::Serving);
         let health = Health::new(figures.clone(), phases, config.most_open());
         let listen = |address: SocketAddr| {
-            listener::listen(address).map_err(|error| format!("can't listen on {address}: {error}"))
+            listener::listen(address, shared).map_err(|error| format!("can't listen on {address}: {error}"))
         };
-        let platform = platform::front(&config, clock, to_driver.clone());
+        let platform = platform::front(&config, clock, to_driver.clone(), figures.clone());
         let platform = platform.merge(balancers::routes(health.clone()));
         let mut fronts = vec![(listen(config.listen)?, platform)];
         if let Some(chat) = settings.chat.as_ref().filter(|chat| chat.enabled) {
@@ -67,7 +72,11 @@
         }
         let agent = settings.agent_check.as_ref().filter(|agent| agent.enabled);
         let agent = agent.map(|agent| listen(agent.listen)).transpose()?;
-        Ok(Self { config, driver, to_driver, figures, phase, fronts, agent, peers, health })
+        let admin = config.admin.map(|at| {
+            Admin::start(at, health.clone()).map_err(|error| format!("can't listen on {at}: {error}"))
+        });
+        let admin = admin.transpose()?;
+        Ok(Self { config, driver, to_driver, figures, phase, fronts, agent, peers, health, admin })
     }
 
     /// Where the fronts listen: the platform's, then the chat front, if it is on; last the agent check.
@@ -77,6 +86,12 @@
         listeners.filter_map(|listener| listener.local_addr().ok()).collect()
     }
 
+    /// Where the second address is, if there is one.
+    #[must_use]
+    pub fn admin(&self) -> Option<SocketAddr> {
+        self.admin.as_ref().map(Admin::address)
+    }
+
     /// Serves until `end` comes, then finishes what is held. The list is watched at the address that
     /// `discovery` holds.
     ///
@@ -87,9 +102,12 @@
         discovery: watch::Receiver<SocketAddr>,
         end: impl std::future::Future<Output = ()>,
     ) -> Result<(), String> {
-        let Self { config, driver, to_driver, figures, phase, fronts, agent, peers, health } = self;
+        let Self { config, driver, to_driver, figures, phase, fronts, agent, peers, health, admin } = self;
         let known = listing::entries(&config.known, &config.names);
         info!("{}: serving on {}, {} servers known", config.name, config.listen, known.len());
+        if let Some(admin) = &admin {
+            info!("second address: {}", admin.address());
+        }
         to_driver.send(Message::Listed { how: ListKind::StaleCopy, entries: known });
         let hearing = peers.map(|peers| tokio::spawn(peers.hear(to_driver.clone())));
         let driver = tokio::spawn(driver.run());
@@ -99,7 +117,13 @@
         let serving: Vec<_> = fronts
             .into_iter()
             .map(|(listener, front)| {
-                tokio::spawn(listener::serve(listener, front, room.clone(), phase.subscribe()))
+                tokio::spawn(listener::serve(
+                    listener,
+                    front,
+                    room.clone(),
+                    figures.clone(),
+                    phase.subscribe(),
+                ))
             })
             .collect();
         tokio::select! {
@@ -122,6 +146,7 @@
         for task in [agent, hearing].into_iter().flatten() {
             task.abort();
         }
+        drop(admin); // it answers to the end
         info!("nothing is held any more: ending");
         Ok(())
     }
--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -3,7 +3,6 @@
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::future::Future;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 
 use log::{debug, info};
@@ -15,6 +14,7 @@
 use crate::edge::peers::Peers;
 use crate::edge::servers::{self, Opened, Payload, Progress, Relay, Servers, StreamEnd};
 use crate::edge::settings::Config;
+use crate::edge::stats::{Counts, End, Figures};
 use crate::interface::{Call, EngineId, Entry, Health, ListKind, Micros, Outcome, RequestId};
 use dewladder_router::{mix, ClaimCounts};
 
@@ -142,52 +142,22 @@
     }
 }
 
-/// Figures of the driver that others may see: open requests, releases under way, servers that are ready, and
-/// messages of other dispatchers that were dropped.
-#[derive(Clone, Debug, Default)]
-pub struct Figures(Arc<[AtomicUsize; 4]>);
-
-impl Figures {
-    /// Requests that are open.
-    #[must_use]
-    pub fn open(&self) -> usize {
-        self.0[0].load(Ordering::Relaxed)
-    }
-
-    /// Servers that take work, by the list.
-    #[must_use]
-    pub fn servers(&self) -> usize {
-        self.0[2].load(Ordering::Relaxed)
-    }
-
-    /// Messages of other dispatchers that were no claim that can be used.
-    #[must_use]
-    pub fn messages_dropped(&self) -> usize {
-        self.0[3].load(Ordering::Relaxed)
-    }
-
-    /// Whether neither a request is open nor a release under way.
-    #[must_use]
-    pub fn nothing_held(&self) -> bool {
-        self.open() == 0 && self.0[1].load(Ordering::Relaxed) == 0
-    }
-}
-
-/// What clients got since the last line about it.
+/// What the line about what clients got was last told of.
 #[derive(Default)]
-struct Tally {
+struct Told {
     due: Micros,
-    asked: usize,
-    streamed: usize,
-    refused: usize,
-    failed: usize,
-    left: usize,
+    counts: Counts,
 }
 
 struct Waiting {
     payload: Arc<Payload>,
     reply: Option<oneshot::Sender<Reply>>,
     over: oneshot::Sender<bool>,
+    class: u32,
+    /// The attempt whose stream the client is given.
+    streaming: Option<u32>,
+    /// Its end has been counted.
+    ended: bool,
 }
 
 struct Flying {
@@ -209,7 +179,8 @@
     clients: HashMap<RequestId, Waiting>,
     flying: HashMap<(RequestId, u32), Flying>,
     figures: Figures,
-    tally: Tally,
+    classes: Vec<String>,
+    told: Told,
 }
 
 impl Driver {
@@ -219,18 +190,21 @@
         let (to_self, inbox) = mpsc::unbounded_channel();
         let to_self = Sender(to_self);
         let core = Core::new(config.settings.clone(), config.seed, clock.now(), config.most_open());
+        let figures = Figures::default();
+        config.lanes.iter().for_each(|lane| figures.record().know(&lane.name));
         let driver = Self {
             core,
             clock,
             inbox,
             to_self: to_self.clone(),
-            servers: Servers::new(config),
+            servers: Servers::new(config, figures.clone()),
             peers: Peers::default(),
             addresses: BTreeMap::new(),
             clients: HashMap::new(),
             flying: HashMap::new(),
-            figures: Figures::default(),
-            tally: Tally::default(),
+            figures,
+            classes: config.lanes.iter().map(|lane| lane.name.clone()).collect(),
+            told: Told::default(),
         };
         (driver, to_self)
     }
@@ -273,8 +247,11 @@
                     let _ = reply.send(Reply::Taken);
                     return None;
                 }
-                self.tally.asked += 1;
-                self.clients.insert(call.id, Waiting { payload, reply: Some(reply), over });
+                if let Some(class) = self.classes.get(call.class as usize) {
+                    self.figures.record().taken(class);
+                }
+                let (reply, class, streaming, ended) = (Some(reply), call.class, None, false);
+                self.clients.insert(call.id, Waiting { payload, reply, over, class, streaming, ended });
                 Input::Arrived(call)
             }
             Message::Listed { how, entries } => {
@@ -297,15 +274,23 @@
                 if !waiting.is_some_and(oneshot::Sender::is_closed) {
                     return None;
                 }
-                self.tally.left += 1;
+                self.ended(id, End::Left);
                 Input::ClientGone(id)
             }
             Message::Told(input) => {
                 match input {
-                    Input::Finished { id, attempt, .. } | Input::Stopped { id, attempt, .. } => {
+                    Input::Finished { id, attempt, ending } => {
+                        self.flying.remove(&(id, attempt));
+                        let streaming = self.clients.get(&id).and_then(|client| client.streaming);
+                        if streaming == Some(attempt) {
+                            let served = ending.outcome == Outcome::Served;
+                            self.ended(id, if served { End::Completed } else { End::Failed });
+                        }
+                    }
+                    Input::Stopped { id, attempt, .. } => {
                         self.flying.remove(&(id, attempt));
                     }
-                    Input::ClientGone(id) => self.tally.left += usize::from(self.clients.contains_key(&id)),
+                    Input::ClientGone(id) => self.ended(id, End::Left),
                     _ => {}
                 }
                 input
@@ -313,6 +298,17 @@
         })
     }
 
+    /// Counts a request's end, once.
+    fn ended(&mut self, id: RequestId, end: End) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        if std::mem::replace(&mut client.ended, true) {
+            return;
+        }
+        if let Some(class) = self.classes.get(client.class as usize) {
+            self.figures.record().ended(class, end);
+        }
+    }
+
     fn list(&mut self, how: ListKind, entries: Vec<(Entry, String)>) -> Vec<Entry> {
         if how != ListKind::Patch {
             self.addresses.clear();
@@ -326,7 +322,9 @@
         });
         let listed = listed.collect();
         let ready = self.addresses.values().filter(|(_, ready)| *ready).count();
-        self.figures.0[2].store(ready, Ordering::Relaxed);
+        let mut record = self.figures.record();
+        (record.members, record.members_ready) = (self.addresses.len(), ready);
+        drop(record);
         listed
     }
 
@@ -340,29 +338,32 @@
                 inputs.extend(self.carry_out(effect));
             }
         }
-        self.figures.0[0].store(self.core.open(), Ordering::Relaxed);
-        let dropped = usize::try_from(self.core.claims().dropped).unwrap_or(usize::MAX);
-        self.figures.0[3].store(dropped, Ordering::Relaxed);
-        self.tell_tally();
+        let mut record = self.figures.record();
+        record.open = self.core.open();
+        record.messages_dropped = self.core.claims().dropped;
+        record.members_unavailable = self.core.avoided();
+        drop(record);
+        self.tell();
     }
 
     /// What clients got lately, for the staff; nothing while nothing happens.
-    fn tell_tally(&mut self) {
+    fn tell(&mut self) {
         let now = self.clock.now();
-        if now < self.tally.due {
+        if now < self.told.due {
             return;
         }
-        let Tally { asked, streamed, refused, failed, left, .. } = self.tally;
-        if asked + streamed + refused + failed + left > 0 {
-            let open = self.core.open();
+        let counts = self.figures.record().all();
+        let Counts { taken, completed, rejected, failed, left } = counts.since(&self.told.counts);
+        if counts != self.told.counts {
+            let pending = counts.pending();
             let claims = self.core.claims();
-            info!("in 10 s: {asked} asked, {streamed} streamed, {refused} refused, {failed} failed, {left} left; {open} open");
+            info!("in 10 s: {taken} asked, {completed} served, {rejected} refused, {failed} failed, {left} left; {pending} open");
             if claims != ClaimCounts::default() {
                 let ClaimCounts { told, heard, dropped } = claims;
                 info!("messages between dispatchers since the start: {told} told, {heard} heard, {dropped} dropped");
             }
         }
-        self.tally = Tally { due: now + TALLY, ..Tally::default() };
+        self.told = Told { due: now + TALLY, counts };
     }
 
     fn carry_out(&mut self, effect: Effect) -> Option<Input> {
@@ -373,10 +374,10 @@
             Effect::Relay { id, attempt } => {
                 let opened = self.flying.remove(&(id, attempt)).and_then(|flying| flying.opened);
                 if let Some(opened) = opened {
-                    self.tally.streamed += 1;
                     // The prompt is not sent again: held as long as streams last, prompts would add up.
                     if let Some(client) = self.clients.get_mut(&id) {
                         client.payload = Arc::new(client.payload.without_body());
+                        client.streaming = Some(attempt);
                     }
                     let relay = self.servers.relay(*opened, id, attempt, Box::new(self.to_self.clone()));
                     self.reply(id, Reply::Stream(relay));
@@ -384,12 +385,12 @@
                 None
             }
             Effect::Refuse { id, retry_in } => {
-                self.tally.refused += 1;
+                self.ended(id, End::Rejected);
                 self.reply(id, Reply::Refused { retry_in });
                 None
             }
             Effect::Fail { id, may_have_run } => {
-                self.tally.failed += 1;
+                self.ended(id, End::Failed);
                 info!("request {:016x}: failed{}", id.0, if may_have_run { ", may have run" } else { "" });
                 self.reply(id, Reply::Failed { may_have_run });
                 None
@@ -403,6 +404,8 @@
                 None
             }
             Effect::Forget { id, may_have_run } => {
+                // Guards the figures: a request that is over has ended, whatever way that came about.
+                self.ended(id, End::Failed);
                 if let Some(client) = self.clients.remove(&id) {
                     let _ = client.over.send(may_have_run); // few want to know
                 }
@@ -469,10 +472,10 @@
             let addresses: Vec<String> = first.into_iter().chain(others.clone()).cloned().collect();
             let (servers, txn) = (self.servers.clone(), client.payload.txn.clone());
             let figures = self.figures.clone();
-            figures.0[1].fetch_add(1, Ordering::Relaxed);
+            figures.record().releases += 1;
             tokio::spawn(async move {
                 servers.release(txn, addresses).await;
-                figures.0[1].fetch_sub(1, Ordering::Relaxed);
+                figures.record().releases -= 1;
             });
         }
     }
--- a/src/edge/list.rs
+++ b/src/edge/list.rs
@@ -58,7 +58,7 @@
     let (hold, late) = if shared { (HOLD_SHARED, SILENT_SHARED) } else { (HOLD, SILENT) };
     let mut asking = Asking::default();
     let mut lots = Pcg64Mcg::seed_from_u64(config.seed ^ SALT);
-    let client: Plain<Empty<Bytes>> = plain_client(config, 1);
+    let client: Plain<Empty<Bytes>> = plain_client(config, 1, || ());
     let base = format!("http://{address}/registry/instances");
     let mut silent = false;
     loop {
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use log::{debug, warn};
+use socket2::{Domain, Socket, Type};
 use tokio::net::UdpSocket;
 
 use crate::edge::core::Input;
@@ -21,14 +22,17 @@
 pub struct Peers(Option<(Arc<UdpSocket>, SocketAddr)>);
 
 impl Peers {
-    /// Listens at `at`; `all` reaches every other dispatcher.
+    /// Listens at `at`; `all` reaches every other dispatcher. Where the address is `shared`, another process of
+    /// this dispatcher may listen there too, and each hears a part.
     ///
     /// # Errors
     /// What the system says.
-    pub fn bind(at: SocketAddr, all: SocketAddr) -> std::io::Result<Self> {
-        let socket = std::net::UdpSocket::bind(at)?;
+    pub fn bind(at: SocketAddr, all: SocketAddr, shared: bool) -> std::io::Result<Self> {
+        let socket = Socket::new(Domain::for_address(at), Type::DGRAM, None)?;
+        socket.set_reuse_port(shared)?;
         socket.set_nonblocking(true)?;
-        Ok(Self(Some((Arc::new(UdpSocket::from_std(socket)?), all))))
+        socket.bind(&at.into())?;
+        Ok(Self(Some((Arc::new(UdpSocket::from_std(socket.into())?), all))))
     }
 
     /// Where it listens, if it does.
--- a/src/edge/servers.rs
+++ b/src/edge/servers.rs
@@ -3,7 +3,7 @@
 use std::future::Future as _;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicU8, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
@@ -19,9 +19,10 @@
 use tokio::sync::oneshot;
 use tokio::time::{sleep_until, timeout_at, Instant, Sleep};
 
-use crate::edge::connections::{plain_client, Closing, Plain};
+use crate::edge::connections::{plain_client, Line, Plain};
 use crate::edge::core::Ending;
 use crate::edge::settings::Config;
+use crate::edge::stats::Figures;
 use crate::interface::{Outcome, Report, RequestId};
 
 const LOAD: &str = "x-pressure";
@@ -60,7 +61,11 @@
 /// Whether an attempt's last byte may have been written. Until its body has been asked for it can't have
 /// been; one that is called off before that must never be written later, whatever still holds it.
 #[derive(Debug, Default)]
-pub struct Progress(AtomicU8);
+pub struct Progress {
+    stage: AtomicU8,
+    /// The connection that it goes over, once it has one.
+    connection: OnceLock<CaptureConnection>,
+}
 
 const UNTOUCHED: u8 = 0;
 const WRITTEN: u8 = 1;
@@ -68,12 +73,19 @@
 
 impl Progress {
     fn move_on(&self, to: u8) -> u8 {
-        let moved = self.0.compare_exchange(UNTOUCHED, to, Ordering::Relaxed, Ordering::Relaxed);
+        let moved = self.stage.compare_exchange(UNTOUCHED, to, Ordering::Relaxed, Ordering::Relaxed);
         moved.map_or_else(|now| now, |_| to)
     }
 
     fn written(&self) -> bool {
-        self.0.load(Ordering::Relaxed) == WRITTEN
+        self.stage.load(Ordering::Relaxed) == WRITTEN
+    }
+
+    /// What is told to the connection that the attempt goes over, if it has one.
+    fn line(&self) -> Option<Line> {
+        let mut extras = Extensions::new();
+        self.connection.get()?.connection_metadata().as_ref()?.get_extras(&mut extras);
+        extras.remove()
     }
 
     /// Calls the attempt off; whether its last byte may have been written.
@@ -104,6 +116,9 @@
         if self.progress.move_on(WRITTEN) == CALLED_OFF {
             return Poll::Ready(Some(Err(CalledOff)));
         }
+        if let Some(line) = self.progress.line().filter(|_| self.body.is_some()) {
+            line.carries();
+        }
         Poll::Ready(self.body.take().map(|body| Ok(Frame::data(body))))
     }
 
@@ -188,8 +203,9 @@
 impl Servers {
     /// The servers of a configuration.
     #[must_use]
-    pub fn new(config: &Config) -> Self {
-        Self { client: plain_client(config, config.most_idle()), stall: config.stall }
+    pub fn new(config: &Config, figures: Figures) -> Self {
+        let written = move || figures.record().sent_whole += 1;
+        Self { client: plain_client(config, config.most_idle(), written), stall: config.stall }
     }
 
     /// Sends a request once. The server is told to wait until `until`; `stop` gives the attempt up.
@@ -212,6 +228,7 @@
             .body(body);
         let Ok(mut request) = request else { return Result::Ended(Outcome::ConnectFailed.into()) };
         let connection = capture_connection(&mut request);
+        let _ = progress.connection.set(connection); // an attempt has one
         let sending = Box::pin(send(self.client, request, &address, &progress));
         // Either way the sending is dropped here, and with it the connection if it is not done with.
         let result = tokio::select! {
@@ -223,7 +240,7 @@
             Some(result) => result,
             None => {
                 let written = progress.call_off();
-                closed(&connection, &address).await;
+                closed(&progress, &address).await;
                 Result::Stopped { written }
             }
         }
@@ -279,13 +296,9 @@
 /// Waits until an attempt's connection has been closed: only then has the server been told that the attempt
 /// is given up. An answer to the client, or another attempt, that overtook it would count as a repeat of what
 /// is still out.
-async fn closed(connection: &CaptureConnection, address: &str) {
-    let mut extras = Extensions::new();
-    if let Some(connected) = connection.connection_metadata().as_ref() {
-        connected.get_extras(&mut extras);
-    }
-    let Some(closing) = extras.remove::<Closing>() else { return };
-    if timeout_at(Instant::now() + CLOSE, closing.closed()).await.is_err() {
+async fn closed(progress: &Progress, address: &str) {
+    let Some(line) = progress.line() else { return };
+    if timeout_at(Instant::now() + CLOSE, line.closed()).await.is_err() {
         warn!("server {address}: the connection of an attempt that was given up does not close");
     }
 }
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -12,12 +12,14 @@
 use thiserror::Error;
 use tokio::sync::watch;
 
+use crate::edge::admin::DESCRIPTORS;
 use crate::edge::listing::{Listing, Names};
 use crate::interface::{Key, Micros, Settings};
 use dewladder_router::pairs::from_pairs;
 
 /// A client may be left without an event for 5 s. Where it can ask for the rest, a stream is cut in good time
 /// before that; where it can't, cutting loses the request, so that the last moment is waited for.
+const ADMIN: &str = "ROUTER_ADMIN_ADDR";
 const STALL_RESUMED: Duration = Duration::from_millis(4_500);
 const STALL_LOST: Duration = Duration::from_millis(4_950);
 
@@ -52,6 +54,7 @@
     discovery: Option<SocketAddr>,
     peer_listen: Option<SocketAddr>,
     peers_all: Option<SocketAddr>,
+    admin_addr: Option<SocketAddr>,
     #[serde(default)]
     seed: String,
     #[serde(default)]
@@ -98,6 +101,8 @@
     /// Where messages of other dispatchers arrive, and the address that reaches them all; `None` where the
     /// settings bar such messages or an address is not told.
     pub peers: Option<(SocketAddr, SocketAddr)>,
+    /// The second address, for staff and platform; without it nothing listens there.
+    pub admin: Option<SocketAddr>,
     /// For random numbers.
     pub seed: u64,
     /// What the machine gives.
@@ -190,6 +195,10 @@
             listen: address(file.listen, "ROUTER_LISTEN")?,
             discovery: address(file.discovery, "ROUTER_DISCOVERY")?,
             peers: file.peer_listen.zip(file.peers_all).filter(|_| settings.peers),
+            admin: match file.admin_addr {
+                None if environment(ADMIN).is_some() => Some(address(None, ADMIN)?),
+                told => told,
+            },
             seed: u64::from_str_radix(&file.seed, 16).unwrap_or_else(|_| Key::from_text(&file.seed).0),
             limits: file.limits,
             known: file.known.unwrap_or_default(),
@@ -214,7 +223,8 @@
     /// told that there is no room, these are all descriptors.
     #[must_use]
     pub fn most_connections(&self) -> usize {
-        (self.limits.sockets / 2).saturating_sub(16).max(4)
+        let second = self.admin.map_or(0, |_| DESCRIPTORS);
+        (self.limits.sockets / 2).saturating_sub(16 + second).max(4)
     }
 
     /// Idle connections that are kept to each server.
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -14,6 +14,7 @@
 use dewladder::edge::peers::Peers;
 use dewladder::edge::servers::{self, Payload, Servers};
 use dewladder::edge::settings::Config;
+use dewladder::edge::stats::Figures;
 use dewladder::interface::{Call, ListKind, Outcome, RequestId};
 use serde_json::{json, Value};
 use stand_in::*;
@@ -159,7 +160,10 @@
 async fn a_request_that_a_closing_connection_gives_back_is_not_sent_again_by_the_library() {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
-    let servers = Servers::new(&Config::parse("config", &config(address, &json!({})), |_| None).unwrap());
+    let servers = Servers::new(
+        &Config::parse("config", &config(address, &json!({})), |_| None).unwrap(),
+        Figures::default(),
+    );
     let (_keep, stopped) = oneshot::channel();
     let first = tokio::spawn(attempt_with(servers.clone(), &listener, stopped));
     let mut peer = accept(&listener).await;
@@ -195,7 +199,7 @@
 ) -> impl Future<Output = servers::Result> + use<> {
     let address = listener.local_addr().unwrap();
     let config = Config::parse("config", &config(address, &json!({})), |_| None).unwrap();
-    attempt_with(Servers::new(&config), listener, stop)
+    attempt_with(Servers::new(&config, Figures::default()), listener, stop)
 }
 
 fn attempt_with(
@@ -608,7 +612,7 @@
 #[tokio::test]
 async fn dispatchers_hear_of_one_another_and_drop_what_is_no_claim() {
     let word = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
-    let peers = Peers::bind("127.0.0.1:0".parse().unwrap(), word.local_addr().unwrap()).unwrap();
+    let peers = Peers::bind("127.0.0.1:0".parse().unwrap(), word.local_addr().unwrap(), false).unwrap();
     let at = peers.address().expect("bound");
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let mut told = config(listener.local_addr().unwrap(), &json!({}));
