--- a/crates/router/src/claims.rs
+++ b/crates/router/src/claims.rs
@@ -107,6 +107,12 @@
         }
     }
 
+    /// Takes new settings; what is believed and counted stays.
+    pub(crate) fn retune(&mut self, settings: &Settings) {
+        let Self { allowed, step, for_each_call, .. } = Self::new(settings);
+        (self.allowed, self.step, self.for_each_call) = (allowed, step, for_each_call);
+    }
+
     pub(crate) fn counts(&self) -> ClaimCounts {
         self.counts
     }
--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -160,11 +160,25 @@
             Event::Heard(bytes) => {
                 self.hearsay.hear(&bytes, now, |engine| self.engines.contains_key(&engine))
             }
+            Event::Retuned { settings, heirs } => self.retune(*settings, &heirs),
             Event::Due(_) | Event::Ignored => {}
         }
         self.hearsay.tell(now, out);
     }
 
+    /// New settings: what is known of servers for a class goes on under its new number.
+    fn retune(&mut self, settings: Settings, heirs: &BTreeMap<u32, u32>) {
+        for engine in self.engines.values_mut() {
+            for (&new, old) in heirs {
+                let known = engine.seen.standing.get(old).cloned();
+                engine.seen.standing.extend(known.map(|known| (new, known)));
+            }
+            engine.seen.standing.retain(|class, _| settings.classes.contains_key(class));
+        }
+        self.hearsay.retune(&settings);
+        self.settings = settings;
+    }
+
     // ---- A request's life ----
 
     fn call(&mut self, call: Call, out: &mut Vec<Action>) {
@@ -188,8 +202,10 @@
     /// else whole to whatever can do it, else an answer at once.
     fn route(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id) else { return };
-        let spent = request.call.not_after <= self.now || request.attempts >= self.settings.max_attempts;
-        if spent || !self.engines.values().any(|engine| self.effect_allows(request, engine)) {
+        if request.call.not_after <= self.now
+            || self.spent(request)
+            || !self.engines.values().any(|engine| self.effect_allows(request, engine))
+        {
             return self.answer(id, out);
         }
         let &Call { not_after, class, session, .. } = &request.call;
@@ -231,7 +247,7 @@
     /// Ends a request at once: refused where a new try is harmless, else failed. Lets go of its state.
     fn answer(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get_mut(&id) else { return };
-        let class = self.settings.classes.get(request.call.class as usize);
+        let class = self.settings.classes.get(&request.call.class);
         let harmless = request.ran.is_none()
             || class.is_none_or(|class| match class.effect {
                 Effect::Idempotent => true,
@@ -344,9 +360,14 @@
             && self.cold_permit(engine).is_none_or(|permit| engine.cold.allows(permit, self.now, window))
     }
 
+    fn spent(&self, request: &Request) -> bool {
+        let class = self.settings.classes.get(&request.call.class);
+        class.is_some_and(|class| request.attempts >= class.max_attempts)
+    }
+
     fn effect_allows(&self, request: &Request, engine: &Engine) -> bool {
         let Some((first, sent)) = request.ran else { return true };
-        let Some(class) = self.settings.classes.get(request.call.class as usize) else { return false };
+        let Some(class) = self.settings.classes.get(&request.call.class) else { return false };
         let same_group = || {
             let first = self.engines.get(&first).map(|first| &first.entry);
             first.is_some_and(|first| match class.group {
@@ -366,7 +387,7 @@
 
     fn send(&mut self, id: RequestId, to: EngineId, stage: Stage, out: &mut Vec<Action>) {
         let (Some(request), Some(engine)) = (self.requests.get(&id), self.engines.get(&to)) else { return };
-        if !self.allowed(request, engine) || request.attempts >= self.settings.max_attempts {
+        if !self.allowed(request, engine) || self.spent(request) {
             return self.answer(id, out);
         }
         let call = &request.call;
@@ -692,15 +713,15 @@
     /// All classes share the queues: a long aim may make them longer than the shortest aim wants only as far
     /// as the class's worth is above the lowest, or it would push the others out.
     fn aim_by_worth(&self, class: u32) -> f64 {
-        let Some(class) = self.settings.classes.get(class as usize) else {
+        let Some(class) = self.settings.classes.get(&class) else {
             return self.settings.shortest_aim();
         };
-        let lowest = self.settings.classes.iter().map(|class| class.worth).fold(class.worth, f64::min);
+        let lowest = self.settings.current().map(|class| class.worth).fold(class.worth, f64::min);
         (class.aim as f64).min(self.settings.shortest_aim() * class.worth / lowest.max(f64::MIN_POSITIVE))
     }
 
     fn answer_tokens(&self, call: &Call) -> u64 {
-        let token_aim = self.settings.classes.get(call.class as usize).map_or(0, |class| class.token_aim);
+        let token_aim = self.settings.classes.get(&call.class).map_or(0, |class| class.token_aim);
         match call.hint {
             Some(hint) if token_aim > 0 => hint / token_aim,
             _ => call.max_tokens / 2,
--- a/crates/router/src/interface.rs
+++ b/crates/router/src/interface.rs
@@ -3,6 +3,8 @@
 //!
 //! All times are whole microseconds. [`Micros`] serves for points on the front's clock and for lengths.
 
+use std::collections::BTreeMap;
+
 /// A point on the front's clock, or a length of time, in microseconds.
 pub type Micros = u64;
 
@@ -76,6 +78,14 @@
 /// A class of requests.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Class {
+    /// Its name.
+    pub name: String,
+    /// How long a client waits for the first token where it does not say so.
+    pub give_up: Micros,
+    /// Most attempts for a request.
+    pub max_attempts: u32,
+    /// No new request has it: it is kept for those that are open.
+    pub retired: bool,
     /// First token wanted within this time.
     pub aim: Micros,
     /// Added to the aim for each 1,000 prompt tokens.
@@ -109,7 +119,7 @@
     /// This front's own zone.
     pub zone: ZoneId,
     /// The classes of requests, by number.
-    pub classes: Vec<Class>,
+    pub classes: BTreeMap<u32, Class>,
     /// The kinds of servers, by number.
     pub kinds: Vec<Kind>,
     /// The list of servers must be asked for.
@@ -124,8 +134,6 @@
     pub peer_price: f64,
     /// A writer reads a prompt itself when there is no state to fetch.
     pub writers_read: bool,
-    /// Most attempts for a request.
-    pub max_attempts: u32,
     /// Longest advice a client follows.
     pub max_retry_after: Micros,
     /// A state or place must be taken or let go within this.
@@ -143,10 +151,15 @@
 }
 
 impl Settings {
+    /// The classes that new requests may have.
+    pub fn current(&self) -> impl Iterator<Item = &Class> {
+        self.classes.values().filter(|class| !class.retired)
+    }
+
     /// The shortest aim of any class (us).
     #[must_use]
     pub fn shortest_aim(&self) -> f64 {
-        self.classes.iter().map(|class| class.aim).min().unwrap_or(1_000_000) as f64
+        self.current().map(|class| class.aim).min().unwrap_or(1_000_000) as f64
     }
 }
 
@@ -308,6 +321,13 @@
     Due(TimerToken),
     /// A message of another front.
     Heard(Vec<u8>),
+    /// The settings have changed.
+    Retuned {
+        /// What holds from now on.
+        settings: Box<Settings>,
+        /// For classes with a new number, the one that they had before.
+        heirs: BTreeMap<u32, u32>,
+    },
     /// News that needs no answer from this design: probes, places held ahead.
     Ignored,
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod asking;
 mod claims;
+mod classes;
 pub mod control;
 mod figures;
 pub mod interface;
@@ -15,5 +16,6 @@
 
 pub use asking::Asking;
 pub use claims::{Claim, ClaimCounts};
+pub use classes::Classes;
 pub use control::Router;
 pub use figures::mix;
--- a/crates/router/src/pairs.rs
+++ b/crates/router/src/pairs.rs
@@ -20,6 +20,9 @@
 /// More dispatchers than this are a mistake in the settings.
 const MOST_BALANCERS: u32 = 100_000;
 
+/// Where a class's deadline is not told (us).
+const GIVE_UP: Micros = 10_000_000;
+
 /// The pairs, looked up by path.
 struct Pairs<'a> {
     values: HashMap<&'a str, &'a str>,
@@ -84,7 +87,7 @@
     Ok(Settings {
         balancers,
         zone: ZoneId(pairs.get("locality", 0)?),
-        classes: (0..lanes).map(|at| class(&pairs, at)).collect::<Result<_, _>>()?,
+        classes: (0..lanes).map(|at| Ok((at, class(&pairs, at)?))).collect::<Result<_, _>>()?,
         kinds: kinds(&pairs)?,
         must_subscribe: pairs.text("discovery") == "subscribe",
         must_ask_in: pairs.time("rules.must_ask_in_s", 0)?,
@@ -92,7 +95,6 @@
         peers: pairs.flag("limits.peers"),
         peer_price: pairs.price("prices.peer")?,
         writers_read: pairs.flag("domain.local_read"),
-        max_attempts: pairs.get("limits.max_attempts", u32::MAX)?,
         max_retry_after: pairs.time("limits.max_retry_after_s", 0)?,
         release_within: pairs.time("domain.release_within_s", 0)?,
         resolution: pairs.time("resolution_s", 0)?,
@@ -103,7 +105,7 @@
     })
 }
 
-fn class(pairs: &Pairs, at: usize) -> Result<Class, SettingsError> {
+fn class(pairs: &Pairs, at: u32) -> Result<Class, SettingsError> {
     let path = |name: &str| format!("lanes.{at}.{name}");
     let effect = match pairs.text(&path("effect")) {
         "deduplicated" => Effect::Deduplicated,
@@ -116,10 +118,15 @@
         "cell" => DedupGroup::Cell,
         _ => DedupGroup::All,
     };
+    let name = pairs.text(&path("name"));
     Ok(Class {
+        name: if name.is_empty() { at.to_string() } else { name.to_owned() },
+        give_up: pairs.time(&path("give_up_s"), GIVE_UP)?,
+        max_attempts: pairs.get("limits.max_attempts", u32::MAX)?,
+        retired: false,
         aim: pairs.time(&path("aim_s"), 0)?,
-        aim_per_1000_tokens: whole(pairs.number_at("domain.aim_us_per_1000_prompt_tokens", at)?),
-        token_aim: whole(pairs.number_at("domain.token_aim_s", at)? * 1e6),
+        aim_per_1000_tokens: whole(pairs.number_at("domain.aim_us_per_1000_prompt_tokens", at as usize)?),
+        token_aim: whole(pairs.number_at("domain.token_aim_s", at as usize)? * 1e6),
         effect,
         group,
         dedup_window: pairs.time(&path("dedup_window_s"), 0)?,
--- a/crates/router/src/tables.rs
+++ b/crates/router/src/tables.rs
@@ -57,7 +57,7 @@
 }
 
 /// Whether a server answers at all. Two strikes in a row put it to rest; then one request at a time tries it.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Standing {
     strikes: u32,
     rests: u32,
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -11,6 +11,10 @@
 
 pub fn class(effect: Effect, group: DedupGroup) -> Class {
     Class {
+        name: format!("{effect:?}-{group:?}"),
+        give_up: 5 * SECOND,
+        max_attempts: 5,
+        retired: false,
         aim: SECOND,
         aim_per_1000_tokens: 40_000,
         token_aim: 60_000,
@@ -25,12 +29,14 @@
     Settings {
         balancers: 2,
         zone: ZoneId(0),
-        classes: vec![
-            class(Effect::Idempotent, DedupGroup::All),
-            class(Effect::AtMostOnce, DedupGroup::All),
-            class(Effect::Deduplicated, DedupGroup::Cell),
-            class(Effect::Deduplicated, DedupGroup::All),
-        ],
+        classes: (0..)
+            .zip([
+                class(Effect::Idempotent, DedupGroup::All),
+                class(Effect::AtMostOnce, DedupGroup::All),
+                class(Effect::Deduplicated, DedupGroup::Cell),
+                class(Effect::Deduplicated, DedupGroup::All),
+            ])
+            .collect(),
         kinds: vec![
             Kind { role: Role::Reader, memory_tokens: 200_000 },
             Kind { role: Role::Writer, memory_tokens: 150_000 },
@@ -42,7 +48,6 @@
         peers: false,
         peer_price: 0.0,
         writers_read: true,
-        max_attempts: 5,
         max_retry_after: SECOND,
         release_within: 300_000,
         resolution: 4_000,
@@ -298,7 +303,7 @@
                 let known = self.known.get_mut(id).expect("a known request");
                 assert!(!known.ended, "rule 1: {id:?} answered twice");
                 assert!(known.out.is_none(), "refused while an attempt is out");
-                let class = &self.settings.classes[known.call.class as usize];
+                let class = &self.settings.classes[&known.call.class];
                 let harmless = known.ran.is_none()
                     || class.effect == Effect::Idempotent
                     || (class.effect == Effect::Deduplicated && class.group == DedupGroup::All);
@@ -336,7 +341,7 @@
         assert!(known.out.is_none(), "rule 2: {id:?} has two attempts out");
         assert_eq!(entry.health, Health::Ready, "rule 3: {id:?} sent to a server that drains or is gone");
         if let Some((first, sent)) = known.ran {
-            let class = &self.settings.classes[known.call.class as usize];
+            let class = &self.settings.classes[&known.call.class];
             assert_ne!(class.effect, Effect::AtMostOnce, "rule 2: {id:?} sent again");
             if class.effect == Effect::Deduplicated {
                 assert!(self.now <= sent + class.dedup_window, "rule 2: {id:?} sent after the window");
@@ -351,7 +356,10 @@
         let number = known.attempts;
         known.out = Some(Sent { number, engine, at: self.now, until, begun: false, reads });
         known.attempts += 1;
-        assert!(known.attempts <= self.settings.max_attempts, "{id:?} sent too often");
+        assert!(
+            known.attempts <= self.settings.classes[&known.call.class].max_attempts,
+            "{id:?} sent too often"
+        );
         let cold = entry.started.is_some_and(|at| self.now < at + self.settings.cold_for);
         self.sends.push((self.now, engine, cold));
         if cold {
--- a/src/edge/clients/chat.rs
+++ b/src/edge/clients/chat.rs
@@ -3,7 +3,7 @@
 //! hold, and how answers are put together, is in `crates/chat`; what repeats are told, in `crates/ledger`.
 //! It listens where the fronts file says, and not at all without one.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -36,7 +36,7 @@
 use crate::edge::driver::{Reply, Sender};
 use crate::edge::servers::{header, Payload};
 use crate::edge::settings::{ChatSettings, Config};
-use crate::interface::{Call, Effect, Key, Micros, RequestId, Settings};
+use crate::interface::{Call, Class, Effect, Key, Micros, RequestId};
 
 /// What servers are asked, whichever way the client asked.
 const TARGET: &str = "/v1/chat/completions";
@@ -54,8 +54,9 @@
     x-stainless-runtime-version, x-stainless-timeout";
 const MAY_READ: &str = "retry-after, retry-after-ms, x-should-retry, x-request-id, idempotent-replayed";
 
-/// A model that clients can name.
+/// A model that clients can name, as its class is now.
 struct Model {
+    rules: Class,
     class: u32,
     /// A request of it that may have run must not be sent again.
     once: bool,
@@ -71,11 +72,8 @@
 struct Front {
     clock: Clock,
     driver: Sender,
-    settings: Settings,
-    give_up: Vec<Micros>,
-    models: HashMap<String, Model>,
-    /// The models in the order of the file, as they are listed.
-    listed: Vec<Value>,
+    /// The models in the order of the file, and the names of their classes.
+    models: BTreeMap<String, String>,
     /// By bearer token; empty where none is asked for.
     tenants: HashMap<String, Tenant>,
     anyone: Tenant,
@@ -103,17 +101,6 @@
     }
 }
 
-/// The models that clients can name.
-fn models(chat: &ChatSettings, config: &Config) -> Result<HashMap<String, Model>, String> {
-    let model = |(name, lane): (&String, &String)| {
-        let class = config.lanes.iter().position(|known| known.name == *lane);
-        let class = class.ok_or_else(|| format!("chat.models.{name}: no class is named {lane}"))?;
-        let once = config.settings.classes[class].effect == Effect::AtMostOnce;
-        Ok((name.clone(), Model { class: class as u32, once }))
-    };
-    chat.models.iter().map(model).collect()
-}
-
 /// Whether the settings fit the configuration.
 ///
 /// # Errors
@@ -122,7 +109,11 @@
     chat.repeats.policy(&config.limits)?;
     chat.bounds(&config.limits)?;
     chat.resume.policy()?;
-    models(chat, config).map(drop)
+    let known = |lane: &String| config.settings.current().any(|class| class.name == *lane);
+    match chat.models.iter().find(|(_, lane)| !known(lane)) {
+        Some((name, lane)) => Err(format!("chat.models.{name}: no class is named {lane}")),
+        None => Ok(()),
+    }
 }
 
 /// The front's routes.
@@ -130,7 +121,7 @@
 /// # Errors
 /// See [`check`].
 pub fn front(chat: &ChatSettings, config: &Config, clock: Clock, driver: Sender) -> Result<Router, String> {
-    let models = models(chat, config)?;
+    check(chat, config)?;
     let mut names: Vec<&String> = chat.tenants.values().collect();
     names.sort_unstable();
     names.dedup();
@@ -148,14 +139,10 @@
     let secret = mix(config.seed ^ mix(clock.now()));
     let headers = chat.repeats.retry_headers.clone();
     let repeats = chat.repeats.enabled.then(|| Repeats::start(policy, headers, clock, secret));
-    let list = |name: &String| json!({"id": name, "object": "model", "created": 0, "owned_by": "dewladder"});
     let front = Front {
         clock,
         driver,
-        settings: config.settings.clone(),
-        give_up: config.lanes.iter().map(|lane| crate::edge::clock::micros(lane.give_up)).collect(),
-        models,
-        listed: chat.models.keys().map(list).collect(),
+        models: chat.models.clone(),
         tenants: chat.tenants.iter().map(|(token, name)| (token.clone(), tenant(name))).collect(),
         anyone: tenant(""),
         max_tokens: chat.max_tokens,
@@ -254,12 +241,14 @@
         match place {
             Place::Make(shape) => self.make(shape, tenant, head, body).await,
             Place::Models => {
-                let list = json!({"object": "list", "data": self.listed});
+                let models = self.models.keys().filter(|name| self.model(name).is_some());
+                let list =
+                    json!({"object": "list", "data": models.map(|name| described(name)).collect::<Vec<_>>()});
                 Ok(json_answer(StatusCode::OK, Bytes::from(list.to_string())))
             }
             Place::Model(name) => {
-                let model = self.listed.iter().find(|model| model["id"] == *name).ok_or_else(no_model)?;
-                Ok(json_answer(StatusCode::OK, Bytes::from(model.to_string())))
+                self.model(name).ok_or_else(no_model)?;
+                Ok(json_answer(StatusCode::OK, Bytes::from(described(name).to_string())))
             }
             Place::Response(id) => self.kept(tenant, &head.method, id),
         }
@@ -304,7 +293,7 @@
             Shape::Response => api::Request::response(value, &self.limits),
         };
         let mut request = request?;
-        let model = self.models.get(&request.model).ok_or_else(no_model)?;
+        let model = &self.model(&request.model).ok_or_else(no_model)?;
         if model.once && request.parts() > 1 {
             let param = if request.choices > 1 { "n" } else { "prompt" };
             return Err(Problem {
@@ -375,7 +364,7 @@
                     let permit = match self.permit(asked.tenant) {
                         Ok(permit) => permit,
                         Err(problem) => {
-                            repeats.refuse(&reader, self.settings.max_retry_after);
+                            repeats.refuse(&reader, self.driver.settings().max_retry_after);
                             return Err(problem);
                         }
                     };
@@ -403,7 +392,7 @@
                 Begun::Over(_) | Begun::Again => {}
             }
         }
-        Err(Problem::refused(self.settings.max_retry_after))
+        Err(Problem::refused(self.driver.settings().max_retry_after))
     }
 
     /// The answer to a client, from a source for each choice.
@@ -451,15 +440,16 @@
     /// How this request's choices go on elsewhere whose server breaks off: each time as one more request.
     fn resuming(self: &Arc<Self>, asked: &Asked<'_>, policy: dewladder_resume::Policy) -> Resuming {
         let request = Arc::new(asked.request.clone());
-        let (class, number) = (asked.model.class, asked.tenant.number);
+        let (class, rules, number) = (asked.model.class, asked.model.rules.clone(), asked.tenant.number);
         let (name, open) = (asked.tenant.name.clone(), asked.tenant.open.clone());
         let front = self.clone();
         let ask: Ask = Arc::new(move |part, text, max_tokens, until, wait| {
             let (front, request, name, open) = (front.clone(), request.clone(), name.clone(), open.clone());
+            let rules = rules.clone();
             Box::pin(async move {
                 sleep_until(front.clock.instant(front.clock.now() + wait)).await;
                 let tenant = Tenant { name, number, open };
-                let model = Model { class, once: false };
+                let model = Model { class, rules, once: false };
                 let asked =
                     Asked { request: &request, model: &model, tenant: &tenant, now: front.clock.now() };
                 front.rest(&asked, part, &text, max_tokens, until).await
@@ -474,7 +464,7 @@
     }
 
     async fn rest(&self, asked: &Asked<'_>, part: usize, text: &str, max_tokens: u64, until: Micros) -> Rest {
-        let permit = self.permit(asked.tenant).map_err(|_| Some(self.settings.max_retry_after))?;
+        let permit = self.permit(asked.tenant).map_err(|_| Some(self.driver.settings().max_retry_after))?;
         let mut prompt = asked.request.prompts[part / asked.request.choices as usize].clone();
         let mut body = asked.request.to_servers(part);
         if let Some(fields) = body.as_object_mut() {
@@ -500,9 +490,16 @@
         }
     }
 
+    /// A model whose class there is now: the platform may drop a class in service.
+    fn model(&self, name: &str) -> Option<Model> {
+        let (class, rules) = self.driver.class(self.models.get(name)?)?;
+        let once = rules.effect == Effect::AtMostOnce;
+        Some(Model { class, rules, once })
+    }
+
     fn permit(&self, tenant: &Tenant) -> Result<OwnedSemaphorePermit, Problem> {
         tenant.open.clone().try_acquire_owned().map_err(|_| Problem {
-            retry_in: Some(self.settings.max_retry_after),
+            retry_in: Some(self.driver.settings().max_retry_after),
             ..Problem::new(StatusCode::TOO_MANY_REQUESTS, "rate_limit_exceeded", "too many requests at once")
         })
     }
@@ -538,9 +535,8 @@
         let opening = prompt.first().filter(|(role, _)| opens(role)).map(|(_, text)| text.as_str());
         let first = prompt.iter().find(|(role, _)| !opens(role)).map_or("", |(_, text)| text.as_str());
         let begins = opening.unwrap_or("");
-        let class_settings = &self.settings.classes[class as usize];
         // The deadline grows twice as fast with the prompt as the aim does.
-        let longer = 2 * class_settings.aim_per_1000_tokens * prompt_tokens / 1_000;
+        let longer = 2 * model.rules.aim_per_1000_tokens * prompt_tokens / 1_000;
         Call {
             id,
             class,
@@ -550,7 +546,7 @@
             prompt_tokens,
             max_tokens: request.max_tokens.unwrap_or(self.max_tokens).min(self.max_tokens),
             hint: None,
-            not_after: now + self.give_up[class as usize] + longer,
+            not_after: now + model.rules.give_up + longer,
         }
     }
 }
@@ -559,6 +555,10 @@
     Problem::new(StatusCode::BAD_REQUEST, code, what)
 }
 
+fn described(name: &str) -> Value {
+    json!({"id": name, "object": "model", "created": 0, "owned_by": "dewladder"})
+}
+
 fn no_model() -> Problem {
     Problem {
         param: Some("model".to_owned()),
--- a/src/edge/clients/platform.rs
+++ b/src/edge/clients/platform.rs
@@ -19,9 +19,8 @@
 use crate::edge::clock::{micros, Clock};
 use crate::edge::driver::{Reply, Sender};
 use crate::edge::servers::{header, Payload};
-use crate::edge::settings::{Config, Lane};
 use crate::edge::stats::{End, Figures};
-use crate::interface::{Call, Key, Micros, RequestId};
+use crate::interface::{Call, Class, Key, Micros, RequestId};
 
 /// A body holds this many bytes at most.
 pub const MOST_BODY: usize = 256 << 10;
@@ -36,21 +35,20 @@
 #[derive(Clone)]
 struct Front {
     clock: Clock,
-    lanes: Arc<[Lane]>,
     driver: Sender,
     figures: Figures,
 }
 
 /// The front's routes.
-pub fn front(config: &Config, clock: Clock, driver: Sender, figures: Figures) -> Router {
-    let state = Front { clock, lanes: config.lanes.clone().into(), driver, figures };
+pub fn front(clock: Clock, driver: Sender, figures: Figures) -> Router {
+    let state = Front { clock, driver, figures };
     Router::new().route("/v1/chat/completions", post(complete)).with_state(state)
 }
 
 async fn complete(State(front): State<Front>, request: Request<Body>) -> Response<Body> {
     let (head, body) = request.into_parts();
     let failed = || front.figures.answered_at_the_door(header(&head.headers, "x-lane"), End::Failed);
-    let asked = match Asked::read(&head.headers, &front.lanes) {
+    let asked = match Asked::read(&head.headers, |name| front.driver.class(name)) {
         Ok(asked) => asked,
         Err(what) => {
             failed();
@@ -125,7 +123,7 @@
 }
 
 impl Asked {
-    fn read(headers: &HeaderMap, lanes: &[Lane]) -> Result<Self, &'static str> {
+    fn read(headers: &HeaderMap, class: impl Fn(&str) -> Option<(u32, Class)>) -> Result<Self, &'static str> {
         let told = ["x-txn", "x-lane", "x-remaining", "x-labels"];
         if told.iter().any(|&name| headers.get_all(name).iter().nth(1).is_some()) {
             return Err("a header is there twice");
@@ -136,19 +134,19 @@
             return Err("X-Txn is no id");
         }
         let lane = header(headers, "x-lane").ok_or("X-Lane is missing")?;
-        let class = lanes.iter().position(|known| known.name == lane).ok_or("X-Lane is not known")?;
+        let (class, rules) = class(lane).ok_or("X-Lane is not known")?;
         let waits = match header(headers, "x-remaining") {
-            None => lanes[class].give_up,
+            None => rules.give_up,
             Some(text) => {
                 let seconds = text.parse::<f64>().ok().filter(|at| (0.0..=MOST_REMAINING).contains(at));
-                Duration::from_secs_f64(seconds.ok_or("X-Remaining is no time")?)
+                micros(Duration::from_secs_f64(seconds.ok_or("X-Remaining is no time")?))
             }
         };
         let mut asked = Self {
             txn: txn.to_owned(),
-            class: class as u32,
+            class,
             session: header(headers, "x-entity").filter(|text| !text.is_empty()).map(Key::from_text),
-            waits: micros(waits),
+            waits,
             shared: None,
             prompt_tokens: None,
             shared_tokens: 0,
--- a/src/edge/core.rs
+++ b/src/edge/core.rs
@@ -6,11 +6,11 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::interface::{
-    Action, Call, Ended, EngineId, Entry, Event, Health, ListKind, Micros, Outcome, Report, RequestId, Role,
-    Settings, TimerToken,
+    Action, Call, Class, Ended, EngineId, Entry, Event, Health, ListKind, Micros, Outcome, Report, RequestId,
+    Role, Settings, TimerToken,
 };
 use crate::Router;
-use dewladder_router::ClaimCounts;
+use dewladder_router::{ClaimCounts, Classes};
 
 /// What has happened outside.
 #[derive(Clone, Debug, PartialEq)]
@@ -53,6 +53,8 @@
     ClientGone(RequestId),
     /// A message of another dispatcher.
     Heard(Vec<u8>),
+    /// Settings that hold from now on; their classes are numbered by place, as they were read.
+    Retuned(Box<Settings>),
     /// Time has passed: what is due is dealt with.
     Tick,
 }
@@ -157,6 +159,7 @@
 
 #[derive(Debug)]
 struct Request {
+    class: u32,
     client: Client,
     not_after: Micros,
     attempts: u32,
@@ -175,6 +178,7 @@
 #[derive(Debug)]
 pub struct Core {
     router: Router,
+    classes: Classes,
     roles: Vec<Role>,
     servers: BTreeMap<EngineId, Role>,
     requests: BTreeMap<RequestId, Request>,
@@ -194,6 +198,7 @@
         Self {
             roles: settings.kinds.iter().map(|kind| kind.role).collect(),
             retry_in: settings.max_retry_after,
+            classes: Classes::new(settings.classes.clone()),
             router: Router::new(settings, seed, now),
             servers: BTreeMap::new(),
             requests: BTreeMap::new(),
@@ -216,6 +221,7 @@
             Input::Finished { id, attempt, ending } => self.finished(id, attempt, ending),
             Input::Stopped { id, attempt, written } => self.stopped(id, attempt, written),
             Input::ClientGone(id) => self.client_gone(id),
+            Input::Retuned(settings) => self.retuned(*settings),
             Input::Heard(bytes) => self.events.push_back(Event::Heard(bytes)),
             Input::Tick => {}
         }
@@ -271,18 +277,36 @@
         self.events.push_back(Event::Roster { how, entries });
     }
 
+    /// The classes, with those that only open requests still have.
+    #[must_use]
+    pub fn classes(&self) -> &BTreeMap<u32, Class> {
+        self.classes.known()
+    }
+
+    fn retuned(&mut self, mut settings: Settings) {
+        let requests = &self.requests;
+        let in_use = |number| requests.values().any(|request| request.class == number);
+        let heirs = self.classes.retune(std::mem::take(&mut settings.classes).into_values(), in_use);
+        settings.classes = self.classes.known().clone();
+        self.retry_in = settings.max_retry_after;
+        self.roles = settings.kinds.iter().map(|kind| kind.role).collect();
+        self.events.push_back(Event::Retuned { settings: Box::new(settings), heirs });
+    }
+
     fn arrived(&mut self, call: Call) {
-        let (id, not_after) = (call.id, call.not_after);
+        let (id, not_after, class) = (call.id, call.not_after, call.class);
         if self.requests.contains_key(&id) {
             return;
         }
-        if self.requests.len() >= self.most_open {
+        // A class that went while the request was on its way here: nothing was done, and trying again is harmless.
+        if self.requests.len() >= self.most_open || !self.classes.knows(class) {
             self.effects.push(Effect::Refuse { id, retry_in: self.retry_in });
             self.effects.push(Effect::Forget { id, may_have_run: false });
             return;
         }
         let (client, out, held) = (Client::Waiting, BTreeMap::new(), Vec::new());
-        self.requests.insert(id, Request { client, not_after, attempts: 0, out, held, may_have_run: false });
+        let request = Request { class, client, not_after, attempts: 0, out, held, may_have_run: false };
+        self.requests.insert(id, request);
         self.events.push_back(Event::Call(call));
     }
 
@@ -461,6 +485,7 @@
         let mut core = Core::new(from_pairs(pairs).expect("settings"), 1, 1_000, 8);
         let id = RequestId(1);
         let request = Request {
+            class: 0,
             client: Client::Waiting,
             not_after: 9_000,
             attempts: 0,
--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -24,6 +24,42 @@
 const LEAVE: Duration = Duration::from_millis(600);
 const LOOK: Duration = Duration::from_millis(20);
 
+/// Takes over new settings while the dispatcher runs.
+pub struct Retuning {
+    config: Config,
+    to: Sender,
+    figures: Figures,
+    discovery: watch::Sender<SocketAddr>,
+}
+
+impl Retuning {
+    /// Reads the file at `path` again and takes it over in one step; one that is broken changes nothing.
+    pub fn read_again(&mut self, path: &str, environment: impl Fn(&str) -> Option<String>) {
+        match self.config.read_again(path, environment) {
+            Ok(retuned) => {
+                let classes: Vec<&str> =
+                    retuned.settings.current().map(|class| class.name.as_str()).collect();
+                let (discovery, classes) = (retuned.discovery, classes.join(", "));
+                info!("configuration taken over: discovery at {discovery}, classes {classes}");
+                if !retuned.takes_restart.is_empty() {
+                    warn!(
+                        "configuration: taken over at a restart only: {}",
+                        retuned.takes_restart.join("; ")
+                    );
+                }
+                self.config.take(&retuned);
+                self.to.send(Message::Retuned(Box::new(retuned.settings)));
+                self.discovery.send_replace(discovery);
+                self.figures.record().reloads += 1;
+            }
+            Err(error) => {
+                warn!("configuration not taken over, the old one stands: {error}");
+                self.figures.record().reload_errors += 1;
+            }
+        }
+    }
+}
+
 /// A dispatcher that listens and is ready to run.
 pub struct Dispatcher {
     config: Config,
@@ -63,7 +99,7 @@
         let listen = |address: SocketAddr| {
             listener::listen(address, shared).map_err(|error| format!("can't listen on {address}: {error}"))
         };
-        let platform = platform::front(&config, clock, to_driver.clone(), figures.clone());
+        let platform = platform::front(clock, to_driver.clone(), figures.clone());
         let platform = platform.merge(balancers::routes(health.clone()));
         let mut fronts = vec![(listen(config.listen)?, platform)];
         if let Some(chat) = settings.chat.as_ref().filter(|chat| chat.enabled) {
@@ -86,6 +122,13 @@
         listeners.filter_map(|listener| listener.local_addr().ok()).collect()
     }
 
+    /// What takes over new settings while it runs; `discovery` is told where the list is to be watched.
+    #[must_use]
+    pub fn retuning(&self, discovery: watch::Sender<SocketAddr>) -> Retuning {
+        let (config, to, figures) = (self.config.clone(), self.to_driver.clone(), self.figures.clone());
+        Retuning { config, to, figures, discovery }
+    }
+
     /// Where the second address is, if there is one.
     #[must_use]
     pub fn admin(&self) -> Option<SocketAddr> {
--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use log::{debug, info};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::timeout_at;
 
 use crate::edge::clock::Clock;
@@ -15,7 +15,9 @@
 use crate::edge::servers::{self, Opened, Payload, Progress, Relay, Servers, StreamEnd};
 use crate::edge::settings::Config;
 use crate::edge::stats::{Counts, End, Figures};
-use crate::interface::{Call, EngineId, Entry, Health, ListKind, Micros, Outcome, RequestId};
+use crate::interface::{
+    Call, Class, EngineId, Entry, Health, ListKind, Micros, Outcome, RequestId, Settings,
+};
 use dewladder_router::{mix, ClaimCounts};
 
 /// Time between two lines of what clients got.
@@ -55,6 +57,8 @@
     },
     /// A client has left before its reply.
     Left(RequestId),
+    /// Settings that hold from now on.
+    Retuned(Box<Settings>),
     /// Something that the reducer takes as it is.
     Told(Input),
 }
@@ -80,12 +84,29 @@
 
 /// Where the driver is told things.
 #[derive(Clone, Debug)]
-pub struct Sender(mpsc::UnboundedSender<Message>);
+pub struct Sender {
+    to: mpsc::UnboundedSender<Message>,
+    settings: watch::Receiver<Arc<Settings>>,
+}
 
 impl Sender {
+    /// The settings that hold now: their classes are those that new requests may have.
+    #[must_use]
+    pub fn settings(&self) -> Arc<Settings> {
+        self.settings.borrow().clone()
+    }
+
+    /// A class by its name, with its number, if new requests may have it.
+    #[must_use]
+    pub fn class(&self, name: &str) -> Option<(u32, Class)> {
+        let settings = self.settings();
+        let mut named = settings.classes.iter().filter(|(_, class)| class.name == name);
+        named.next().map(|(&number, class)| (number, class.clone()))
+    }
+
     /// Tells the driver; a driver that has ended wants to know nothing.
     pub fn send(&self, message: Message) {
-        let _ = self.0.send(message);
+        let _ = self.to.send(message);
     }
 
     /// Hands a request in and waits for its reply. Dropping the future tells that the client has left.
@@ -179,7 +200,8 @@
     clients: HashMap<RequestId, Waiting>,
     flying: HashMap<(RequestId, u32), Flying>,
     figures: Figures,
-    classes: Vec<String>,
+    /// What fronts look classes up in.
+    published: watch::Sender<Arc<Settings>>,
     told: Told,
 }
 
@@ -188,10 +210,11 @@
     #[must_use]
     pub fn new(config: &Config, clock: Clock) -> (Self, Sender) {
         let (to_self, inbox) = mpsc::unbounded_channel();
-        let to_self = Sender(to_self);
+        let (published, settings) = watch::channel(Arc::new(config.settings.clone()));
+        let to_self = Sender { to: to_self, settings };
         let core = Core::new(config.settings.clone(), config.seed, clock.now(), config.most_open());
         let figures = Figures::default();
-        config.lanes.iter().for_each(|lane| figures.record().know(&lane.name));
+        config.settings.current().for_each(|class| figures.record().know(&class.name));
         let driver = Self {
             core,
             clock,
@@ -203,7 +226,7 @@
             clients: HashMap::new(),
             flying: HashMap::new(),
             figures,
-            classes: config.lanes.iter().map(|lane| lane.name.clone()).collect(),
+            published,
             told: Told::default(),
         };
         (driver, to_self)
@@ -247,8 +270,8 @@
                     let _ = reply.send(Reply::Taken);
                     return None;
                 }
-                if let Some(class) = self.classes.get(call.class as usize) {
-                    self.figures.record().taken(class);
+                if let Some(class) = self.core.classes().get(&call.class) {
+                    self.figures.record().taken(&class.name);
                 }
                 let (reply, class, streaming, ended) = (Some(reply), call.class, None, false);
                 self.clients.insert(call.id, Waiting { payload, reply, over, class, streaming, ended });
@@ -277,6 +300,18 @@
                 self.ended(id, End::Left);
                 Input::ClientGone(id)
             }
+            // In one step: what is published and what the reducer goes by are never of two files.
+            Message::Retuned(settings) => {
+                let mut now = (*settings).clone();
+                self.step(Input::Retuned(settings));
+                now.classes = self.core.classes().clone();
+                now.classes.retain(|_, class| !class.retired);
+                let mut record = self.figures.record();
+                now.current().for_each(|class| record.know(&class.name));
+                drop(record);
+                self.published.send_replace(Arc::new(now));
+                return None;
+            }
             Message::Told(input) => {
                 match input {
                     Input::Finished { id, attempt, ending } => {
@@ -304,8 +339,8 @@
         if std::mem::replace(&mut client.ended, true) {
             return;
         }
-        if let Some(class) = self.classes.get(client.class as usize) {
-            self.figures.record().ended(class, end);
+        if let Some(class) = self.core.classes().get(&client.class) {
+            self.figures.record().ended(&class.name, end);
         }
     }
 
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -6,11 +6,9 @@
 
 use axum::http::HeaderName;
 use dewladder_ledger::{BudgetPolicy, Policy};
-use log::{info, warn};
 use serde::Deserialize;
 use serde_json::Value;
 use thiserror::Error;
-use tokio::sync::watch;
 
 use crate::edge::admin::DESCRIPTORS;
 use crate::edge::listing::{Listing, Names};
@@ -65,7 +63,7 @@
 }
 
 /// What the machine gives the program.
-#[derive(Clone, Copy, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
 #[serde(default)]
 pub struct Limits {
     /// Memory in megabytes.
@@ -80,15 +78,6 @@
     }
 }
 
-/// A class of requests, as far as fronts need to know it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Lane {
-    /// Its name.
-    pub name: String,
-    /// How long a client of it waits for the first token where it does not say so.
-    pub give_up: Duration,
-}
-
 /// The whole configuration.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -111,8 +100,6 @@
     pub known: Listing,
     /// What the decisions are told.
     pub settings: Settings,
-    /// The classes by number.
-    pub lanes: Vec<Lane>,
     /// Names of zones and of kinds of servers, by number.
     pub names: Names,
     /// Idle connections are closed by servers after this.
@@ -123,6 +110,8 @@
     pub stall: Duration,
     /// A stream that broke may go on elsewhere.
     pub resume: bool,
+    /// The file as it was read, without the list: what a later one is held against.
+    file: Value,
 }
 
 impl Config {
@@ -136,20 +125,51 @@
         Self::parse(path, &text, environment)
     }
 
-    /// Reads the file at `path` again while the program runs, and passes on where discovery is now. All else
-    /// in it is what the program was started with. One that can't be used changes nothing.
+    /// Reads the file at `path` again while the program runs on this configuration, and checks it whole.
+    ///
+    /// # Errors
+    /// See [`Config::read`]; besides, a file that leaves out a key which the running one has.
     pub fn read_again(
+        &self,
         path: &str,
         environment: impl Fn(&str) -> Option<String>,
-        discovery: &watch::Sender<SocketAddr>,
-    ) {
-        match Self::read(path, environment) {
-            Ok(config) => {
-                info!("configuration read again: discovery is at {}", config.discovery);
-                discovery.send_replace(config.discovery);
-            }
-            Err(error) => warn!("configuration not taken over, the old one stands: {error}"),
+    ) -> Result<Retuned, ConfigError> {
+        let new = Self::read(path, environment)?;
+        let bad = |what| ConfigError::Malformed { path: path.to_owned(), what };
+        if let Some(key) = missing(&self.file, &new.file, "") {
+            return Err(bad(format!("{key} is missing")));
         }
+        let mut takes_restart = Vec::new();
+        let mut fixed = |differs: bool, name| takes_restart.extend(differs.then_some(name));
+        fixed(new.name != self.name, "name");
+        fixed(new.listen != self.listen, "listen");
+        fixed(new.admin != self.admin, "admin_addr");
+        fixed(new.peers != self.peers, "peer_listen, peers_all or limits.peers");
+        fixed(new.limits != self.limits, "limits.memory_mb or limits.sockets");
+        fixed(new.names != self.names, "failure_domains or kinds");
+        fixed(new.settings.kinds != self.settings.kinds, "domain.role_by_kind or kind_memory_tokens");
+        fixed(new.settings.zone != self.settings.zone, "locality");
+        fixed(new.settings.must_subscribe != self.settings.must_subscribe, "discovery, the way of");
+        fixed(new.keepalive != self.keepalive, "limits.keepalive_s");
+        fixed(new.connect_timeout != self.connect_timeout, "limits.connect_timeout_s");
+        fixed(new.resume != self.resume, "domain.resume");
+        // What the list's entries and the open sockets were read by stays as it is.
+        let settings = Settings {
+            zone: self.settings.zone,
+            kinds: self.settings.kinds.clone(),
+            must_subscribe: self.settings.must_subscribe,
+            must_ask_in: self.settings.must_ask_in,
+            peers: self.settings.peers,
+            ..new.settings
+        };
+        Ok(Retuned { discovery: new.discovery, settings, takes_restart, file: new.file })
+    }
+
+    /// Goes by what was read again from now on.
+    pub fn take(&mut self, retuned: &Retuned) {
+        self.discovery = retuned.discovery;
+        self.settings = retuned.settings.clone();
+        self.file = retuned.file.clone();
     }
 
     /// Reads a configuration's text; `path` is named in errors.
@@ -162,7 +182,12 @@
         environment: impl Fn(&str) -> Option<String>,
     ) -> Result<Self, ConfigError> {
         let bad = |what: String| ConfigError::Malformed { path: path.to_owned(), what };
+        let mut raw: Value = serde_json::from_str(text).map_err(|error| bad(error.to_string()))?;
         let file: File = serde_json::from_str(text).map_err(|error| bad(error.to_string()))?;
+        if let Some(fields) = raw.as_object_mut() {
+            // Of a start only: a later file may do without, and the list is long.
+            fields.retain(|name, _| !matches!(name.as_str(), "known" | "seed"));
+        }
         let address = |told: Option<SocketAddr>, variable: &'static str| match told {
             Some(address) => Ok(address),
             None => {
@@ -177,6 +202,7 @@
         if settings.classes.is_empty() || settings.kinds.is_empty() {
             return Err(bad("settings name no lanes or no kinds of servers".to_owned()));
         }
+        check_rules(&file.settings).map_err(bad)?;
         let seconds = |path: &str, absent: f64| {
             let told = pairs.get(path).and_then(|text| text.parse::<f64>().ok());
             Duration::try_from_secs_f64(told.unwrap_or(absent)).unwrap_or_default()
@@ -185,10 +211,6 @@
             let text = pairs.get(path).map_or("", String::as_str);
             text.split(',').filter(|name| !name.is_empty()).map(str::to_owned).collect()
         };
-        let lane = |at: usize| Lane {
-            name: pairs.get(&format!("lanes.{at}.name")).cloned().unwrap_or_else(|| at.to_string()),
-            give_up: seconds(&format!("lanes.{at}.give_up_s"), 10.0),
-        };
         let resume = pairs.get("domain.resume").is_some_and(|text| text == "true");
         Ok(Self {
             name: file.name.or_else(|| environment("ROUTER_NAME")).unwrap_or_default(),
@@ -202,13 +224,13 @@
             seed: u64::from_str_radix(&file.seed, 16).unwrap_or_else(|_| Key::from_text(&file.seed).0),
             limits: file.limits,
             known: file.known.unwrap_or_default(),
-            lanes: (0..settings.classes.len()).map(lane).collect(),
             names: Names { zones: names("failure_domains"), kinds: names("kinds") },
             keepalive: seconds("limits.keepalive_s", 30.0),
             connect_timeout: seconds("limits.connect_timeout_s", 0.25),
             stall: if resume { STALL_RESUMED } else { STALL_LOST },
             resume,
             settings,
+            file: raw,
         })
     }
 
@@ -235,6 +257,100 @@
     }
 }
 
+/// What SIGHUP brings.
+#[derive(Clone, Debug)]
+pub struct Retuned {
+    /// Where discovery is from now on.
+    pub discovery: SocketAddr,
+    /// What the decisions go by from now on.
+    pub settings: Settings,
+    /// What differs too, but is taken over at a restart only.
+    pub takes_restart: Vec<&'static str>,
+    file: Value,
+}
+
+/// The longest deadline or aim (seconds).
+const MOST_TIME: f64 = 1e6;
+/// Keys that the platform may leave out where it had them.
+const MAY_GO: [&str; 2] = ["aim_stretch", "fleet"];
+
+/// What requests are held to: each of these must be there and make sense, as a guess could break a rule.
+fn check_rules(settings: &Value) -> Result<(), String> {
+    let positive = |value: &Value, key: &str| match value.get(key) {
+        None => Err(format!("{key} is missing")),
+        Some(told) => match told.as_f64().filter(|number| *number > 0.0 && *number <= MOST_TIME) {
+            Some(number) => Ok(number),
+            None => Err(format!("{key}: {told} is not a positive number up to {MOST_TIME}")),
+        },
+    };
+    let attempts =
+        positive(&settings["limits"], "max_attempts").map_err(|what| format!("settings limits.{what}"))?;
+    if attempts.fract() != 0.0 {
+        return Err(format!("settings limits.max_attempts: {attempts} is not a whole number"));
+    }
+    let mut names = Vec::new();
+    for (at, lane) in settings["lanes"].as_array().into_iter().flatten().enumerate() {
+        let within = |what: String| format!("settings lanes.{at}.{what}");
+        for key in ["name", "effect"] {
+            match lane.get(key) {
+                None => return Err(within(format!("{key} is missing"))),
+                Some(told) if told.as_str().is_none_or(str::is_empty) => {
+                    return Err(within(format!("{key}: {told} is no text")));
+                }
+                Some(_) => {}
+            }
+        }
+        for key in ["aim_s", "give_up_s"] {
+            positive(lane, key).map_err(within)?;
+        }
+        for key in ["worth", "late_worth", "dedup_window_s"] {
+            let Some(told) = lane.get(key) else { continue };
+            if told.as_f64().is_none_or(|number| !(0.0..=MOST_TIME).contains(&number)) {
+                return Err(within(format!("{key}: {told} is not a number from 0 to {MOST_TIME}")));
+            }
+        }
+        let name = &lane["name"];
+        if names.contains(&name) {
+            return Err(within(format!("name: {name} is there twice")));
+        }
+        names.push(name);
+    }
+    Ok(())
+}
+
+/// The first key of `old` that `new` lacks. Of a list of objects, what all old ones have is asked of each new one.
+fn missing(old: &Value, new: &Value, path: &str) -> Option<String> {
+    let join = |name: &str| if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") };
+    match (old, new) {
+        (Value::Object(old), Value::Object(new)) => {
+            let mut keys = old.iter().filter(|(key, _)| !MAY_GO.contains(&key.as_str()));
+            keys.find_map(|(key, old)| match new.get(key) {
+                None => Some(join(key)),
+                Some(new) => missing(old, new, &join(key)),
+            })
+        }
+        (Value::Object(_), _) => Some(path.to_owned()),
+        (Value::Array(old), Value::Array(new)) => {
+            let common = common(old)?;
+            let mut items = new.iter().enumerate();
+            items.find_map(|(at, new)| missing(&common, new, &join(&at.to_string())))
+        }
+        (Value::Array(_), _) => Some(path.to_owned()),
+        _ => None,
+    }
+}
+
+/// An object with the keys that all objects of a list have; `None` where it holds others, or none.
+fn common(list: &[Value]) -> Option<Value> {
+    let mut objects = list.iter().map(Value::as_object);
+    let mut common = objects.next()??.clone();
+    for object in objects {
+        let object = object?;
+        common.retain(|key, _| object.contains_key(key));
+    }
+    Some(Value::Object(common))
+}
+
 /// The fronts beside the platform's, as a file under `deploy/` sets them; without one all are off.
 #[derive(Clone, Debug, Default, Deserialize)]
 pub struct Fronts {
--- a/src/main.rs
+++ b/src/main.rs
@@ -109,9 +109,10 @@
     let mut hangup = told(SignalKind::hangup())?;
     let (tell, discovery) = watch::channel(config.discovery);
     let dispatcher = Dispatcher::bind(config, fronts)?;
+    let mut retuning = dispatcher.retuning(tell);
     tokio::spawn(async move {
         while hangup.recv().await.is_some() {
-            Config::read_again(&path, environment, &tell);
+            retuning.read_again(&path, environment);
         }
     });
     dispatcher
--- a/tests/connection_model.rs
+++ b/tests/connection_model.rs
@@ -12,6 +12,10 @@
 
 fn settings() -> Settings {
     let class = |effect| Class {
+        name: format!("{effect:?}"),
+        give_up: 5 * SECOND,
+        max_attempts: 5,
+        retired: false,
         aim: SECOND,
         aim_per_1000_tokens: 0,
         token_aim: 0,
@@ -24,10 +28,12 @@
     Settings {
         balancers: 2,
         zone: ZoneId(0),
-        classes: vec![
-            class(dewladder::interface::Effect::Idempotent),
-            class(dewladder::interface::Effect::AtMostOnce),
-        ],
+        classes: (0..)
+            .zip([
+                class(dewladder::interface::Effect::Idempotent),
+                class(dewladder::interface::Effect::AtMostOnce),
+            ])
+            .collect(),
         kinds: vec![kind(Role::Reader), kind(Role::Writer)],
         must_subscribe: false,
         must_ask_in: 0,
@@ -35,7 +41,6 @@
         peers: false,
         peer_price: 0.0,
         writers_read: false,
-        max_attempts: 5,
         max_retry_after: SECOND,
         release_within: SECOND / 2,
         resolution: 2_000,
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -320,3 +320,165 @@
         assert!(answer.starts_with("HTTP/1.1 200") && answer.contains("connection: close"), "{answer:?}");
     }
 }
+
+/// An open request keeps the rules of the class that it came with, in both directions; new ones have the new at once.
+#[tokio::test]
+async fn a_class_that_changes_under_a_request_does_not_change_the_request() {
+    let site =
+        Deployment::new("retune", Shape { read: Duration::from_millis(400), ..Shape::default() }).await;
+    let mut config = site.config();
+    // So long that no read is given up, and so many attempts that a repeat is seen whatever goes before it.
+    (0..2).for_each(|lane| config["settings"]["lanes"][lane]["aim_s"] = json!(4.0));
+    config["settings"]["limits"]["max_attempts"] = json!(9);
+    site.write(&config);
+    let process = site.start().await;
+    process.until_ready().await;
+    let at = site.port.address();
+    let ask = |id: &str, lane: &str| {
+        let text = platform(id, lane, "5.0");
+        tokio::spawn(async move { until_close(at, &text).await })
+    };
+    // Once open: an `ask` that may repeat, and a `book` that may not.
+    let (open_ask, open_book) = (ask("a1", "ask"), ask("b1", "book"));
+    process.eventually("pending", 2).await;
+    let lanes = &mut config["settings"]["lanes"];
+    lanes[0]["effect"] = json!("at_most_once");
+    lanes[1]["effect"] = json!("idempotent");
+    let mut third = lanes[0].clone();
+    (third["name"], third["effect"]) = (json!("ask_new"), json!("idempotent"));
+    lanes.as_array_mut().unwrap().push(third);
+    site.write(&config);
+    process.tell("-HUP");
+    process.eventually("config_reloads", 1).await;
+    site.fleet.fail(1_000, &[Fault::Vanishes], 1);
+    let (open_ask, open_book) = (open_ask.await.unwrap(), open_book.await.unwrap());
+    let runs = |id: &str| site.fleet.begun().iter().filter(|begun| begun.id == id).count();
+    assert!(runs("a1") > 1, "it may still repeat: {open_ask}");
+    assert_eq!((status(&open_book), runs("b1")), (502, 1), "it may still run once only");
+    let (new_ask, new_book) = (ask("a2", "ask").await.unwrap(), ask("b2", "book").await.unwrap());
+    assert_eq!((status(&new_ask), runs("a2")), (502, 1));
+    assert!(runs("b2") > 1, "{new_book}");
+    site.fleet.fail(0, &[], 1);
+    assert_eq!(status(&ask("c1", "ask_new").await.unwrap()), 200);
+    assert_eq!(process.figure("completed.ask_new").await, 1);
+    // Dropped: a client that still names it is told what it is told of any unknown class; the counter stays.
+    let open = ask("c2", "ask_new");
+    process.eventually("pending", 1).await;
+    config["settings"]["lanes"].as_array_mut().unwrap().pop();
+    site.write(&config);
+    process.tell("-HUP");
+    process.eventually("config_reloads", 2).await;
+    assert_eq!(status(&ask("c3", "ask_new").await.unwrap()), 400);
+    assert_eq!(status(&open.await.unwrap()), 200, "the one that was open ends as it would have");
+    assert_eq!(process.figure("completed.ask_new").await, 2);
+    // The same file once more is taken, and changes nothing.
+    process.tell("-HUP");
+    process.eventually("config_reloads", 3).await;
+    assert_eq!(status(&ask("d1", "book").await.unwrap()), 200);
+}
+
+/// From a broken file nothing is taken: each kind is counted, named in the log, and leaves all as it was; the same
+/// texts are turned down by `check-config`, but for those that only what is running can tell.
+#[tokio::test]
+async fn nothing_is_taken_from_a_broken_file_of_any_kind() {
+    let site = Deployment::new("broken", Shape::default()).await;
+    let good = site.config();
+    site.write(&good);
+    let process = site.start().await;
+    process.until_ready().await;
+    let with = |change: &dyn Fn(&mut Value)| {
+        let mut config = good.clone();
+        // In all of them discovery has moved to where nobody is, and a class has come.
+        config["discovery"] = json!("127.0.0.1:9");
+        let mut third = config["settings"]["lanes"][0].clone();
+        third["name"] = json!("ask_new");
+        config["settings"]["lanes"].as_array_mut().unwrap().push(third);
+        change(&mut config);
+        config.to_string()
+    };
+    fn without(path: &'static str) -> impl Fn(&mut Value) {
+        move |config| {
+            let (parent, key) = path.rsplit_once('/').unwrap();
+            config.pointer_mut(parent).unwrap().as_object_mut().unwrap().remove(key).expect("it was there");
+        }
+    }
+    fn put(path: &'static str, value: Value) -> impl Fn(&mut Value) {
+        move |config| *config.pointer_mut(path).unwrap() = value.clone()
+    }
+    let whole = with(&|_| ());
+    let mut broken: Vec<(String, &str, bool)> = vec![
+        (String::new(), "EOF", true),
+        (whole[..whole.len() / 2].to_owned(), "EOF", true),
+        ("[]".to_owned(), "invalid", true),
+        (whole.replace("\"give_up_s\":1.0", "\"give_up_s\":NaN"), "expected", true),
+        (whole.replace("\"give_up_s\":1.0", "\"give_up_s\":1e999"), "out of range", true),
+    ];
+    let mut changed = |change: &dyn Fn(&mut Value), says, always| broken.push((with(change), says, always));
+    for (path, says) in [
+        ("/settings", "no lanes"),
+        ("/settings/lanes", "no lanes"),
+        ("/settings/limits/max_attempts", "max_attempts is missing"),
+        ("/settings/lanes/0/give_up_s", "lanes.0.give_up_s is missing"),
+        ("/settings/lanes/2/effect", "lanes.2.effect is missing"),
+        ("/settings/lanes/1/name", "lanes.1.name is missing"),
+        ("/discovery", "ROUTER_DISCOVERY"),
+    ] {
+        changed(&without(path), says, true);
+    }
+    for (path, says) in [
+        ("/limits", "limits is missing"),
+        ("/admin_addr", "admin_addr is missing"),
+        ("/settings/domain/release_within_s", "settings.domain.release_within_s is missing"),
+        ("/settings/lanes/1/worth", "settings.lanes.1.worth is missing"),
+    ] {
+        changed(&without(path), says, false);
+    }
+    for (path, value, says) in [
+        ("/settings/lanes", json!([]), "no lanes"),
+        ("/settings/lanes/0/give_up_s", json!(0), "lanes.0.give_up_s: 0"),
+        ("/settings/lanes/0/give_up_s", json!(-6.0), "lanes.0.give_up_s: -6.0"),
+        ("/settings/lanes/0/give_up_s", json!("6.0"), "lanes.0.give_up_s: \"6.0\""),
+        ("/settings/lanes/0/give_up_s", json!(1e300), "lanes.0.give_up_s: '1e"),
+        ("/settings/lanes/0/give_up_s", Value::Null, "lanes.0.give_up_s: null"),
+        ("/settings/lanes/1/aim_s", json!([1]), "lanes.1.aim_s: [1]"),
+        ("/settings/limits/max_attempts", json!(0), "max_attempts: 0"),
+        ("/settings/limits/max_attempts", json!(-1), "max_attempts"),
+        ("/settings/limits/max_attempts", json!(2.5), "max_attempts"),
+        ("/settings/limits/max_attempts", json!(5_000_000_000u64), "max_attempts"),
+        ("/settings/limits/max_attempts", json!(true), "max_attempts"),
+        ("/settings/lanes/0/effect", json!("at_a_guess"), "unknown effect"),
+        ("/settings/lanes/2/name", json!("ask"), "\"ask\" is there twice"),
+        ("/settings/lanes/2/name", json!(""), "lanes.2.name"),
+    ] {
+        changed(&put(path, value), says, true);
+    }
+    let at = site.port.address();
+    let count = broken.len() as u64;
+    for (turned_down, (text, says, always)) in broken.into_iter().enumerate() {
+        std::fs::write(site.folder.join("config.json"), &text).unwrap();
+        process.tell("-HUP");
+        process.eventually("config_reload_errors", turned_down as u64 + 1).await;
+        if always {
+            let mut check = Command::new(env!("CARGO_BIN_EXE_dewladder"));
+            check.args(["check-config", "--config"]).arg(site.folder.join("config.json")).env_clear();
+            let output = check.output().await.unwrap();
+            let said = String::from_utf8(output.stderr).unwrap();
+            assert!(!output.status.success() && said.contains(says), "{says}: {said}");
+        }
+    }
+    std::fs::remove_file(site.folder.join("config.json")).unwrap();
+    process.tell("-HUP");
+    process.eventually("config_reload_errors", count + 1).await;
+    assert_eq!(process.figure("config_reloads").await, 0);
+    let answer = until_close(at, &platform("f1", "ask_new", "0.9")).await;
+    assert_eq!(status(&answer), 400, "no class was taken");
+    assert_eq!(status(&until_close(at, &platform("f2", "book", "0.9")).await), 200);
+    assert!(!site.fleet.agent.log().contains(&"closed".to_owned()), "the list is watched where it was");
+    process.tell("-TERM");
+    let (code, log) = process.ended().await;
+    assert_eq!(code, Some(0));
+    let said = |text: &str| log.iter().any(|line| line.contains("not taken over") && line.contains(text));
+    for says in ["lanes.0.give_up_s: -6.0", "settings.lanes.1.worth is missing", "can't read"] {
+        assert!(said(says), "{says} in {log:?}");
+    }
+}
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -82,7 +82,7 @@
         (51, 3, true, true)
     );
     assert_eq!(settings.kinds[1], Kind { role: Role::Mixed, memory_tokens: 2_000 });
-    let class = &settings.classes[0];
+    let class = &settings.classes[&0];
     assert_eq!((class.aim, class.token_aim), (1_200_000, 60_000));
     assert_eq!((class.effect, class.group), (Effect::Deduplicated, DedupGroup::Cell));
     assert!((settings.cold_from - 0.26).abs() < 1e-9);
