--- a/benches/load.rs
+++ b/benches/load.rs
@@ -71,7 +71,7 @@
     platform: bool,
 ) -> (Option<Duration>, &'static str) {
     sleep_until(due).await;
-    let model = if number % 4 == 0 { "kiln-book" } else { "kiln-ask" };
+    let model = if number.is_multiple_of(4) { "kiln-book" } else { "kiln-ask" };
     let body = json!({"model": model, "stream": true, "messages": [
         {"role": "system", "content": "You book kilns.".repeat(20)},
         {"role": "user", "content": format!("request {number}")}]})
@@ -82,8 +82,10 @@
         body.len()
     );
     let text = if platform {
-        let (id, lane) =
-            (format!("{:016x}", 0x5eed_0000_0000 + number), if number % 4 == 0 { "book" } else { "ask" });
+        let (id, lane) = (
+            format!("{:016x}", 0x5eed_0000_0000 + number),
+            if number.is_multiple_of(4) { "book" } else { "ask" },
+        );
         dewladder_stand_in::platform(&id, lane, "6.0")
             .replace("{\"stream\":true}", &body)
             .replace("Content-Length: 15", &format!("Content-Length: {}", body.len()))
@@ -181,7 +183,7 @@
     let (memory, begun) = (status(&child, "VmHWM") / 1_024, fleet.begun());
     let book =
         |number: usize| begun.iter().filter(|b| b.body.contains(&format!("request {number}\""))).count() > 1;
-    let doubled = (0..ROUNDS * STREAMS).filter(|number| number % 4 == 0 && book(*number)).count();
+    let doubled = (0..ROUNDS * STREAMS).filter(|number| number.is_multiple_of(4) && book(*number)).count();
     println!(
         "{what:<22} {:>6} {:>6} {:>8} {:>7} {:>8} {:>8} {:>9} {:>9} {:>7} {:>6} {:>8}",
         came.whole,
--- /dev/null
+++ b/crates/kin/tests/model.rs
@@ -0,0 +1,108 @@
+//! Two seats, any order of starts, looks, signals and deaths: the parts never add up to more than the whole.
+
+use dewladder_kin::{cuts, Kin, Other, Said, Stage, HALF, RESERVE, WHOLE};
+use proptest::prelude::*;
+
+#[derive(Debug)]
+struct Process {
+    kin: Kin,
+    said: Said,
+    /// What it last read of the other seat, to be acted on later.
+    read: Option<Other>,
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 2_000, ..ProptestConfig::default() })]
+    #[test]
+    fn the_parts_never_pass_the_whole(
+        steps in proptest::collection::vec((0usize..2, 0u8..8, 0u16..1_200), 1..120),
+    ) {
+        let mut seats: [Option<Process>; 2] = [None, None];
+        for (now, (seat, what, use_or_time)) in steps.into_iter().enumerate() {
+            let now = now as u64 * 200_000 + 1;
+            let other = match &seats[1 - seat] {
+                None => Other::None,
+                Some(_) if what == 7 => Other::Unclear,
+                Some(process) => Other::Says(process.said),
+            };
+            match (&mut seats[seat], what) {
+                (free @ None, 0..=2) => {
+                    let kin = Kin::start(now);
+                    *free = Some(Process { said: kin.says(), kin, read: None });
+                }
+                (Some(_), 0) => seats[seat] = None,
+                (Some(process), 1) => {
+                    process.kin.told_to_end();
+                    process.said = process.kin.says();
+                }
+                (Some(process), 2 | 3) => process.read = Some(other),
+                (Some(process), _) => {
+                    // What was read may be old by now; it is acted on and said in one go.
+                    let other = process.read.take().unwrap_or(other);
+                    process.kin.sees(now, other, use_or_time.min(process.said.part));
+                    process.said = process.kin.says();
+                }
+                (None, _) => {}
+            }
+            let parts: u32 = seats.iter().flatten().map(|process| u32::from(process.said.part)).sum();
+            prop_assert!(parts <= u32::from(WHOLE), "{seats:?}");
+            prop_assert!(seats.iter().flatten().all(|process| process.said.part >= RESERVE));
+        }
+        // Whoever is left alone and not told to end has it all back.
+        seats[1] = None;
+        if let Some(process) = &mut seats[0] {
+            process.kin.sees(u64::MAX / 2, Other::None, 0);
+            let said = process.kin.says();
+            prop_assert!(said.stage == Stage::Leaving || (said.part, said.stage) == (WHOLE - RESERVE, Stage::Serving));
+        }
+    }
+
+    #[test]
+    fn a_line_is_read_as_it_was_said_and_nothing_else_is(born: u64, part in 0..=WHOLE, cut in 0usize..20) {
+        let said = Said { born, stage: Stage::Leaving, part, knows: born / 2 };
+        let line = said.to_line();
+        prop_assert_eq!(Said::from_line(&line), Some(said));
+        if cut < line.len() {
+            prop_assert_eq!(Said::from_line(&line[..cut]), None);
+        }
+    }
+
+    /// Whatever ends by itself meanwhile: no burst, none cut that need not be, and none left at the end.
+    #[test]
+    fn streams_are_cut_evenly_and_all_by_the_end(most in 0usize..500, ends in proptest::collection::vec(0usize..4, 2..80)) {
+        let (mut open, steps) = (most, ends.len() as u64);
+        for (at, ends) in (1..=steps).zip(ends) {
+            let due = most.saturating_sub(open.saturating_sub(ends));
+            open = open.saturating_sub(ends);
+            let now = cuts(open, most, (0, steps * 50_000), at * 50_000);
+            prop_assert!(now <= most.div_ceil(steps as usize) + 1, "no burst");
+            prop_assert!(now == 0 || due + now <= most * at as usize / steps as usize + 1, "none that need not be");
+            open -= now;
+        }
+        prop_assert_eq!(open, 0);
+    }
+}
+
+#[test]
+fn a_new_version_takes_over() {
+    let (mut old, mut new) = (Kin::start(1), Kin::start(9));
+    old.sees(2, Other::None, 0);
+    assert_eq!((old.says().stage, old.says().part), (Stage::Serving, WHOLE - RESERVE));
+    new.sees(10, Other::Says(old.says()), 0);
+    assert_eq!((new.says().stage, new.says().part), (Stage::Joining, RESERVE), "nothing is free yet");
+    old.sees(11, Other::Says(new.says()), 100);
+    new.sees(12, Other::Says(old.says()), 0);
+    assert_eq!(new.says().stage, Stage::Serving);
+    old.told_to_end();
+
+    old.sees(13, Other::Says(new.says()), 100);
+    assert_eq!(old.says().part, 100);
+    assert!(old.says().part <= HALF && new.says().part >= HALF);
+    // A full house does not keep it for ever.
+    let mut late = Kin::start(20);
+    let full = Said { born: 1, stage: Stage::Serving, part: WHOLE - RESERVE, knows: 20 };
+    late.sees(21, Other::Says(full), 0);
+    assert_eq!(late.says().stage, Stage::Joining);
+    late.sees(20 + 3_000_000, Other::Says(full), 0);
+    assert_eq!((late.says().stage, late.says().part), (Stage::Serving, RESERVE));
+}
--- a/crates/ledger/tests/model.rs
+++ b/crates/ledger/tests/model.rs
@@ -61,7 +61,7 @@
 
 /// Half of all names are of a class that must not run twice.
 fn once(name: u64) -> bool {
-    name % 2 == 0
+    name.is_multiple_of(2)
 }
 
 impl World {
--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -90,19 +90,20 @@
 pub struct Router {
     settings: Settings,
     rng: Pcg64Mcg,
-    now: Micros,
-    engines: BTreeMap<EngineId, Engine>,
+    pub(crate) now: Micros,
+    pub(crate) engines: BTreeMap<EngineId, Engine>,
     requests: HashMap<RequestId, Request>, // looked up, never iterated
     parked: BTreeSet<RequestId>,           // their state waits for a writer
-    stages: [StageFigures; 3],
+    pub(crate) stages: [StageFigures; 3],
     far_pace: Pace, // of fetches that leave the reader's cell
-    call_rate: Rate,
-    beginnings: LruCache<Key, Rate>, // calls a second with each shared beginning
+    pub(crate) call_rate: Rate,
+    pub(crate) beginnings: LruCache<Key, Rate>, // calls a second with each shared beginning
     cells: BTreeMap<CellId, Cell>,
     asking: Asking,
     ask_at: Option<Micros>,
     sweeping: bool,
     hearsay: Hearsay,
+    part: f64, // of this front that this process is, while another takes over
 }
 
 impl Router {
@@ -126,6 +127,7 @@
             sweeping: false,
             hearsay: Hearsay::new(&settings),
             settings,
+            part: 1.0,
         }
     }
 
@@ -161,6 +163,8 @@
                 self.hearsay.hear(&bytes, now, |engine| self.engines.contains_key(&engine))
             }
             Event::Retuned { settings, heirs } => self.retune(*settings, &heirs),
+            Event::TakenOver(handover) => self.takes_over(*handover),
+            Event::Part(part) => self.part = part,
             Event::Due(_) | Event::Ignored => {}
         }
         self.hearsay.tell(now, out);
@@ -848,7 +852,7 @@
         let (sum, warm) = carried.fold((0.0, 0.0), |(sum, count), rate| (sum + rate, count + 1.0));
         let even = self.call_rate.young(self.now, RATE_TIME) / self.count(engine.role).max(1.0);
         let rate = if warm > 0.0 { sum / warm } else { COLD_ROLE_SHARE * even };
-        Some(COLD_MARGIN * set.fall_multiple * share * rate * set.fall_window as f64 / 1e6)
+        Some(self.part * COLD_MARGIN * set.fall_multiple * share * rate * set.fall_window as f64 / 1e6)
     }
 
     // ---- The list of servers ----
--- a/crates/router/src/figures.rs
+++ b/crates/router/src/figures.rs
@@ -1,9 +1,11 @@
 //! Plain arithmetic for figures that fade, and for lots. Nothing here is tuned or decides anything.
 
+use serde::{Deserialize, Serialize};
+
 use crate::interface::Micros;
 
 /// A running figure that drifts back to the usual when nothing new comes in.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Pace {
     pub(crate) known: Option<(f64, Micros)>,
 }
@@ -32,7 +34,7 @@
 }
 
 /// A rate that fades, in units a second.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Rate {
     value: f64,
     at: Micros,
@@ -40,6 +42,16 @@
 }
 
 impl Rate {
+    /// Nothing has been added yet.
+    pub(crate) fn is_new(&self) -> bool {
+        self.since.is_none()
+    }
+
+    /// Can have been made by adding, up to now.
+    pub(crate) fn is_sound(&self, now: Micros) -> bool {
+        self.value.is_finite() && self.value >= 0.0 && self.at <= now && self.since.is_none_or(|at| at <= now)
+    }
+
     pub(crate) fn now(&self, now: Micros, time: f64) -> f64 {
         self.value * (-((now - self.at) as f64) / time).exp()
     }
--- /dev/null
+++ b/crates/router/src/handover.rs
@@ -0,0 +1,134 @@
+//! What a front that ends hands over to the one that takes its place on the same machine: the text that it believes
+//! servers to keep, and how fast they were. Without it the new one would have prompts read anew, and turn away part
+//! of its first requests, as it would have to guess how fast servers are.
+
+use serde::{Deserialize, Serialize};
+
+use crate::control::Router;
+use crate::figures::{Pace, Rate};
+use crate::interface::{Key, Micros};
+
+/// Newest beliefs that are handed over, over all servers: about 1 MB as text.
+const MOST_PREFIXES: usize = 20_000;
+/// Popular beginnings that are handed over.
+const MOST_BEGINNINGS: usize = 1_000;
+
+/// See the [module](self).
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Handover {
+    at: Micros,
+    call_rate: Rate,
+    stages: Vec<StageLearnt>,
+    servers: Vec<ServerLearnt>,
+    beginnings: Vec<(u64, Rate)>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct StageLearnt {
+    usual: f64,
+    best: f64,
+    typical: f64,
+    under_way: Rate,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct ServerLearnt {
+    id: u32,
+    /// The life of the server that this is about: another one keeps nothing.
+    started: Option<Micros>,
+    pace: [Pace; 3],
+    carried: Rate,
+    distrusted: Micros,
+    /// Key, tokens, when it was sent; the oldest first.
+    prefixes: Vec<(u64, u64, Micros)>,
+}
+
+impl Router {
+    /// What is learnt by now.
+    #[must_use]
+    pub fn hands_over(&self) -> Handover {
+        let mut made: Vec<Micros> = self
+            .engines
+            .values()
+            .flat_map(|engine| engine.prefixes.sent.iter().map(|(_, sent)| sent.1))
+            .collect();
+        made.sort_unstable();
+        let since = made.len().checked_sub(MOST_PREFIXES).map_or(0, |at| made[at]);
+        let stage = |stage: &crate::state::StageFigures| StageLearnt {
+            usual: stage.usual,
+            best: stage.best,
+            typical: stage.typical,
+            under_way: stage.under_way.clone(),
+        };
+        let server = |engine: &crate::state::Engine| ServerLearnt {
+            id: engine.entry.engine.0,
+            started: engine.entry.started,
+            pace: engine.seen.pace.clone(),
+            carried: engine.seen.carried.clone(),
+            distrusted: engine.prefixes.distrusted,
+            // The table tells the newest first.
+            prefixes: (engine.prefixes.sent.iter().rev())
+                .filter(|(_, sent)| sent.1 >= since)
+                .map(|(key, sent)| (key.0, sent.0, sent.1))
+                .collect(),
+        };
+        let beginnings = self.beginnings.iter().take(MOST_BEGINNINGS);
+        Handover {
+            at: self.now,
+            call_rate: self.call_rate.clone(),
+            stages: self.stages.iter().map(stage).collect(),
+            servers: self.engines.values().map(server).collect(),
+            beginnings: beginnings.map(|(key, rate)| (key.0, rate.clone())).collect(),
+        }
+    }
+
+    /// Takes what another has learnt, where this one has learnt nothing newer by itself. What is of the future, or not
+    /// even a number, is not taken: clocks of one machine agree.
+    pub fn takes_over(&mut self, handover: Handover) {
+        let now = self.now;
+        if handover.at > now || handover.stages.len() != self.stages.len() {
+            return;
+        }
+        let sound = |value: f64| value.is_finite() && value > 0.0;
+        let own = self.call_rate.is_new();
+        if own && handover.call_rate.is_sound(now) {
+            self.call_rate = handover.call_rate;
+        }
+        for (stage, learnt) in self.stages.iter_mut().zip(handover.stages) {
+            let fine = [learnt.usual, learnt.best, learnt.typical].into_iter().all(sound);
+            if stage.under_way.is_new() && fine && learnt.under_way.is_sound(now) {
+                (stage.usual, stage.best, stage.typical) = (learnt.usual, learnt.best, learnt.typical);
+                stage.under_way = learnt.under_way;
+            }
+        }
+        for (key, rate) in handover.beginnings.into_iter().rev() {
+            if rate.is_sound(now) && self.beginnings.len() < MOST_BEGINNINGS {
+                self.beginnings.get_or_insert(Key(key), || rate);
+            }
+        }
+        for learnt in handover.servers {
+            let Some(engine) = self.engines.get_mut(&crate::interface::EngineId(learnt.id)) else { continue };
+            if engine.entry.started != learnt.started {
+                continue;
+            }
+            for (own, learnt) in engine.seen.pace.iter_mut().zip(learnt.pace) {
+                if own.known.is_none() && learnt.known.is_some_and(|(pace, at)| sound(pace) && at <= now) {
+                    *own = learnt;
+                }
+            }
+            if engine.seen.carried.is_new() && learnt.carried.is_sound(now) {
+                engine.seen.carried = learnt.carried;
+            }
+            engine.prefixes.distrusted = engine.prefixes.distrusted.max(learnt.distrusted.min(now));
+            for (key, tokens, made) in learnt.prefixes {
+                let known = engine.prefixes.sent.peek(&Key(key)).is_some_and(|own| own.1 >= made);
+                if !known && made <= now {
+                    engine.prefixes.sent.put(Key(key), (tokens, made));
+                }
+            }
+            while engine.prefixes.sent.len() > crate::tables::PREFIX_KEYS {
+                engine.prefixes.sent.pop_lru();
+            }
+        }
+    }
+}
--- a/crates/router/src/interface.rs
+++ b/crates/router/src/interface.rs
@@ -5,6 +5,8 @@
 
 use std::collections::BTreeMap;
 
+use crate::handover::Handover;
+
 /// A point on the front's clock, or a length of time, in microseconds.
 pub type Micros = u64;
 
@@ -328,6 +330,10 @@
         /// For classes with a new number, the one that they had before.
         heirs: BTreeMap<u32, u32>,
     },
+    /// What the process whose place this one takes has learnt.
+    TakenOver(Box<Handover>),
+    /// The part of its front that this process is from now on: of what all may send, it may send so much.
+    Part(f64),
     /// News that needs no answer from this design: probes, places held ahead.
     Ignored,
 }
--- a/crates/router/src/tables.rs
+++ b/crates/router/src/tables.rs
@@ -15,8 +15,8 @@
 /// Prefixes sent to one server: session -> last prompt length, shared beginning -> told length.
 #[derive(Debug)]
 pub(crate) struct PrefixTable {
-    sent: LruCache<Key, (u64, Micros)>,
-    distrusted: Micros, // entries made at or before this time are not believed
+    pub(crate) sent: LruCache<Key, (u64, Micros)>,
+    pub(crate) distrusted: Micros, // entries made at or before this time are not believed
     lies: usize,
 }
 
--- a/src/edge/clients/room.rs
+++ b/src/edge/clients/room.rs
@@ -2,6 +2,7 @@
 //! room is short. Times are instants; nothing is waited for here.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -174,7 +175,7 @@
 /// Room for so many connections, shared by all fronts.
 #[derive(Clone, Debug)]
 pub struct Room {
-    most: usize,
+    most: Arc<AtomicUsize>,
     seats: Arc<Mutex<Seats>>,
 }
 
@@ -182,7 +183,27 @@
     /// Room for `most` connections that are served.
     #[must_use]
     pub fn new(most: usize) -> Self {
-        Self { most, seats: Arc::new(Mutex::new(Seats { next: 0, said: None, taken: BTreeMap::new() })) }
+        Self {
+            most: Arc::new(AtomicUsize::new(most)),
+            seats: Arc::new(Mutex::new(Seats { next: 0, said: None, taken: BTreeMap::new() })),
+        }
+    }
+
+    /// Room for so many from now on.
+    pub fn holds(&self, most: usize) {
+        self.most.store(most, Ordering::Relaxed);
+    }
+
+    /// Connections that have a place, with those that are only told that there is no room.
+    #[must_use]
+    pub fn held(&self) -> usize {
+        lock(&self.seats).taken.len()
+    }
+
+    /// Has those leave that there is no room for any more, as far as they may.
+    pub fn shrink(&self, now: Instant) {
+        let mut seats = lock(&self.seats);
+        while seats.count(false) > self.most.load(Ordering::Relaxed) && seats.make_room(false, now) {}
     }
 
     /// A place for a new connection. Where there is none, the connection that has waited longest for a request
@@ -191,7 +212,7 @@
     pub fn enter(&self, now: Instant) -> Option<Place> {
         let mut seats = lock(&self.seats);
         let served = seats.count(false);
-        let crowded = served >= self.most && !seats.make_room(false, now);
+        let crowded = served >= self.most.load(Ordering::Relaxed) && !seats.make_room(false, now);
         if crowded && seats.said.is_none_or(|said| now >= said + SAID) {
             seats.said = Some(now);
             let [open, begun, idle] = seats.kinds();
--- a/src/edge/core.rs
+++ b/src/edge/core.rs
@@ -10,7 +10,7 @@
     Role, Settings, TimerToken,
 };
 use crate::Router;
-use dewladder_router::{ClaimCounts, Classes};
+use dewladder_router::{ClaimCounts, Classes, Handover};
 
 /// What has happened outside.
 #[derive(Clone, Debug, PartialEq)]
@@ -55,6 +55,15 @@
     Heard(Vec<u8>),
     /// Settings that hold from now on; their classes are numbered by place, as they were read.
     Retuned(Box<Settings>),
+    /// What the process whose place this one takes has learnt.
+    TakenOver(Box<Handover>),
+    /// This process is a part of its dispatcher from now on, and holds so many requests at most.
+    Part {
+        /// Which part, of 1.
+        part: f64,
+        /// Requests that are open at once.
+        most_open: usize,
+    },
     /// Time has passed: what is due is dealt with.
     Tick,
 }
@@ -222,6 +231,11 @@
             Input::Stopped { id, attempt, written } => self.stopped(id, attempt, written),
             Input::ClientGone(id) => self.client_gone(id),
             Input::Retuned(settings) => self.retuned(*settings),
+            Input::TakenOver(learnt) => self.events.push_back(Event::TakenOver(learnt)),
+            Input::Part { part, most_open } => {
+                self.most_open = most_open;
+                self.events.push_back(Event::Part(part));
+            }
             Input::Heard(bytes) => self.events.push_back(Event::Heard(bytes)),
             Input::Tick => {}
         }
@@ -277,6 +291,12 @@
         self.events.push_back(Event::Roster { how, entries });
     }
 
+    /// What is learnt by now, for another process to go on from.
+    #[must_use]
+    pub fn learnt(&self) -> Handover {
+        self.router.hands_over()
+    }
+
     /// The classes, with those that only open requests still have.
     #[must_use]
     pub fn classes(&self) -> &BTreeMap<u32, Class> {
--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -12,17 +12,23 @@
 use crate::edge::clients::listener::{self, Phase};
 use crate::edge::clients::room::Room;
 use crate::edge::clients::{chat, platform};
-use crate::edge::clock::Clock;
+use crate::edge::clock::{micros, Clock};
 use crate::edge::driver::{Driver, Message, Sender};
+use crate::edge::kin::{self, Companion, Seen};
 use crate::edge::peers::Peers;
 use crate::edge::settings::{Config, Fronts};
 use crate::edge::stats::Figures;
 use crate::edge::{list, listing};
-use crate::interface::ListKind;
+use crate::interface::{ListKind, Micros};
+use dewladder_kin::Stage;
 
 /// After SIGTERM new connections go on coming for up to 0.4 s; only then are idle ones closed.
 const LEAVE: Duration = Duration::from_millis(600);
 const LOOK: Duration = Duration::from_millis(20);
+/// After SIGTERM the platform waits for the longest deadline, taken as 3 s where it is longer, and 0.7 s more. What
+/// can go on elsewhere has been cut this long after that deadline.
+const LONGEST: Micros = 3_000_000;
+const BEFORE_KILL: Micros = 450_000;
 
 /// Takes over new settings while the dispatcher runs.
 pub struct Retuning {
@@ -67,11 +73,14 @@
     to_driver: Sender,
     figures: Figures,
     phase: watch::Sender<Phase>,
-    fronts: Vec<(TcpListener, axum::Router)>,
+    clock: Clock,
+    /// Addresses, their listeners, what is served there; listeners come later where another process still serves.
+    fronts: Vec<(SocketAddr, Option<TcpListener>, axum::Router)>,
     agent: Option<TcpListener>,
     peers: Option<Peers>,
     health: Health,
     admin: Option<Admin>,
+    companion: Option<Companion>,
 }
 
 impl Dispatcher {
@@ -94,31 +103,53 @@
         });
         driver.reaches(peers.clone().unwrap_or_default());
         let figures = driver.figures();
-        let (phase, phases) = watch::channel(Phase::Serving);
+        // Only where there is a second address can another process be told to take over.
+        let folder = std::env::var("TMPDIR").ok().filter(|_| shared);
+        let companion = folder.and_then(|folder| match Companion::start(&config, &folder, clock) {
+            Ok(companion) => Some(companion),
+            Err(error) => {
+                warn!("kin: {folder}: {error}; another process of this dispatcher would not be known of");
+                None
+            }
+        });
+        let joins = companion.as_ref().is_some_and(|companion| companion.seen().0.stage == Stage::Joining);
+        let (phase, phases) = watch::channel(if joins { Phase::Joining } else { Phase::Serving });
         let health = Health::new(figures.clone(), phases, config.most_open());
-        let listen = |address: SocketAddr| {
-            listener::listen(address, shared).map_err(|error| format!("can't listen on {address}: {error}"))
-        };
-        let platform = platform::front(clock, to_driver.clone(), figures.clone());
+        let listen = |address: SocketAddr| if joins { Ok(None) } else { listen(address, shared).map(Some) };
+        let platform = platform::front(&config, clock, to_driver.clone(), figures.clone());
         let platform = platform.merge(balancers::routes(health.clone()));
-        let mut fronts = vec![(listen(config.listen)?, platform)];
+        let mut fronts = vec![(config.listen, listen(config.listen)?, platform)];
         if let Some(chat) = settings.chat.as_ref().filter(|chat| chat.enabled) {
             let front = chat::front(chat, &config, clock, to_driver.clone())?;
-            fronts.push((listen(chat.listen)?, front.merge(balancers::routes(health.clone()))));
+            fronts.push((chat.listen, listen(chat.listen)?, front.merge(balancers::routes(health.clone()))));
         }
         let agent = settings.agent_check.as_ref().filter(|agent| agent.enabled);
-        let agent = agent.map(|agent| listen(agent.listen)).transpose()?;
+        let agent = agent.map(|agent| crate::edge::dispatcher::listen(agent.listen, shared)).transpose()?;
         let admin = config.admin.map(|at| {
             Admin::start(at, health.clone()).map_err(|error| format!("can't listen on {at}: {error}"))
         });
         let admin = admin.transpose()?;
-        Ok(Self { config, driver, to_driver, figures, phase, fronts, agent, peers, health, admin })
+        Ok(Self {
+            config,
+            driver,
+            to_driver,
+            figures,
+            phase,
+            clock,
+            fronts,
+            agent,
+            peers,
+            health,
+            admin,
+            companion,
+        })
     }
 
     /// Where the fronts listen: the platform's, then the chat front, if it is on; last the agent check.
     #[must_use]
     pub fn addresses(&self) -> Vec<SocketAddr> {
-        let listeners = self.fronts.iter().map(|(listener, _)| listener).chain(&self.agent);
+        let fronts = self.fronts.iter().filter_map(|(_, listener, _)| listener.as_ref());
+        let listeners = fronts.chain(&self.agent);
         listeners.filter_map(|listener| listener.local_addr().ok()).collect()
     }
 
@@ -145,38 +176,86 @@
         discovery: watch::Receiver<SocketAddr>,
         end: impl std::future::Future<Output = ()>,
     ) -> Result<(), String> {
-        let Self { config, driver, to_driver, figures, phase, fronts, agent, peers, health, admin } = self;
+        let Self {
+            config,
+            driver,
+            to_driver,
+            figures,
+            phase,
+            clock,
+            fronts,
+            agent,
+            peers,
+            health,
+            admin,
+            companion,
+        } = self;
         let known = listing::entries(&config.known, &config.names);
-        info!("{}: serving on {}, {} servers known", config.name, config.listen, known.len());
         if let Some(admin) = &admin {
             info!("second address: {}", admin.address());
         }
-        to_driver.send(Message::Listed { how: ListKind::StaleCopy, entries: known });
+        to_driver.send(Message::Listed { how: ListKind::StaleCopy, entries: known.clone() });
         let hearing = peers.map(|peers| tokio::spawn(peers.hear(to_driver.clone())));
-        let driver = tokio::spawn(driver.run());
-        let watching = tokio::spawn(list::watch(config.clone(), discovery, to_driver));
+        let mut driver = tokio::spawn(driver.run());
+        let mut watching = tokio::spawn(list::watch(config.clone(), discovery, to_driver.clone()));
         let room = Room::new(config.most_connections());
         let agent = agent.map(|listener| tokio::spawn(balancers::agent_check(listener, health)));
-        let serving: Vec<_> = fronts
-            .into_iter()
-            .map(|(listener, front)| {
-                tokio::spawn(listener::serve(
-                    listener,
-                    front,
-                    room.clone(),
-                    figures.clone(),
-                    phase.subscribe(),
-                ))
-            })
-            .collect();
+        let (tell, mut seen) = watch::channel(companion.as_ref().map(Companion::seen));
+        let companion = companion.map(|companion| {
+            let (room, to, figures) = (room.clone(), to_driver.clone(), figures.clone());
+            tokio::spawn(companion.run(config.clone(), room, to, figures, phase.subscribe(), tell))
+        });
+        let mut end = std::pin::pin!(end);
+        if *phase.borrow() == Phase::Joining {
+            info!(
+                "{}: another process serves on {}; waiting for a part of its limits",
+                config.name, config.listen
+            );
+            tokio::select! {
+                () = &mut end => return Ok(()),
+                _ = seen.wait_for(|seen| seen.is_some_and(|(me, _)| me.stage != Stage::Joining)) => {}
+            }
+        }
+        let mut serving = Vec::new();
+        for (address, listener, front) in fronts {
+            let listener = listener.map_or_else(|| listen(address, true), Ok)?;
+            let phases = phase.subscribe();
+            let front = listener::serve(listener, front, room.clone(), figures.clone(), phases);
+            serving.push(tokio::spawn(front));
+        }
+        phase.send_replace(Phase::Serving);
+        info!("{}: serving on {}, {} servers known", config.name, config.listen, known.len());
         tokio::select! {
             () = end => {}
-            ended = driver => return Err(format!("the driver ended: {ended:?}")),
-            ended = watching => return Err(format!("the watch of the list ended: {ended:?}")),
+            ended = &mut driver => return Err(format!("the driver ended: {ended:?}")),
+            ended = &mut watching => return Err(format!("the watch of the list ended: {ended:?}")),
         }
-        info!("told to end: clients are asked to leave");
+        let told = clock.now();
         phase.send_replace(Phase::Leaving);
-        tokio::time::sleep(LEAVE).await;
+        // The platform tells this one to end as soon as the other says yes: its word is looked at once more.
+        let left = |seen: &Option<Seen>| seen.is_some_and(|(me, _)| me.stage == Stage::Leaving);
+        let replaced = match &companion {
+            Some(_) => seen.wait_for(left).await.is_ok_and(|seen| seen.is_some_and(kin::replaced)),
+            None => false,
+        };
+        if replaced {
+            info!("told to end: another process takes new clients, streams are to go on there");
+            phase.send_replace(Phase::Yielding);
+        } else {
+            info!("told to end: clients are asked to leave");
+        }
+        let longest = config.settings.current().map(|class| class.give_up).max().unwrap_or(LONGEST);
+        let until = told + longest.min(LONGEST) + BEFORE_KILL;
+        let leave = clock.instant(told + micros(LEAVE));
+        while tokio::time::Instant::now() < leave || !figures.nothing_held() {
+            if tokio::time::Instant::now() >= leave {
+                phase.send_if_modified(|phase| std::mem::replace(phase, Phase::Closing) != Phase::Closing);
+            }
+            if replaced {
+                to_driver.send(Message::Cut { since: told, until });
+            }
+            tokio::time::sleep(LOOK).await;
+        }
         phase.send_replace(Phase::Closing);
         for front in serving {
             if let Err(panic) = front.await {
@@ -186,7 +265,7 @@
         while !figures.nothing_held() {
             tokio::time::sleep(LOOK).await;
         }
-        for task in [agent, hearing].into_iter().flatten() {
+        for task in [agent, hearing, companion].into_iter().flatten() {
             task.abort();
         }
         drop(admin); // it answers to the end
@@ -194,3 +273,7 @@
         Ok(())
     }
 }
+
+fn listen(address: SocketAddr, shared: bool) -> Result<TcpListener, String> {
+    listener::listen(address, shared).map_err(|error| format!("can't listen on {address}: {error}"))
+}
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -9,6 +9,7 @@
 pub mod core;
 pub mod dispatcher;
 pub mod driver;
+pub mod kin;
 pub mod list;
 pub mod listing;
 pub mod peers;
--- a/tests/connection_model.rs
+++ b/tests/connection_model.rs
@@ -94,7 +94,7 @@
 }
 
 fn reads(engine: EngineId) -> bool {
-    engine.0 % 2 == 0
+    engine.0.is_multiple_of(2)
 }
 
 impl World {
@@ -120,7 +120,7 @@
                 connection.out.insert(attempt, (engine, false));
             }
             Effect::Stop { id, attempt } => {
-                let written = self.now % 3 > 0;
+                let written = !self.now.is_multiple_of(3);
                 let connection = self.connections.get_mut(&id).expect("a known request");
                 let (engine, begun) = connection.out[&attempt];
                 assert!(!begun || connection.state != State::Streaming, "a client's stream was stopped");
