Two processes: half the limits each, what was learnt handed over, streams left to their end

Found by the model: the later process must not count on what the first has not yet said it knows. Found by logs: a process on its way out must keep half, or it refuses clients that it still has ('no more: 26 with an open request'), and must look at the other's word once more when told to end, as the yes is 10 ms old.

--- a/crates/kin/src/lib.rs
+++ b/crates/kin/src/lib.rs
@@ -137,11 +137,11 @@
         };
         let leaving = self.me.stage == Stage::Leaving;
         match self.other {
-            // On its way out it goes on with what it has: whoever comes starts with the reserve.
-            None if leaving => {}
             None => self.me.part = WHOLE - RESERVE,
-            Some(other) if self.first(&other) => self.lower(if leaving { in_use } else { HALF.max(in_use) }),
-            Some(_) if leaving => self.lower(in_use),
+            // Also on its way out: what it still has open needs its room, and clients that stay ask on.
+            Some(other) if leaving || self.first(&other) => {
+                self.me.part = self.me.part.min(HALF.max(in_use)).max(RESERVE);
+            }
             // It may act on having seen nobody before this one came: until it says that it knows, nothing is sure.
             Some(other) if other.knows == self.me.born => {
                 self.me.part = self.me.part.max((WHOLE - other.part).min(WHOLE - RESERVE));
@@ -155,23 +155,8 @@
         self.me != before
     }
 
-    /// Gives up what is above `part`, but never its own descriptors.
-    fn lower(&mut self, part: Part) {
-        self.me.part = self.me.part.min(part.max(RESERVE));
-    }
-
     /// It has been told to end.
     pub fn told_to_end(&mut self) {
         self.me.stage = Stage::Leaving;
     }
 }
-
-/// How many of `open` streams that can go on elsewhere are to be cut now. Of `most` at the time `since`, all are to
-/// have ended by `until`, evenly: cut all at once, they would all be asked for again, and read again, in the same
-/// moment. Those that end by themselves are not cut.
-#[must_use]
-pub fn cuts(open: usize, most: usize, (since, until): (Micros, Micros), now: Micros) -> usize {
-    let (left, whole) = (until.saturating_sub(now), until.saturating_sub(since).max(1));
-    let may_stay = (most as u128 * u128::from(left)).div_ceil(u128::from(whole));
-    open.saturating_sub(usize::try_from(may_stay).unwrap_or(usize::MAX))
-}
--- a/src/edge/clients/chat.rs
+++ b/src/edge/clients/chat.rs
@@ -482,8 +482,7 @@
         let mut call = self.call(id, asked, &prompt);
         (call.max_tokens, call.not_after) = (max_tokens, call.not_after.min(until));
         let txn = format!("{:016x}", id.0);
-        let payload =
-            Payload { txn, target: TARGET.to_owned(), body: Bytes::from(body.to_string()), may_move: false };
+        let payload = Payload { txn, target: TARGET.to_owned(), body: Bytes::from(body.to_string()) };
         match self.driver.ask(call, Arc::new(payload)).await {
             Reply::Stream(relay) => Ok(Source::Relay(Box::new(relay), permit)),
             Reply::Refused { retry_in } => Err(Some(retry_in)),
@@ -511,15 +510,7 @@
         let prompt = &asked.request.prompts[part / asked.request.choices as usize];
         let call = self.call(id, asked, prompt);
         let body = Bytes::from(asked.request.to_servers(part).to_string());
-        (
-            call,
-            Arc::new(Payload {
-                txn: format!("{:016x}", id.0),
-                target: TARGET.to_owned(),
-                body,
-                may_move: false,
-            }),
-        )
+        (call, Arc::new(Payload { txn: format!("{:016x}", id.0), target: TARGET.to_owned(), body }))
     }
 
     fn tenant(&self, headers: &HeaderMap) -> Result<&Tenant, Problem> {
--- a/src/edge/clients/platform.rs
+++ b/src/edge/clients/platform.rs
@@ -19,7 +19,6 @@
 use crate::edge::clock::{micros, Clock};
 use crate::edge::driver::{Reply, Sender};
 use crate::edge::servers::{header, Payload};
-use crate::edge::settings::Config;
 use crate::edge::stats::{End, Figures};
 use crate::interface::{Call, Class, Key, Micros, RequestId};
 
@@ -38,12 +37,11 @@
     clock: Clock,
     driver: Sender,
     figures: Figures,
-    may_move: bool,
 }
 
 /// The front's routes.
-pub fn front(config: &Config, clock: Clock, driver: Sender, figures: Figures) -> Router {
-    let state = Front { clock, driver, figures, may_move: config.resume };
+pub fn front(clock: Clock, driver: Sender, figures: Figures) -> Router {
+    let state = Front { clock, driver, figures };
     Router::new().route("/v1/chat/completions", post(complete)).with_state(state)
 }
 
@@ -69,7 +67,7 @@
     let target = head.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
     // A request's time counts from its last byte.
     let call = asked.call(body.len(), front.clock.now());
-    let payload = Arc::new(Payload { txn: asked.txn, target, body, may_move: front.may_move });
+    let payload = Arc::new(Payload { txn: asked.txn, target, body });
     match front.driver.ask(call, payload).await {
         Reply::Stream(relay) => {
             let mut response = Response::new(Body::new(relay));
--- a/src/edge/clients/repeats.rs
+++ b/src/edge/clients/repeats.rs
@@ -394,7 +394,7 @@
 
 fn number(cut: Cut) -> u8 {
     match cut {
-        Cut::Broken | Cut::Moved => 0,
+        Cut::Broken => 0,
         Cut::Stalled => 1,
         Cut::Spoilt => 2,
         Cut::Behind => 3,
--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -12,23 +12,19 @@
 use crate::edge::clients::listener::{self, Phase};
 use crate::edge::clients::room::Room;
 use crate::edge::clients::{chat, platform};
-use crate::edge::clock::{micros, Clock};
+use crate::edge::clock::Clock;
 use crate::edge::driver::{Driver, Message, Sender};
 use crate::edge::kin::{self, Companion, Seen};
 use crate::edge::peers::Peers;
 use crate::edge::settings::{Config, Fronts};
 use crate::edge::stats::Figures;
 use crate::edge::{list, listing};
-use crate::interface::{ListKind, Micros};
+use crate::interface::ListKind;
 use dewladder_kin::Stage;
 
 /// After SIGTERM new connections go on coming for up to 0.4 s; only then are idle ones closed.
 const LEAVE: Duration = Duration::from_millis(600);
 const LOOK: Duration = Duration::from_millis(20);
-/// After SIGTERM the platform waits for the longest deadline, taken as 3 s where it is longer, and 0.7 s more. What
-/// can go on elsewhere has been cut this long after that deadline.
-const LONGEST: Micros = 3_000_000;
-const BEFORE_KILL: Micros = 450_000;
 
 /// Takes over new settings while the dispatcher runs.
 pub struct Retuning {
@@ -73,7 +69,6 @@
     to_driver: Sender,
     figures: Figures,
     phase: watch::Sender<Phase>,
-    clock: Clock,
     /// Addresses, their listeners, what is served there; listeners come later where another process still serves.
     fronts: Vec<(SocketAddr, Option<TcpListener>, axum::Router)>,
     agent: Option<TcpListener>,
@@ -116,7 +111,7 @@
         let (phase, phases) = watch::channel(if joins { Phase::Joining } else { Phase::Serving });
         let health = Health::new(figures.clone(), phases, config.most_open());
         let listen = |address: SocketAddr| if joins { Ok(None) } else { listen(address, shared).map(Some) };
-        let platform = platform::front(&config, clock, to_driver.clone(), figures.clone());
+        let platform = platform::front(clock, to_driver.clone(), figures.clone());
         let platform = platform.merge(balancers::routes(health.clone()));
         let mut fronts = vec![(config.listen, listen(config.listen)?, platform)];
         if let Some(chat) = settings.chat.as_ref().filter(|chat| chat.enabled) {
@@ -129,20 +124,7 @@
             Admin::start(at, health.clone()).map_err(|error| format!("can't listen on {at}: {error}"))
         });
         let admin = admin.transpose()?;
-        Ok(Self {
-            config,
-            driver,
-            to_driver,
-            figures,
-            phase,
-            clock,
-            fronts,
-            agent,
-            peers,
-            health,
-            admin,
-            companion,
-        })
+        Ok(Self { config, driver, to_driver, figures, phase, fronts, agent, peers, health, admin, companion })
     }
 
     /// Where the fronts listen: the platform's, then the chat front, if it is on; last the agent check.
@@ -182,7 +164,6 @@
             to_driver,
             figures,
             phase,
-            clock,
             fronts,
             agent,
             peers,
@@ -230,7 +211,6 @@
             ended = &mut driver => return Err(format!("the driver ended: {ended:?}")),
             ended = &mut watching => return Err(format!("the watch of the list ended: {ended:?}")),
         }
-        let told = clock.now();
         phase.send_replace(Phase::Leaving);
         // The platform tells this one to end as soon as the other says yes: its word is looked at once more.
         let left = |seen: &Option<Seen>| seen.is_some_and(|(me, _)| me.stage == Stage::Leaving);
@@ -239,23 +219,12 @@
             None => false,
         };
         if replaced {
-            info!("told to end: another process takes new clients, streams are to go on there");
+            info!("told to end: another process takes new clients");
             phase.send_replace(Phase::Yielding);
         } else {
             info!("told to end: clients are asked to leave");
         }
-        let longest = config.settings.current().map(|class| class.give_up).max().unwrap_or(LONGEST);
-        let until = told + longest.min(LONGEST) + BEFORE_KILL;
-        let leave = clock.instant(told + micros(LEAVE));
-        while tokio::time::Instant::now() < leave || !figures.nothing_held() {
-            if tokio::time::Instant::now() >= leave {
-                phase.send_if_modified(|phase| std::mem::replace(phase, Phase::Closing) != Phase::Closing);
-            }
-            if replaced {
-                to_driver.send(Message::Cut { since: told, until });
-            }
-            tokio::time::sleep(LOOK).await;
-        }
+        tokio::time::sleep(LEAVE).await;
         phase.send_replace(Phase::Closing);
         for front in serving {
             if let Err(panic) = front.await {
--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -70,14 +70,6 @@
         /// Requests that are open at once.
         most_open: usize,
     },
-    /// Streams that can go on elsewhere are to be cut, evenly from one time to the other: those first that began
-    /// last, as they have the longest way to go. To be sent again and again meanwhile.
-    Cut {
-        /// When this began.
-        since: Micros,
-        /// When all have been.
-        until: Micros,
-    },
     /// Something that the reducer takes as it is.
     Told(Input),
 }
@@ -198,9 +190,6 @@
     streaming: Option<u32>,
     /// Its end has been counted.
     ended: bool,
-    /// When its stream began, and what cuts it, if its client can ask for the rest.
-    began: Micros,
-    cut: Option<oneshot::Sender<()>>,
 }
 
 struct Flying {
@@ -225,8 +214,6 @@
     /// What fronts look classes up in.
     published: watch::Sender<Arc<Settings>>,
     told: Told,
-    /// Streams that could go on elsewhere when this process was told to end, or more.
-    most_moving: usize,
 }
 
 impl Driver {
@@ -252,7 +239,6 @@
             figures,
             published,
             told: Told::default(),
-            most_moving: 0,
         };
         (driver, to_self)
     }
@@ -299,8 +285,7 @@
                     self.figures.record().taken(&class.name);
                 }
                 let (reply, class, streaming, ended) = (Some(reply), call.class, None, false);
-                let waiting = Waiting { payload, reply, over, class, streaming, ended, began: 0, cut: None };
-                self.clients.insert(call.id, waiting);
+                self.clients.insert(call.id, Waiting { payload, reply, over, class, streaming, ended });
                 Input::Arrived(call)
             }
             Message::Listed { how, entries } => {
@@ -332,18 +317,6 @@
             }
             Message::TakenOver(learnt) => Input::TakenOver(learnt),
             Message::Part { part, most_open } => Input::Part { part, most_open },
-            Message::Cut { since, until } => {
-                let open = self.clients.values_mut().filter(|client| client.cut.is_some());
-                let mut open: Vec<&mut Waiting> = open.collect();
-                open.sort_unstable_by_key(|client| std::cmp::Reverse(client.began));
-                self.most_moving = self.most_moving.max(open.len());
-                let cuts =
-                    dewladder_kin::cuts(open.len(), self.most_moving, (since, until), self.clock.now());
-                for cut in open.into_iter().take(cuts).filter_map(|client| client.cut.take()) {
-                    let _ = cut.send(()); // one that has just ended needs none
-                }
-                return None;
-            }
             // In one step: what is published and what the reducer goes by are never of two files.
             Message::Retuned(settings) => {
                 let mut now = (*settings).clone();
@@ -453,16 +426,13 @@
             Effect::Relay { id, attempt } => {
                 let opened = self.flying.remove(&(id, attempt)).and_then(|flying| flying.opened);
                 if let Some(opened) = opened {
-                    let (cut, told) = oneshot::channel();
                     // The prompt is not sent again: held as long as streams last, prompts would add up.
                     if let Some(client) = self.clients.get_mut(&id) {
                         client.payload = Arc::new(client.payload.without_body());
                         client.streaming = Some(attempt);
-                        client.began = self.clock.now();
-                        client.cut = Some(cut).filter(|_| client.payload.may_move);
                     }
                     let end = Box::new(self.to_self.clone());
-                    let relay = self.servers.relay(*opened, id, attempt, told, end);
+                    let relay = self.servers.relay(*opened, id, attempt, end);
                     self.reply(id, Reply::Stream(relay));
                 }
                 None
--- a/src/edge/servers.rs
+++ b/src/edge/servers.rs
@@ -15,7 +15,7 @@
 use hyper::http::Extensions;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::client::legacy::connect::{capture_connection, CaptureConnection};
-use log::{debug, log, warn, Level};
+use log::{debug, warn};
 use tokio::sync::oneshot;
 use tokio::task::JoinSet;
 use tokio::time::{sleep_until, timeout_at, Instant, Sleep};
@@ -52,20 +52,13 @@
     pub target: String,
     /// The body, shared by all attempts.
     pub body: Bytes,
-    /// Its client asks for the rest of a stream that breaks off, wherever it then comes.
-    pub may_move: bool,
 }
 
 impl Payload {
     /// The same request without its body, for what is still done in its name.
     #[must_use]
     pub fn without_body(&self) -> Self {
-        Self {
-            txn: self.txn.clone(),
-            target: self.target.clone(),
-            body: Bytes::new(),
-            may_move: self.may_move,
-        }
+        Self { txn: self.txn.clone(), target: self.target.clone(), body: Bytes::new() }
     }
 }
 
@@ -288,14 +281,7 @@
 
     /// The relay of an attempt's stream; its end goes to `end`.
     #[must_use]
-    pub fn relay(
-        &self,
-        opened: Opened,
-        id: RequestId,
-        attempt: u32,
-        moves: oneshot::Receiver<()>,
-        end: Box<dyn StreamEnd>,
-    ) -> Relay {
+    pub fn relay(&self, opened: Opened, id: RequestId, attempt: u32, end: Box<dyn StreamEnd>) -> Relay {
         let stall = Box::pin(sleep_until(Instant::now() + self.stall));
         Relay {
             opened,
@@ -303,7 +289,6 @@
             stall,
             stalled_after: self.stall,
             why: None,
-            moves: Some(moves),
             end: Some(end),
             id,
             attempt,
@@ -423,8 +408,6 @@
     stalled_after: Duration,
     /// Why it is cut, until that has been said.
     why: Option<Cut>,
-    /// Told that the rest is to be asked for elsewhere; `None` once nobody can tell that any more.
-    moves: Option<oneshot::Receiver<()>>,
     /// Where the end is told; taken then.
     end: Option<Box<dyn StreamEnd>>,
     id: RequestId,
@@ -445,9 +428,6 @@
     /// What came are no events.
     #[error("the server's stream is spoilt")]
     Spoilt,
-    /// This process ends, and the client asks another one for the rest.
-    #[error("its rest is for the process that takes over")]
-    Moved,
     /// The client took so long that what it had still to get is not kept any more.
     #[error("the stream went on without this client, which was too slow")]
     Behind,
@@ -464,8 +444,7 @@
     /// Ends the stream with an error, in the next turn: hyper drops what it has not written yet when a body
     /// fails, and a client that got not even the head of its answer would count as lost.
     fn cut(&mut self, context: &Context<'_>, outcome: Outcome, why: Cut) -> Poll<Option<Piece>> {
-        let level = if why == Cut::Moved { Level::Info } else { Level::Warn };
-        log!(level, "request {:016x}: cut: {why}", self.id.0);
+        warn!("request {:016x}: cut: {why}", self.id.0);
         self.ended(outcome);
         self.why = Some(why);
         context.waker().wake_by_ref();
@@ -502,11 +481,6 @@
             self.keep_tail(&first);
             return Poll::Ready(Some(Ok(Frame::data(first))));
         }
-        match self.moves.as_mut().map(|moves| Pin::new(moves).poll(context)) {
-            Some(Poll::Ready(Ok(()))) => return self.cut(context, Outcome::Cancelled, Cut::Moved),
-            Some(Poll::Ready(Err(_))) => self.moves = None,
-            Some(Poll::Pending) | None => {}
-        }
         loop {
             match Pin::new(&mut self.opened.rest).poll_frame(context) {
                 Poll::Ready(Some(Ok(frame))) => {
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -482,3 +482,61 @@
         assert!(said(says), "{says} in {log:?}");
     }
 }
+
+/// Whoever dies when, the other goes on: killed files mean nothing, a new one that never comes to serve leaves the old
+/// one as it was, and upgrades follow one another.
+#[tokio::test]
+async fn a_process_that_is_killed_leaves_nothing_behind_that_counts() {
+    let site = Deployment::new("killed", Shape::default()).await;
+    let shared = site.folder.join("shared");
+    // Files of a process that is long gone, and nonsense: none is held by a lock.
+    let name = format!("dewladder-127.0.0.1-{}", site.port.address().port());
+    std::fs::write(shared.join(format!("{name}.seat0")), format!("{:<63}\n", "7 serving 960 0")).unwrap();
+    std::fs::write(shared.join(format!("{name}.seat1")), "not a line").unwrap();
+    std::fs::write(shared.join(format!("{name}.handover")), "{\"born\":7,\"learnt\":5}").unwrap();
+    site.write(&site.config());
+    let at = site.port.address();
+    let first = site.start().await;
+    first.until_ready().await;
+    assert_eq!(status(&until_close(at, &platform("a1", "book", "0.9")).await), 200);
+    // A new one that is killed as it starts, before it can say yes: at any moment of its start.
+    for wait in [0, 1, 3, 10, 30] {
+        let mut new = site.start().await;
+        sleep(Duration::from_millis(wait)).await;
+        new.child.kill().await.unwrap();
+        for turn in 0..8 {
+            let id = format!("b{wait:02}{turn}");
+            assert_eq!(status(&until_close(at, &platform(&id, "book", "0.9")).await), 200, "{id}");
+        }
+    }
+    assert_eq!(first.call("READY\n").await, "OK ready\n");
+    // The old one killed in the middle of handing over: the new one goes on alone.
+    let second = site.start().await;
+    second.until_ready().await;
+    let mut first = first;
+    first.tell("-TERM");
+    first.child.kill().await.unwrap();
+    assert_eq!(status(&until_close(at, &platform("c1", "book", "0.9")).await), 200);
+    // And twice more, each in good order: what was learnt goes along.
+    let mut serving = second;
+    for turn in 0..2 {
+        let next = site.start().await;
+        next.until_ready().await;
+        serving.tell("-TERM");
+        let (code, log) = serving.ended().await;
+        assert_eq!(code, Some(0), "{log:?}");
+        let said = |text: &str| log.iter().any(|line| line.contains(text));
+        assert!(said("told to end: another process takes new clients"), "{log:?}");
+        assert!(said("what was learnt is handed over"), "{log:?}");
+        assert_eq!(status(&until_close(at, &platform(&format!("d{turn}"), "ask", "0.9")).await), 200);
+        serving = next;
+    }
+    serving.tell("-TERM");
+    let (code, log) = serving.ended().await;
+    assert_eq!(code, Some(0));
+    assert!(log.iter().any(|line| line.contains("has learnt is taken over")), "{log:?}");
+    assert!(
+        log.iter().any(|line| line.contains("told to end: clients are asked to leave")),
+        "alone: {log:?}"
+    );
+}
