--- a/crates/kin/src/lib.rs
+++ b/crates/kin/src/lib.rs
@@ -160,3 +160,22 @@
         self.me.stage = Stage::Leaving;
     }
 }
+
+/// Whether the other process serves in the place of this one, so that new clients need not be taken here.
+#[must_use]
+pub fn replaced(me: Said, other: Option<Said>) -> bool {
+    me.stage == Stage::Leaving && other.is_some_and(|other| other.stage == Stage::Serving)
+}
+
+/// What a part of a limit comes to; a few of anything at the least, as a limit of none would stop all.
+#[must_use]
+pub fn of(limit: usize, part: Part) -> usize {
+    (limit * usize::from(part) / usize::from(WHOLE)).max(4)
+}
+
+/// The part that so much of a limit is, rounded up.
+#[must_use]
+pub fn part_of(used: usize, limit: usize) -> Part {
+    let part = (used * usize::from(WHOLE)).div_ceil(limit.max(1));
+    Part::try_from(part).unwrap_or(WHOLE).min(WHOLE)
+}
--- a/crates/router/src/handover.rs
+++ b/crates/router/src/handover.rs
@@ -1,6 +1,5 @@
 //! What a front that ends hands over to the one that takes its place on the same machine: the text that it believes
-//! servers to keep, and how fast they were. Without it the new one would have prompts read anew, and turn away part
-//! of its first requests, as it would have to guess how fast servers are.
+//! servers to keep, and how fast they were. Without it the new one has only homes and first guesses to go by.
 
 use serde::{Deserialize, Serialize};
 
@@ -8,9 +7,9 @@
 use crate::figures::{Pace, Rate};
 use crate::interface::{Key, Micros};
 
-/// Newest beliefs that are handed over, over all servers: about 1 MB as text.
+/// Newest beliefs that are handed over, over all servers; at some 46 bytes each under 1 MB as text.
 const MOST_PREFIXES: usize = 20_000;
-/// Popular beginnings that are handed over.
+/// Beginnings that are handed over, those last heard of.
 const MOST_BEGINNINGS: usize = 1_000;
 
 /// See the [module](self).
@@ -90,8 +89,7 @@
             return;
         }
         let sound = |value: f64| value.is_finite() && value > 0.0;
-        let own = self.call_rate.is_new();
-        if own && handover.call_rate.is_sound(now) {
+        if self.call_rate.is_new() && handover.call_rate.is_sound(now) {
             self.call_rate = handover.call_rate;
         }
         for (stage, learnt) in self.stages.iter_mut().zip(handover.stages) {
--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -14,13 +14,13 @@
 use crate::edge::clients::{chat, platform};
 use crate::edge::clock::Clock;
 use crate::edge::driver::{Driver, Message, Sender};
-use crate::edge::kin::{self, Companion, Seen};
+use crate::edge::kin::{Companion, Seen};
 use crate::edge::peers::Peers;
 use crate::edge::settings::{Config, Fronts};
 use crate::edge::stats::Figures;
 use crate::edge::{list, listing};
 use crate::interface::ListKind;
-use dewladder_kin::Stage;
+use dewladder_kin::{replaced, Stage};
 
 /// After SIGTERM new connections go on coming for up to 0.4 s; only then are idle ones closed.
 const LEAVE: Duration = Duration::from_millis(600);
@@ -220,11 +220,14 @@
         phase.send_replace(Phase::Leaving);
         // The platform tells this one to end as soon as the other says yes: its word is looked at once more.
         let left = |seen: &Option<Seen>| seen.is_some_and(|(me, _)| me.stage == Stage::Leaving);
-        let replaced = match &companion {
-            Some(_) => seen.wait_for(left).await.is_ok_and(|seen| seen.is_some_and(kin::replaced)),
+        let is_replaced = match &companion {
+            Some(_) => seen
+                .wait_for(left)
+                .await
+                .is_ok_and(|seen| seen.is_some_and(|(me, other)| replaced(me, other))),
             None => false,
         };
-        if replaced {
+        if is_replaced {
             info!("told to end: another process takes new clients");
             phase.send_replace(Phase::Yielding);
         } else {
--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -22,6 +22,8 @@
 
 /// Time between two lines of what clients got.
 const TALLY: Micros = 10_000_000;
+/// Servers that are avoided are counted so often: it goes through all of them, and a step is taken for each event.
+const AVOIDED: Micros = 100_000;
 /// Servers that a release turns to where the holders don't answer.
 const STAND_INS: usize = 8;
 
@@ -214,6 +216,7 @@
     /// What fronts look classes up in.
     published: watch::Sender<Arc<Settings>>,
     told: Told,
+    avoided_due: Micros,
 }
 
 impl Driver {
@@ -239,6 +242,7 @@
             figures,
             published,
             told: Told::default(),
+            avoided_due: 0,
         };
         (driver, to_self)
     }
@@ -393,7 +397,11 @@
         let mut record = self.figures.record();
         record.open = self.core.open();
         record.messages_dropped = self.core.claims().dropped;
-        record.members_unavailable = self.core.avoided();
+        let now = self.clock.now();
+        if now >= self.avoided_due {
+            self.avoided_due = now + AVOIDED;
+            record.members_unavailable = self.core.avoided();
+        }
         drop(record);
         self.tell();
     }
--- a/src/edge/kin.rs
+++ b/src/edge/kin.rs
@@ -91,12 +91,6 @@
 /// What the rest of the program is told: what this process says of itself, and what the other one says.
 pub type Seen = (Said, Option<Said>);
 
-/// Whether the other one serves in this one's place.
-#[must_use]
-pub fn replaced((me, other): Seen) -> bool {
-    me.stage == Stage::Leaving && other.is_some_and(|other| other.stage == Stage::Serving)
-}
-
 /// This process's side. See the [module](self).
 #[derive(Debug)]
 pub struct Companion {
@@ -115,31 +109,38 @@
     /// # Errors
     /// What the system says of the files.
     pub fn start(config: &Config, folder: &str, clock: Clock) -> io::Result<Self> {
-        let (folder, listen) = (PathBuf::from(folder), config.listen);
-        let seated = Seats::take(&folder, listen)?;
-        // No two start at the same time, as far as they can tell: their seats differ.
-        let born = (clock.now() & !1) | seated.as_ref().map_or(0, |(_, number)| *number);
-        let seats = seated.map(|(seats, _)| seats);
-        let mut companion = Self { seats, folder, listen, kin: Kin::start(born), clock, handed_to: 0 };
+        let (folder, listen, kin) = (PathBuf::from(folder), config.listen, Kin::start(clock.now()));
+        let mut companion = Self { seats: None, folder, listen, kin, clock, handed_to: 0 };
+        companion.sit()?;
         companion.look(0);
         Ok(companion)
     }
 
+    /// Takes a seat, if one is free, and says so there: a third process waits for one of the two to end.
+    fn sit(&mut self) -> io::Result<()> {
+        if let Some((seats, number)) = Seats::take(&self.folder, self.listen)? {
+            // No two start at the same time, as far as they can tell: their seats differ.
+            self.kin = Kin::start((self.clock.now() & !1) | number);
+            seats.say(self.kin.says())?;
+            self.seats = Some(seats);
+        }
+        Ok(())
+    }
+
     /// Looks at the other one and says what has changed here; `in_use` is the part of the limits in use.
     fn look(&mut self, in_use: Part) {
         if self.seats.is_none() {
-            // A third waits for one of the two to end, and says that it is not ready.
-            if let Ok(Some((seats, number))) = Seats::take(&self.folder, self.listen) {
-                self.kin = Kin::start((self.clock.now() & !1) | number);
-                self.seats = Some(seats);
+            if let Err(error) = self.sit() {
+                warn!("kin: no seat: {error}");
             }
         }
         let Some(seats) = &self.seats else { return };
         let before = self.kin.other();
         // What is read is acted on and said in one go.
-        self.kin.sees(self.clock.now(), seats.look(), in_use);
-        if let Err(error) = seats.say(self.kin.says()) {
-            warn!("another process of this dispatcher could not be told: {error}");
+        if self.kin.sees(self.clock.now(), seats.look(), in_use) {
+            if let Err(error) = seats.say(self.kin.says()) {
+                warn!("kin: another process could not be told: {error}");
+            }
         }
         let [before, now] = [before, self.kin.other()].map(|other| other.map(|other| other.stage));
         if before != now {
@@ -171,6 +172,9 @@
             let leaving = *phase.borrow_and_update() > Phase::Serving;
             if leaving && self.kin.says().stage != Stage::Leaving {
                 self.kin.told_to_end();
+                if let Some(Err(error)) = self.seats.as_ref().map(|seats| seats.say(self.kin.says())) {
+                    warn!("kin: another process could not be told: {error}");
+                }
                 self.handed_to = 0;
             }
             // The one that comes after is told before it can count on what is given up for it.
@@ -180,16 +184,13 @@
                     self.hand_over(&driver).await;
                 }
             }
-            let held = room.held() + figures.open();
-            let in_use = (held * usize::from(WHOLE)).div_ceil(config.limits.sockets.max(1));
-            self.look(Part::try_from(in_use).unwrap_or(WHOLE).min(WHOLE));
+            self.look(dewladder_kin::part_of(room.held() + figures.open(), config.limits.sockets));
             self.take_over(&driver);
             let part = self.kin.says().part;
             if part != applied {
                 applied = part;
-                let of = |all: usize| (all * usize::from(part) / usize::from(WHOLE)).max(4);
-                room.holds(of(config.most_connections()));
-                let most_open = of(config.most_open());
+                room.holds(dewladder_kin::of(config.most_connections(), part));
+                let most_open = dewladder_kin::of(config.most_open(), part);
                 driver.send(Message::Part { part: f64::from(part) / f64::from(WHOLE), most_open });
             }
             room.shrink(Instant::now());
--- a/src/edge/servers.rs
+++ b/src/edge/servers.rs
@@ -120,10 +120,11 @@
         if self.progress.move_on(WRITTEN) == CALLED_OFF {
             return Poll::Ready(Some(Err(CalledOff)));
         }
-        if let Some(line) = self.progress.line().filter(|_| self.body.is_some()) {
+        let Some(body) = self.body.take() else { return Poll::Ready(None) };
+        if let Some(line) = self.progress.line() {
             line.carries();
         }
-        Poll::Ready(self.body.take().map(|body| Ok(Frame::data(body))))
+        Poll::Ready(Some(Ok(Frame::data(body))))
     }
 
     fn is_end_stream(&self) -> bool {
