Hold the second address to its bound of sixteen callers in a test

Need: with the bound taken out every test still passed, so nothing showed it. Change: of 40 silent callers sixteen at most are still held. Result: the test fails without the bound.

--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -169,6 +169,12 @@
         silent.push(stream);
     }
     assert_eq!(process.call("READY\n").await, "OK ready\n");
+    // Sixteen of them at most are still held, as each holds a descriptor; the others have been closed.
+    let held = |stream: &TcpStream| matches!(stream.try_read(&mut [0; 8]), Err(error) if error.kind() == std::io::ErrorKind::WouldBlock);
+    stand_in::eventually("the oldest made room", || {
+        silent.iter().filter(|stream| held(stream)).count() <= 16
+    })
+    .await;
     // One that ends its sending without the end of the line has said it all the same.
     let mut half = TcpStream::connect(process.admin).await.unwrap();
     half.write_all(b"READY").await.unwrap();
