Read which load field holds memory from the settings, not x0 by name

Seen: both parsers (src/wire.rs report, src/edge/servers.rs load_report) took the field named x0 as the share of memory held. The settings say what each field means (domain.report_x0, domain.report_x1); both sites put memory in x0, so this held by luck. Change: a report keeps x0 to x3 by number; the settings give memory_field from domain.report_xN; the router reads that field, and none where the settings name none.

--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -665,7 +665,8 @@
         let load = self.of_all_fronts(engine.tokens as f64, mean, typical);
         let memory = engine.memory == 0 || load < MEMORY_SHARE * engine.memory as f64;
         let report = engine.seen.report.filter(|&(_, at)| at + REPORT_LIFE > self.now);
-        let held = report.and_then(|(report, _)| report.memory_share).unwrap_or(0.0);
+        let field = self.settings.memory_field;
+        let held = report.and_then(|(report, _)| report.values[field?]).unwrap_or(0.0);
         memory && engine.seen.full_until <= self.now && held < REPORTED_MEMORY_SHARE
     }
 
--- a/crates/router/src/interface.rs
+++ b/crates/router/src/interface.rs
@@ -146,6 +146,8 @@
     pub cold_from: f64,
     /// And is warm after this.
     pub cold_for: Micros,
+    /// The report field that holds the share of a server's memory held, where the settings name one.
+    pub memory_field: Option<usize>,
     /// Sent more than this many times its present capacity...
     pub fall_multiple: f64,
     /// ...for this long, a cold server falls over.
@@ -266,11 +268,31 @@
     }
 }
 
-/// A server's load report: what its fields hold differs from site to site.
+/// Most fields a load report has (`x0` to `x3`).
+pub const REPORT_FIELDS: usize = 4;
+
+/// A server's load report, as sent: the value of `xN` at `values[N]`. What each field means differs from
+/// site to site; the settings say it (`domain.report_xN`), and the router reads it there.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Report {
-    /// Share of memory held.
-    pub memory_share: Option<f64>,
+    /// Values by field number; `None` where a field is absent, `-` or no number.
+    pub values: [Option<f64>; REPORT_FIELDS],
+}
+
+impl Report {
+    /// Sets a field by its name on the wire, `x0` to `x3`; other names are not load figures and are left.
+    pub fn set(&mut self, name: &str, value: Option<f64>) {
+        if let Some(at) = report_field(name) {
+            self.values[at] = value;
+        }
+    }
+}
+
+/// The number of a report field named `xN`, where N is under [`REPORT_FIELDS`].
+#[must_use]
+pub fn report_field(name: &str) -> Option<usize> {
+    let at: usize = name.strip_prefix('x')?.parse().ok()?;
+    (at < REPORT_FIELDS).then_some(at)
 }
 
 /// How an attempt has ended.
--- a/crates/router/src/pairs.rs
+++ b/crates/router/src/pairs.rs
@@ -5,7 +5,7 @@
 
 use thiserror::Error;
 
-use crate::interface::{Class, DedupGroup, Effect, Kind, Micros, Role, Settings, ZoneId};
+use crate::interface::{Class, DedupGroup, Effect, Kind, Micros, Role, Settings, ZoneId, REPORT_FIELDS};
 
 /// A value that can't be read.
 #[derive(Clone, Debug, Error, PartialEq, Eq)]
@@ -102,9 +102,14 @@
         cold_for: pairs.time("rules.cold_s", 0)?,
         fall_multiple: pairs.get("rules.fall_multiple", 1.0)?,
         fall_window: pairs.time("rules.fall_s", 0)?,
+        memory_field: (0..REPORT_FIELDS)
+            .find(|at| pairs.text(&format!("domain.report_x{at}")) == MEMORY_HELD),
     })
 }
 
+/// What `domain.report_xN` says of a field that holds the share of memory held.
+const MEMORY_HELD: &str = "share_of_memory_that_is_held";
+
 fn class(pairs: &Pairs, at: u32) -> Result<Class, SettingsError> {
     let path = |name: &str| format!("lanes.{at}.{name}");
     let effect = match pairs.text(&path("effect")) {
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -53,6 +53,7 @@
         resolution: 4_000,
         cold_from: 0.3,
         cold_for: 12 * SECOND,
+        memory_field: Some(0),
         fall_multiple: 2.5,
         fall_window: 1_500_000,
     }
--- a/src/edge/servers.rs
+++ b/src/edge/servers.rs
@@ -520,9 +520,7 @@
     let pairs = text.trim().strip_prefix("TEXT")?;
     let mut report = Report::default();
     for (name, value) in pairs.split(',').filter_map(|pair| pair.split_once('=')) {
-        if name.trim() == "x0" {
-            report.memory_share = value.trim().parse().ok();
-        }
+        report.set(name.trim(), value.trim().parse().ok());
     }
     Some(report)
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -283,9 +283,7 @@
         }
         let value: f64 =
             value.parse().map_err(|_| parts.bad("report", &format!("'{value}' is no number")))?;
-        if name == "x0" {
-            report.memory_share = Some(value);
-        }
+        report.set(name, Some(value));
     }
     Ok(Some(report))
 }
--- a/tests/connection_model.rs
+++ b/tests/connection_model.rs
@@ -46,6 +46,7 @@
         resolution: 2_000,
         cold_from: 0.3,
         cold_for: 10 * SECOND,
+        memory_field: Some(0),
         fall_multiple: 2.5,
         fall_window: SECOND,
     }
