Keep matches in a busy pool and give a text that turns hot its homes in time

Ruled out: writers (queue 20 ms), wrong beliefs (4 of 150 promises broken), the retries' wording (no Retry-After there), a reader's imbalance (all 60 to 97% busy). At fault, in control.rs: `capped` measured waiting work by the usual pace, which has queueing in it already, so a busy pool sent on what it kept and filled itself; with all at their cap, the choice forgot the match; a first time-out at half an aim made the same reads twice; popularity was judged over a minute, so a text hot for seconds had one home; and refusal began at 0.24 of the shortest aim queued. Change: the cap by the unhindered pace plus rereading; of those with the fewest, the longest match; patience of a whole aim; popularity over 100 calls within 15 to 60 s, handed over with its beginnings; jams from 0.4 of the aim.

--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -28,7 +28,8 @@
 const READ_OVERHEAD: f64 = 512.0;
 const WRITE_OVERHEAD: f64 = 2_048.0;
 /// The valve: a reader is at its cap when the reads that all fronts may have sent it (`of_all_fronts`), or
-/// what its comebacks queued, take this share of the shortest aim. Scales by itself with aim and pace.
+/// what its comebacks queued, take this share of the shortest aim, and as long as rereading elsewhere what it
+/// holds. Scales by itself with aim and pace.
 const CAP_SHARE_OF_AIM: f64 = 0.5;
 /// Homes of a beginning for each even share of the calls that begin with it: more than one, so that no
 /// server is filled by a single beginning. Scales by itself with servers and popularity.
@@ -51,7 +52,7 @@
 /// An attempt's first time-out: so many times what its like usually takes, and this share of the shortest
 /// aim at the least, so that a short pause does not set off repeats.
 const PATIENCE_MULTIPLE: f64 = 4.0;
-const PATIENCE_SHARE_OF_AIM: f64 = 0.5;
+const PATIENCE_SHARE_OF_AIM: f64 = 1.0;
 const FAR_PATIENCE: Micros = 3; // times the patience for a state that leaves its cell: repeats move it anew
 const SLOW_LINKS: f64 = 3.0; // times the usual that first tokens take after a far move, where links are slow
 const SLUGGISH: f64 = 2.0; // times the middle of its peers that a sluggish server takes
@@ -73,6 +74,10 @@
 const COLD_MARGIN: f64 = 0.75; // share of a cold budget that is used; the rest is for chance, crowded peers
 const COLD_ROLE_SHARE: f64 = 0.5; // of an even share of the calls, where no peer is warm
 const COLD_GAIN: f64 = 1.5; // by the end of the cold time, a server can surely do so many times more
+/// How popular a beginning is, is judged over so many calls, within these times (us): a text that turns hot
+/// gets its homes before it buries one, and a front that sees few calls takes no chance for a trend.
+const SHARE_CALLS: f64 = 100.0;
+const SHARE_TIME: [f64; 2] = [15_000_000.0, 60_000_000.0];
 const RATE_TIME: f64 = 60_000_000.0; // of rates (us): thirty calls of a front that sees one in two seconds
 /// Overload: how much of the aim a request may wait at a stage (read, write, whole); then, as shares of that:
 /// own waiting work (at the unhindered pace) that is a jam when comebacks show queueing, and when not; and
@@ -80,7 +85,7 @@
 const WAIT_SHARE_OF_AIM: [f64; 3] = [0.4, 0.3, 0.5];
 const BURST_PART: f64 = 0.3;
 const CERTAIN_PART: f64 = 1.2;
-const QUEUED_PART: f64 = 0.6;
+const QUEUED_PART: f64 = 1.0;
 /// Time between two sweeps (us). Scales with the shortest time in which a held state must be let go.
 const SWEEP_EVERY: Micros = 40_000;
 const SWEEP: TimerToken = TimerToken(1);
@@ -97,6 +102,7 @@
     pub(crate) stages: [StageFigures; 3],
     far_pace: Pace, // of fetches that leave the reader's cell
     pub(crate) call_rate: Rate,
+    pub(crate) calls_lately: Rate, // over the time that beginnings are judged by
     pub(crate) beginnings: LruCache<Key, Rate>, // calls a second with each shared beginning
     cells: BTreeMap<CellId, Cell>,
     asking: Asking,
@@ -120,6 +126,7 @@
             stages: [(); 3].map(|()| StageFigures::new(guess, WRITE_OVERHEAD)),
             far_pace: Pace::default(),
             call_rate: Rate::default(),
+            calls_lately: Rate::default(),
             beginnings: LruCache::unbounded(),
             cells: BTreeMap::new(),
             asking: Asking::default(),
@@ -191,9 +198,11 @@
             return;
         }
         self.call_rate.add(1.0, self.now, RATE_TIME);
+        let time = self.share_time();
+        self.calls_lately.add(1.0, self.now, time);
         self.hearsay.earn();
         if let Some(key) = call.shared {
-            self.beginnings.get_or_insert_mut(key, Rate::default).add(1.0, self.now, RATE_TIME);
+            self.beginnings.get_or_insert_mut(key, Rate::default).add(1.0, self.now, time);
             if self.beginnings.len() > PREFIX_KEYS {
                 self.beginnings.pop_lru();
             }
@@ -475,7 +484,7 @@
             let rereading = self.stages[stage as usize].best * held as f64; // a match is worth that wait
             let queued = engine.seen.queued[stage as usize].now(0.0, self.now, PACE_HALF_LIFE);
             let queued = queued.max(self.hearsay.believed(engine.entry.engine, self.now));
-            let free = !self.capped(engine, stage)
+            let free = !self.capped(engine, stage, rereading)
                 && queued <= rereading + CAP_SHARE_OF_AIM * self.settings.shortest_aim()
                 && !self.stranded(engine, class)
                 && lot < self.share_for_pace(engine, stage);
@@ -483,9 +492,11 @@
                 return Some(id);
             }
         }
-        // Of two with the fewest by lot, the one that is said to queue less: all fronts hear the same.
-        ranking.sort_unstable_by_key(|rank| (rank.3, rank.4));
-        let fewest = ranking.iter().take(2).filter(|rank| rank.3 == ranking[0].3);
+        // Of those with the fewest, the longest match: text read anew by a full pool fills it the more. Of
+        // two by lot, the one that is said to queue less: all fronts hear the same.
+        ranking.sort_unstable_by_key(|rank| (rank.3, rank.0, rank.4));
+        let first = ranking.first().map(|rank| (rank.3, rank.0));
+        let fewest = ranking.iter().take(2).filter(|rank| Some((rank.3, rank.0)) == first);
         let fewest = fewest.map(|rank| rank.5).min_by(|a, b| {
             let [a, b] = [a, b].map(|&id| self.hearsay.believed(id, self.now));
             a.total_cmp(&b)
@@ -509,8 +520,9 @@
         let listed = self.engines.values().filter(|e| e.role == role && e.entry.health == Health::Ready);
         let mut order: Vec<(f64, EngineId)> = listed.map(|e| (score(e), e.entry.engine)).collect();
         order.sort_unstable_by(|a, b| b.0.total_cmp(&a.0));
-        let seen = self.beginnings.peek(&key).map_or(0.0, |rate| rate.count(self.now, RATE_TIME));
-        let calls = self.call_rate.count(self.now, RATE_TIME);
+        let time = self.share_time();
+        let seen = self.beginnings.peek(&key).map_or(0.0, |rate| rate.count(self.now, time));
+        let calls = self.calls_lately.count(self.now, time);
         let share = (seen - 1.0).max(0.0) / calls.max(1.0); // one sighting proves nothing
         let least = order.len().div_ceil(READERS_PER_HOME);
         let homes =
@@ -520,6 +532,11 @@
         (order.into_iter().map(|(_, id)| id).collect(), homes > 1)
     }
 
+    fn share_time(&self) -> f64 {
+        let calls = self.call_rate.young(self.now, RATE_TIME);
+        (SHARE_CALLS * 1e6 / calls).clamp(SHARE_TIME[0], SHARE_TIME[1])
+    }
+
     /// The writer for a state: of two ready ones drawn in the reader's cell, else its zone, else any, the
     /// one with fewer own tokens under way. Mixed servers help where no writer is ready.
     /// Racks are uneven: a cell, or a zone, keeps only the part of its states that its writers can take, and
@@ -628,8 +645,9 @@
             && standing.is_none_or(|standing| standing.takes_work(self.now, idle))
     }
 
-    /// The valve, in time and not in count, so that one giant weighs as much as many short prompts.
-    fn capped(&self, engine: &Engine, stage: Stage) -> bool {
+    /// The valve, in time and not in count, so that one giant weighs as much as many short prompts. By the
+    /// unhindered pace: the usual one has queueing in it already, and would send on what a busy pool keeps.
+    fn capped(&self, engine: &Engine, stage: Stage, rereading: f64) -> bool {
         let full = engine.seen.full_until > self.now;
         if full || engine.waiting.is_empty() {
             return full;
@@ -637,7 +655,8 @@
         let figures = &self.stages[stage as usize];
         let mean = figures.under_way.now(self.now, RATE_TIME) / self.count(engine.role).max(1.0);
         let load = self.of_all_fronts(engine.waiting_effort[stage as usize], mean, figures.typical);
-        self.is_late(engine, stage) || load * figures.usual > CAP_SHARE_OF_AIM * self.settings.shortest_aim()
+        let cap = CAP_SHARE_OF_AIM * self.settings.shortest_aim() + rereading;
+        self.is_late(engine, stage) || load * figures.best > cap
     }
 
     /// What all fronts together are likely to have at a server: own work, and for each other front the mean
--- a/crates/router/src/handover.rs
+++ b/crates/router/src/handover.rs
@@ -17,6 +17,9 @@
 pub struct Handover {
     at: Micros,
     call_rate: Rate,
+    /// Absent from versions that judged beginnings over the time of `call_rate`: their beginnings are left.
+    #[serde(default)]
+    calls_lately: Rate,
     stages: Vec<StageLearnt>,
     servers: Vec<ServerLearnt>,
     beginnings: Vec<(u64, Rate)>,
@@ -75,6 +78,7 @@
         Handover {
             at: self.now,
             call_rate: self.call_rate.clone(),
+            calls_lately: self.calls_lately.clone(),
             stages: self.stages.iter().map(stage).collect(),
             servers: self.engines.values().map(server).collect(),
             beginnings: beginnings.map(|(key, rate)| (key.0, rate.clone())).collect(),
@@ -99,7 +103,14 @@
                 stage.under_way = learnt.under_way;
             }
         }
-        for (key, rate) in handover.beginnings.into_iter().rev() {
+        let judged = self.calls_lately.is_new() && handover.calls_lately.is_sound(now);
+        let beginnings = if judged && !handover.calls_lately.is_new() {
+            self.calls_lately = handover.calls_lately;
+            handover.beginnings
+        } else {
+            Vec::new()
+        };
+        for (key, rate) in beginnings.into_iter().rev() {
             if rate.is_sound(now) && self.beginnings.len() < MOST_BEGINNINGS {
                 self.beginnings.get_or_insert(Key(key), || rate);
             }
