--- a/src/conform.rs
+++ b/src/conform.rs
@@ -21,15 +21,11 @@
         return Err(format!("{} is not known; 'dewladder help' lists what is", unknown.to_string_lossy()));
     }
     let url = url.ok_or("no front: give --url http://ADDRESS:PORT")?;
+    // Names of models are each front's own.
+    let model = model.ok_or("no model: give --model, one whose requests may be repeated")?;
+    let once = once.ok_or("no model: give --once, one whose requests must not run twice")?;
     let nonce = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_nanos());
-    let target = Target {
-        address: address(&url)?,
-        key,
-        other_key,
-        model: model.unwrap_or_else(|| "kiln-ask".to_owned()),
-        once: once.unwrap_or_else(|| "kiln-book".to_owned()),
-        nonce: format!("{nonce:x}"),
-    };
+    let target = Target { address: address(&url)?, key, other_key, model, once, nonce: format!("{nonce:x}") };
     let mut cases = cases()?;
     cases.retain(|case| faults || !case.faults);
     if let Some(only) = only {
--- a/src/demo.rs
+++ b/src/demo.rs
@@ -65,7 +65,7 @@
 a booking; run it twice, and the second time the kept answer comes:
   curl -si http://{chat}/v1/chat/completions -H 'Authorization: Bearer key-of-clay' -H 'Content-Type: application/json' -H 'Idempotency-Key: friday-1' -d '{{\"model\":\"kiln-book\",\"messages\":[{{\"role\":\"user\",\"content\":\"Friday, please.\"}}]}}'
 every case of the conformance suite:
-  dewladder conform --url http://{chat} --key key-of-clay --other-key key-of-jars --faults
+  dewladder conform --url http://{chat} --model kiln-ask --once kiln-book --key key-of-clay --other-key key-of-jars --faults
 
 Ctrl-C ends all.
 ");
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -163,7 +163,8 @@
     let url = text.iter().find_map(|line| line.split("--url ").nth(1)).unwrap().split(' ').next().unwrap();
     let conform = |arguments: &[&str]| {
         let mut program = Command::new(env!("CARGO_BIN_EXE_dewladder"));
-        let output = program.arg("conform").args(arguments).env_clear().output().unwrap();
+        let models = ["--model", "kiln-ask", "--once", "kiln-book"];
+        let output = program.arg("conform").args(models).args(arguments).env_clear().output().unwrap();
         (
             output.status.code(),
             String::from_utf8(output.stdout).unwrap(),
