Add membership among instances: SWIM with Lifeguard's refinements, off as shipped

Need: installations whose instances may talk must know who is alive, and bear pauses, loss and cuts in one direction. Seen by the first test of a partition of processes: after mending, both sides told each other's deaths on, and members were dead to their own side for a moment (4 deaths logged where 2 are due). Another's word for a death now only doubts one that has not been suspect for the least time.

--- a/benches/admin.rs
+++ b/benches/admin.rs
@@ -54,7 +54,7 @@
             let dispatcher = Dispatcher::bind(config, &Fronts::default()).expect("it starts");
             let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("an address");
             let task = listener.local_addr().expect("an address");
-            tokio::spawn(admin::serve(listener, dispatcher.health()));
+            tokio::spawn(admin::serve(listener, dispatcher.health(), None));
             let thread = dispatcher.admin().expect("a second address");
             tell.send((dispatcher.addresses()[0], thread, task)).expect("told");
             let (_discovery, at) = watch::channel(agent);
--- a/crates/stand-in/src/lib.rs
+++ b/crates/stand-in/src/lib.rs
@@ -5,6 +5,7 @@
 mod agent;
 mod client;
 mod fleet;
+mod net;
 mod scripted;
 mod wire;
 mod wrong;
@@ -12,6 +13,7 @@
 pub use agent::{config, member, Agent};
 pub use client::{body, chat, platform, post, talk, until_close};
 pub use fleet::{Begun, Fault, Fleet, Shape};
+pub use net::Net;
 pub use scripted::{event, Does, Server, LAST_EVENTS};
 pub use wire::field;
 pub use wrong::{wrong_front, Wrong};
--- a/src/edge/admin.rs
+++ b/src/edge/admin.rs
@@ -16,6 +16,7 @@
 use tokio::time::{timeout_at, Instant};
 
 use crate::edge::balancers::Health;
+use crate::edge::cluster::View;
 
 /// Callers at once. The oldest that has not sent its line yet makes room for a new one.
 const CALLERS: usize = 16;
@@ -47,7 +48,7 @@
     ///
     /// # Errors
     /// What the system says.
-    pub fn start(address: SocketAddr, health: Health) -> io::Result<Self> {
+    pub fn start(address: SocketAddr, health: Health, cluster: Option<View>) -> io::Result<Self> {
         let socket = std::net::TcpListener::bind(address)?;
         socket.set_nonblocking(true)?;
         let address = socket.local_addr()?;
@@ -57,7 +58,7 @@
             runtime.block_on(async {
                 match TcpListener::from_std(socket) {
                     Ok(listener) => tokio::select! {
-                        () = serve(listener, health) => {}
+                        () = serve(listener, health, cluster) => {}
                         _ = ended => {}
                     },
                     Err(what) => error!("second address: {what}"),
@@ -76,7 +77,7 @@
 }
 
 /// Answers callers for ever.
-pub async fn serve(listener: TcpListener, health: Health) {
+pub async fn serve(listener: TcpListener, health: Health, cluster: Option<View>) {
     let mut callers: VecDeque<(Instant, JoinHandle<()>)> = VecDeque::new();
     loop {
         let stream = match listener.accept().await {
@@ -95,13 +96,14 @@
             }
         }
         let now = Instant::now();
-        callers.push_back((now, tokio::spawn(answer(stream, health.clone(), now + LINE_BY))));
+        callers
+            .push_back((now, tokio::spawn(answer(stream, health.clone(), cluster.clone(), now + LINE_BY))));
     }
 }
 
-async fn answer(mut stream: TcpStream, health: Health, by: Instant) {
+async fn answer(mut stream: TcpStream, health: Health, cluster: Option<View>, by: Instant) {
     let said = match timeout_at(by, line(&mut stream)).await {
-        Ok(Ok(line)) => said(&line, &health),
+        Ok(Ok(line)) => said(&line, &health, cluster.as_ref()),
         Ok(Err(what)) => format!("ERR {what}\n"),
         Err(_) => "ERR no line came\n".to_owned(),
     };
@@ -136,8 +138,12 @@
     }
 }
 
-fn said(line: &[u8], health: &Health) -> String {
-    match line.strip_suffix(b"\r").unwrap_or(line) {
+fn said(line: &[u8], health: &Health, cluster: Option<&View>) -> String {
+    let line = line.strip_suffix(b"\r").unwrap_or(line);
+    if let (Some(cluster), Some(path)) = (cluster, line.strip_prefix(b"GET ")) {
+        return http(path, cluster);
+    }
+    match line {
         b"READY" => match health.ready() {
             Ok(()) => "OK ready\n".to_owned(),
             Err(why) => format!("ERR not ready: {why}\n"),
@@ -147,3 +153,15 @@
         _ => "ERR not known; READY and STATS are\n".to_owned(),
     }
 }
+
+/// The answer to an HTTP client, where there is a cluster to tell of. The connection ends with it.
+fn http(request: &[u8], cluster: &View) -> String {
+    let (status, body) = if request.starts_with(b"/cluster/members HTTP/1.") {
+        ("200 OK", cluster.json())
+    } else {
+        ("404 Not Found", serde_json::json!({"error": "not known; /cluster/members is"}))
+    };
+    let (body, kind) = (format!("{body}\n"), "application/json");
+    let length = body.len();
+    format!("HTTP/1.1 {status}\r\nContent-Type: {kind}\r\nContent-Length: {length}\r\nConnection: close\r\n\r\n{body}")
+}
--- /dev/null
+++ b/src/edge/cluster/file.rs
@@ -0,0 +1,181 @@
+//! The table `[cluster]` of the operator's file: whether instances talk, where, and with which times.
+
+use std::net::SocketAddrV4;
+
+use dewladder_membership::codec::{Codec, LEAST_KEY};
+use dewladder_membership::{Place, Settings};
+use serde::Deserialize;
+
+use crate::edge::cluster::TICK;
+use crate::interface::Micros;
+
+/// See `deploy/fronts.toml` for each field. Times are in seconds.
+#[derive(Clone, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Table {
+    /// Off, nothing is listened on and nothing is sent.
+    pub enabled: bool,
+    /// This instance's name; empty, the configuration's is taken.
+    pub name: String,
+    /// The cluster's name: messages of others are not taken.
+    pub cluster: String,
+    /// Where messages arrive (UDP).
+    pub listen: SocketAddrV4,
+    /// Where others reach it, if that is elsewhere.
+    pub advertise: Option<SocketAddrV4>,
+    /// In hexadecimal, the same at all instances.
+    pub key: String,
+    /// Where to join: any that run.
+    pub seeds: Vec<SocketAddrV4>,
+    /// See [`Settings`]; so are the following.
+    pub probe_every_s: f64,
+    /// Of a direct probe.
+    pub probe_timeout_s: f64,
+    /// Others that are asked to probe.
+    pub indirect: usize,
+    /// Least time to refute, in probe times.
+    pub suspicion: f64,
+    /// The most over the least.
+    pub suspicion_most: f64,
+    /// Others that must find the same for the least.
+    pub confirmations: usize,
+    /// How often news are sent.
+    pub retransmit: usize,
+    /// Exchange of whole states.
+    pub sync_every_s: f64,
+    /// Dead members are remembered for so long.
+    pub forget_after_s: f64,
+}
+
+impl std::fmt::Debug for Table {
+    fn fmt(&self, to: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        // Without the key.
+        to.debug_struct("Table")
+            .field("enabled", &self.enabled)
+            .field("listen", &self.listen)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Default for Table {
+    fn default() -> Self {
+        let usual = Settings::default();
+        let seconds = |time: Micros| time as f64 / 1e6;
+        Self {
+            enabled: false,
+            name: String::new(),
+            cluster: "dewladder".to_owned(),
+            listen: SocketAddrV4::new(std::net::Ipv4Addr::LOCALHOST, usual.place.port),
+            advertise: None,
+            key: String::new(),
+            seeds: Vec::new(),
+            probe_every_s: seconds(usual.probe_every),
+            probe_timeout_s: seconds(usual.probe_timeout),
+            indirect: usual.indirect,
+            suspicion: usual.suspicion,
+            suspicion_most: usual.suspicion_most,
+            confirmations: usual.confirmations,
+            retransmit: usual.retransmit,
+            sync_every_s: seconds(usual.sync_every),
+            forget_after_s: seconds(usual.forget_after),
+        }
+    }
+}
+
+impl Table {
+    /// Checks all of it, as an instance of that name would run with it.
+    ///
+    /// # Errors
+    /// One plain line that names the field.
+    pub fn check(&self, name: &str) -> Result<(Codec, Settings), String> {
+        let key = unhex(&self.key).ok_or_else(|| {
+            format!("cluster.key: not hexadecimal, two digits a byte, {LEAST_KEY} bytes at least")
+        })?;
+        if self.cluster.is_empty() {
+            return Err("cluster.cluster: a cluster has a name".to_owned());
+        }
+        let codec = Codec::new(&self.cluster, &key).map_err(|error| format!("cluster.key: {error}"))?;
+        // The port that the system picks for port 0 is not known yet.
+        let reached = self.advertise.unwrap_or_else(|| {
+            let port = if self.listen.port() == 0 { u16::MAX } else { self.listen.port() };
+            SocketAddrV4::new(*self.listen.ip(), port)
+        });
+        if reached.ip().is_unspecified() {
+            return Err(format!("cluster.advertise: others can't reach {}", reached.ip()));
+        }
+        let micros = |seconds: f64| (seconds.clamp(0.0, 1e9) * 1e6).round() as Micros;
+        let settings = Settings {
+            name: if self.name.is_empty() { name.to_owned() } else { self.name.clone() },
+            place: place(reached),
+            incarnation: 0,
+            seeds: self.seeds.iter().copied().map(place).collect(),
+            probe_every: micros(self.probe_every_s),
+            probe_timeout: micros(self.probe_timeout_s),
+            indirect: self.indirect,
+            suspicion: self.suspicion,
+            suspicion_most: self.suspicion_most,
+            confirmations: self.confirmations,
+            retransmit: self.retransmit,
+            sync_every: micros(self.sync_every_s),
+            forget_after: micros(self.forget_after_s),
+            tick_every: crate::edge::clock::micros(TICK),
+        };
+        settings.check().map_err(|error| format!("cluster.{error}"))?;
+        Ok((codec, settings))
+    }
+}
+
+/// An address as messages have it.
+#[must_use]
+pub fn place(at: SocketAddrV4) -> Place {
+    Place { ip: at.ip().octets(), port: at.port() }
+}
+
+/// Pairs of hexadecimal digits as bytes.
+fn unhex(text: &str) -> Option<Vec<u8>> {
+    let digits: Option<Vec<u8>> =
+        text.chars().map(|digit| digit.to_digit(16).map(|digit| digit as u8)).collect();
+    let digits = digits.filter(|digits| digits.len() % 2 == 0)?;
+    Some(digits.chunks(2).map(|pair| pair[0] * 16 + pair[1]).collect())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn table(text: &str) -> Table {
+        toml::from_str(text).expect("a table")
+    }
+
+    #[test]
+    fn what_can_not_be_is_told_by_field() {
+        let key = "key = \"000102030405060708090a0b0c0d0e0f\"\n";
+        assert!(table(key).check("n0").is_ok());
+        let told = |text: &str| table(text).check("n0").expect_err(text);
+        for (text, field) in [
+            ("key = \"0g\"", "cluster.key"),
+            ("key = \"012\"", "cluster.key"),
+            ("key = \"0102\"", "cluster.key"),
+            ("", "cluster.key"),
+        ] {
+            assert!(told(text).starts_with(field), "{text}: {}", told(text));
+        }
+        for (text, field) in [
+            ("cluster = \"\"", "cluster.cluster"),
+            ("listen = \"0.0.0.0:7946\"", "cluster.advertise"),
+            ("advertise = \"127.0.0.1:0\"", "cluster.advertise"),
+            ("probe_every_s = 0.0", "cluster.probe_every_s"),
+            ("probe_every_s = -1.0", "cluster.probe_every_s"),
+            ("probe_every_s = nan", "cluster.probe_every_s"),
+            ("probe_timeout_s = 0.9", "cluster.probe_timeout_s"),
+            ("suspicion = inf", "cluster.suspicion"),
+            ("retransmit = 0", "cluster.retransmit"),
+        ] {
+            let said = told(&format!("{key}{text}"));
+            assert!(said.starts_with(field), "{text}: {said}");
+        }
+        for text in ["seeds = [\"here\"]", "listen = \"[::1]:7946\"", "probe = 1"] {
+            assert!(toml::from_str::<Table>(text).is_err(), "{text}");
+        }
+    }
+}
--- /dev/null
+++ b/src/edge/cluster/mod.rs
@@ -0,0 +1,203 @@
+//! The instances of a cluster: carries out what [`Membership`] decides, on a UDP socket. Off unless the operator's
+//! file turns it on.
+
+pub mod file;
+mod view;
+
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::time::Duration;
+
+use dewladder_membership::codec::{Codec, MOST_BYTES};
+use dewladder_membership::{Change, Effect, Event, Membership, Place, Settings, Standing};
+use log::{debug, info, warn};
+use tokio::net::UdpSocket;
+use tokio::sync::oneshot;
+use tokio::time::MissedTickBehavior;
+
+use crate::edge::clock::Clock;
+pub use file::Table;
+pub use view::View;
+
+/// Time is told to the decisions this often.
+pub const TICK: Duration = Duration::from_millis(25);
+/// After a socket that failed, and between tries for an address that another process still has.
+const PAUSE: Duration = Duration::from_millis(50);
+/// What [`View`] shows is no older, changes or not.
+const SHOWN_EVERY: u32 = 20;
+
+/// An instance of a cluster, not yet running.
+#[derive(Debug)]
+pub struct Cluster {
+    codec: Codec,
+    settings: Settings,
+    listen: SocketAddrV4,
+    /// Where others reach it is where it listens.
+    advertised: bool,
+    socket: Option<UdpSocket>,
+    clock: Clock,
+    seed: u64,
+    view: View,
+}
+
+impl Cluster {
+    /// Listens where the table says; where the address is `shared` and another process of this instance still has
+    /// it, once that one has gone.
+    ///
+    /// # Errors
+    /// One plain line that says what can't be.
+    pub fn bind(table: &Table, name: &str, shared: bool, clock: Clock, seed: u64) -> Result<Self, String> {
+        let (codec, mut settings) = table.check(name)?;
+        // Above that of an earlier life, unless the clock was set back: then it is refuted as any other.
+        settings.incarnation = clock.now() / 1_000;
+        let socket = match bind(table.listen) {
+            Ok(socket) => Some(socket),
+            Err(error) if shared && error.kind() == io::ErrorKind::AddrInUse => {
+                info!("cluster: {} is taken by another process; waiting for it", table.listen);
+                None
+            }
+            Err(error) => return Err(format!("cluster.listen: can't listen on {}: {error}", table.listen)),
+        };
+        let view = View::new(&table.cluster);
+        let (listen, advertised) = (table.listen, table.advertise.is_some());
+        Ok(Self { codec, settings, listen, advertised, socket, clock, seed, view })
+    }
+
+    /// What the instance knows, for others to read.
+    #[must_use]
+    pub fn view(&self) -> View {
+        self.view.clone()
+    }
+
+    /// Runs until `leave` comes, then tells the others. Dropping it instead is a death.
+    pub async fn run(self, leave: oneshot::Receiver<()>) {
+        let Self { codec, mut settings, listen, advertised, socket, clock, seed, view } = self;
+        let mut leave = std::pin::pin!(leave);
+        let socket = match socket {
+            Some(socket) => socket,
+            None => tokio::select! {
+                socket = free(listen) => socket,
+                _ = &mut leave => return,
+            },
+        };
+        let own = socket.local_addr().unwrap_or(SocketAddr::V4(listen));
+        if let (SocketAddr::V4(own), false) = (own, advertised) {
+            settings.place = file::place(own);
+        }
+        info!("cluster: {} listens on {own}, reached at {}", settings.name, settings.place);
+        let membership = match Membership::new(settings, seed, clock.now()) {
+            Ok(membership) => membership,
+            Err(error) => return warn!("cluster: can't run: {error}"),
+        };
+        let mut member = Running { codec, membership, socket, clock, view };
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut bytes = [0; MOST_BYTES + 1];
+        let mut shown = 0;
+        loop {
+            tokio::select! {
+                biased; // a flood of datagrams does not stop the clock
+                _ = &mut leave => {
+                    member.step(Event::Leave);
+                    return info!("cluster: the others are told that this instance leaves");
+                }
+                _ = ticks.tick() => {
+                    member.step(Event::Tick);
+                    shown += 1;
+                    if shown % SHOWN_EVERY == 0 {
+                        member.show();
+                    }
+                }
+                heard = member.socket.recv_from(&mut bytes) => match heard {
+                    Ok((length, from)) => member.heard(&bytes[..length], from),
+                    // An earlier datagram that could not be delivered may be told of here.
+                    Err(error) => {
+                        debug!("cluster: {error}");
+                        tokio::time::sleep(PAUSE).await;
+                    }
+                },
+            }
+        }
+    }
+}
+
+struct Running {
+    codec: Codec,
+    membership: Membership,
+    socket: UdpSocket,
+    clock: Clock,
+    view: View,
+}
+
+impl Running {
+    fn heard(&mut self, bytes: &[u8], from: SocketAddr) {
+        match self.codec.open(bytes) {
+            Ok(message) => self.step(Event::Heard(message)),
+            Err(why) => {
+                if self.view.refuse(why) {
+                    warn!("cluster: from {from}: {why}; more of the kind are only counted");
+                }
+            }
+        }
+    }
+
+    fn step(&mut self, event: Event) {
+        let mut effects = Vec::new();
+        self.membership.handle(self.clock.now(), event, &mut effects);
+        let mut changed = false;
+        for effect in effects {
+            changed |= !matches!(effect, Effect::Send { .. });
+            match effect {
+                Effect::Send { to, message } => self.send(to, &message),
+                Effect::Changed(change) => tell(&change, self.membership.up()),
+                Effect::Refuted { said, by, incarnation } => {
+                    info!(said = said.name(), by:% = format!("{:016x}", by.0), incarnation; "cluster: refuted");
+                }
+                Effect::Paused(gap) => {
+                    warn!(paused_ms = gap / 1_000; "cluster: this process stood still; nobody is suspected for that time");
+                }
+            }
+        }
+        if changed {
+            self.show();
+        }
+    }
+
+    fn show(&self) {
+        self.view.show(&self.membership, self.clock.now());
+    }
+
+    fn send(&self, to: Place, message: &dewladder_membership::Message) {
+        let Some(bytes) = self.codec.seal(message) else {
+            return warn!("cluster: a message to {to} is too long and not sent");
+        };
+        let [a, b, c, d] = to.ip;
+        let to = SocketAddrV4::new(Ipv4Addr::new(a, b, c, d), to.port);
+        // What can't be sent at once is lost, as any datagram may be.
+        if let Err(error) = self.socket.try_send_to(&bytes, to.into()) {
+            debug!("cluster: not sent to {to}: {error}");
+        }
+    }
+}
+
+fn tell(change: &Change, up: usize) {
+    let (member, state) = (change.name.as_str(), change.standing.name());
+    let (was, incarnation) = (change.was.map_or("unknown", Standing::name), change.incarnation);
+    let (at, by) = (change.place.to_string(), format!("{:016x}", change.by.0));
+    info!(member, state, was, incarnation, at:%, by:%, up; "cluster: a member changed");
+}
+
+fn bind(at: SocketAddrV4) -> io::Result<UdpSocket> {
+    let socket = std::net::UdpSocket::bind(at)?;
+    socket.set_nonblocking(true)?;
+    UdpSocket::from_std(socket)
+}
+
+async fn free(at: SocketAddrV4) -> UdpSocket {
+    loop {
+        match bind(at) {
+            Ok(socket) => return socket,
+            Err(_) => tokio::time::sleep(PAUSE).await,
+        }
+    }
+}
--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -5,7 +5,7 @@
 
 use log::{error, info, warn};
 use tokio::net::TcpListener;
-use tokio::sync::watch;
+use tokio::sync::{oneshot, watch};
 
 use crate::edge::admin::Admin;
 use crate::edge::balancers::{self, Health};
@@ -13,6 +13,7 @@
 use crate::edge::clients::room::Room;
 use crate::edge::clients::{chat, platform};
 use crate::edge::clock::Clock;
+use crate::edge::cluster::Cluster;
 use crate::edge::driver::{Driver, Message, Sender};
 use crate::edge::kin::{Companion, Seen};
 use crate::edge::peers::Peers;
@@ -76,6 +77,7 @@
     health: Health,
     admin: Option<Admin>,
     companion: Option<Companion>,
+    cluster: Option<Cluster>,
 }
 
 impl Dispatcher {
@@ -120,11 +122,29 @@
         }
         let agent = settings.agent_check.as_ref().filter(|agent| agent.enabled);
         let agent = agent.map(|agent| crate::edge::dispatcher::listen(agent.listen, shared)).transpose()?;
+        let cluster = settings.cluster.as_ref().filter(|cluster| cluster.enabled);
+        let cluster = cluster.map(|table| Cluster::bind(table, &config.name, shared, clock, config.seed));
+        let cluster = cluster.transpose()?;
         let admin = config.admin.map(|at| {
-            Admin::start(at, health.clone()).map_err(|error| format!("can't listen on {at}: {error}"))
+            let cluster = cluster.as_ref().map(Cluster::view);
+            Admin::start(at, health.clone(), cluster)
+                .map_err(|error| format!("can't listen on {at}: {error}"))
         });
         let admin = admin.transpose()?;
-        Ok(Self { config, driver, to_driver, figures, phase, fronts, agent, peers, health, admin, companion })
+        Ok(Self {
+            config,
+            driver,
+            to_driver,
+            figures,
+            phase,
+            fronts,
+            agent,
+            peers,
+            health,
+            admin,
+            companion,
+            cluster,
+        })
     }
 
     /// Where the fronts listen: the platform's, then the chat front, if it is on; last the agent check.
@@ -176,6 +196,7 @@
             health,
             admin,
             companion,
+            cluster,
         } = self;
         let known = listing::entries(&config.known, &config.names);
         if let Some(admin) = &admin {
@@ -187,6 +208,8 @@
         let mut watching = tokio::spawn(list::watch(config.clone(), discovery, to_driver.clone()));
         let room = Room::new(config.most_connections());
         let agent = agent.map(|listener| tokio::spawn(balancers::agent_check(listener, health)));
+        let (leave, left) = oneshot::channel();
+        let cluster = cluster.map(|cluster| tokio::spawn(cluster.run(left)));
         let (tell, mut seen) = watch::channel(companion.as_ref().map(Companion::seen));
         let companion = companion.map(|companion| {
             let (room, to, figures) = (room.clone(), to_driver.clone(), figures.clone());
@@ -246,6 +269,13 @@
         for task in [agent, hearing, companion].into_iter().flatten() {
             task.abort();
         }
+        // Told last: to the end this instance may hold something at servers.
+        if let Some(cluster) = cluster {
+            let _ = leave.send(());
+            if let Err(panic) = cluster.await {
+                error!("the cluster's part ended badly: {panic}");
+            }
+        }
         drop(admin); // it answers to the end
         info!("nothing is held any more: ending");
         Ok(())
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -5,6 +5,7 @@
 pub mod balancers;
 pub mod clients;
 pub mod clock;
+pub mod cluster;
 pub mod connections;
 pub mod core;
 pub mod dispatcher;
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -359,6 +359,8 @@
     pub chat: Option<ChatSettings>,
     /// HAProxy's agent check.
     pub agent_check: Option<AgentSettings>,
+    /// Talk among instances.
+    pub cluster: Option<crate::edge::cluster::Table>,
 }
 
 /// The chat front's settings.
@@ -482,9 +484,9 @@
     pub enabled: bool,
     /// What has ended is remembered for so long (seconds).
     pub window_s: f64,
-    /// For so long after the start, a repeat of a `book` whose first is not known is refused (seconds).
+    /// For so long after the start, a repeat that must not run twice, and whose first is not known, is refused (seconds).
     pub after_start_s: f64,
-    /// A `book` goes on for so long after its last client has left (seconds).
+    /// A request that must not run twice goes on for so long after its last client has left (seconds).
     pub linger_s: f64,
     /// Requests that are remembered.
     pub most_entries: usize,
--- a/src/main.rs
+++ b/src/main.rs
@@ -22,8 +22,8 @@
                                                 SIGHUP has the configuration read again
   check-config [--config FILE] [--fronts FILE]  say whether a configuration can be used
   demo                                          a first run: a stand-in fleet on loopback, both fronts
-  conform --url URL [--key K] [--other-key K]   hold a chat front on loopback against the conformance suite
-          [--model M] [--once M] [--only TEXT]  (models: one that may repeat, one that runs once)
+  conform --url URL --model M --once M          hold a chat front on loopback against the conformance suite
+          [--key K] [--other-key K] [--only T]  (models: one that may repeat, one that runs once)
           [--verbose] [--faults]                 (--faults: with cases that ask stand-in servers to fail)
   version                                       print the version
   help                                          print this text
@@ -62,6 +62,9 @@
         Some("check-config") => {
             let (_, config, fronts) = config(arguments)?;
             fronts.chat.as_ref().map_or(Ok(()), |chat| chat::check(chat, &config))?;
+            if let Some(cluster) = fronts.cluster.as_ref().filter(|cluster| cluster.enabled) {
+                cluster.check(&config.name)?;
+            }
             println!("{} on {}: the configuration can be used", config.name, config.listen);
             Ok(())
         }
--- /dev/null
+++ b/tests/cluster.rs
@@ -0,0 +1,283 @@
+//! Instances of the program as they are started, talking through a network that harms what passes: who is alive,
+//! under deaths, pauses, cuts in one direction, loss and partitions. The bounds themselves are held in virtual time
+//! (`crates/lab/tests/membership.rs`); here all that is waited for comes or the test fails.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Stdio;
+use std::time::Duration;
+
+use dewladder_stand_in::{config, until_close, Fleet, Net, Shape};
+use serde_json::{json, Value};
+use tokio::io::{AsyncBufReadExt as _, BufReader};
+use tokio::process::{Child, Command};
+use tokio::time::sleep;
+
+const KEY: &str = "00112233445566778899aabbccddeeff";
+/// A probe each 0.3 s.
+const TIMES: &str = "probe_every_s = 0.3\nprobe_timeout_s = 0.15\nsync_every_s = 1.0\n";
+
+struct Instance {
+    child: Child,
+    admin: SocketAddr,
+    log: tokio::task::JoinHandle<Vec<String>>,
+}
+
+impl Instance {
+    async fn members(&self) -> Value {
+        let answer = until_close(self.admin, "GET /cluster/members HTTP/1.1\r\nHost: h\r\n\r\n").await;
+        let (head, body) = answer.split_once("\r\n\r\n").unwrap_or_else(|| panic!("an answer: {answer:?}"));
+        assert!(head.starts_with("HTTP/1.1 200 "), "{head}");
+        serde_json::from_str(body).unwrap_or_else(|error| panic!("{error}: {body}"))
+    }
+
+    /// Names of the others that it holds in a state.
+    async fn holds(&self, state: &str) -> Vec<String> {
+        let all = self.members().await;
+        let members = all["members"].as_array().cloned().unwrap_or_default();
+        let names = members.iter().filter(|member| member["state"] == state);
+        names.map(|member| member["name"].as_str().unwrap().to_owned()).collect()
+    }
+
+    fn signal(&self, signal: &str) {
+        let id = self.child.id().expect("it runs").to_string();
+        assert!(std::process::Command::new("kill").args([signal, &id]).status().unwrap().success());
+    }
+
+    /// Kills it where it still runs; its log.
+    async fn end(mut self) -> Vec<String> {
+        let _ = self.child.start_kill();
+        self.log.await.unwrap()
+    }
+}
+
+struct Cluster {
+    fleet: Fleet,
+    net: Net,
+    folder: PathBuf,
+    instances: Vec<Option<Instance>>,
+    logs: Vec<String>,
+}
+
+impl Cluster {
+    /// So many instances that all hold each other for alive.
+    async fn formed(name: &str, count: usize, seed: u64) -> Self {
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("cluster-{name}"));
+        let fleet = Fleet::start(Shape::default()).await.unwrap();
+        let net = Net::start(count, seed).await.unwrap();
+        let mut cluster = Self { fleet, net, folder, instances: Vec::new(), logs: Vec::new() };
+        for at in 0..count {
+            cluster.instances.push(None);
+            cluster.start(at, KEY).await;
+        }
+        cluster.all_alive().await;
+        cluster
+    }
+
+    async fn start(&mut self, at: usize, key: &str) {
+        let folder = self.folder.join(at.to_string());
+        std::fs::create_dir_all(folder.join("shared")).unwrap();
+        let mut settings: Value =
+            serde_json::from_str(&config(self.fleet.agent.address, &self.fleet.listing())).unwrap();
+        settings["name"] = json!(format!("n{at}"));
+        settings["admin_addr"] = json!("127.0.0.1:0");
+        std::fs::write(folder.join("config.json"), settings.to_string()).unwrap();
+        let (own, seed) = (self.net.address(at), self.net.address(if at == 0 { 1 } else { 0 }));
+        let fronts = format!(
+            "[cluster]\nenabled = true\nlisten = \"127.0.0.1:0\"\nadvertise = \"{own}\"\nkey = \"{key}\"\n\
+             seeds = [\"{seed}\"]\n{TIMES}"
+        );
+        std::fs::write(folder.join("fronts.toml"), fronts).unwrap();
+        let mut program = Command::new(env!("CARGO_BIN_EXE_dewladder"));
+        program.args(["serve", "--config", "config.json", "--fronts", "fronts.toml"]).env_clear();
+        program.env("TMPDIR", folder.join("shared")).current_dir(&folder);
+        let mut child = program.stderr(Stdio::piped()).kill_on_drop(true).spawn().unwrap();
+        let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
+        let (mut admin, mut own) = (None, None);
+        let mut all = Vec::new();
+        while admin.is_none() || own.is_none() {
+            let line = lines.next_line().await.unwrap().unwrap_or_else(|| panic!("it starts: {all:?}"));
+            if let Some((_, address)) = line.split_once("second address: ") {
+                admin = address.parse().ok();
+            }
+            if let Some((_, rest)) = line.split_once("listens on ") {
+                own = rest.split(',').next().and_then(|address| address.parse().ok());
+            }
+            all.push(line);
+        }
+        self.net.attach(at, own.unwrap());
+        let log = tokio::spawn(async move {
+            while let Ok(Some(line)) = lines.next_line().await {
+                all.push(line);
+            }
+            all
+        });
+        self.instances[at] = Some(Instance { child, admin: admin.unwrap(), log });
+    }
+
+    fn running(&self) -> impl Iterator<Item = (usize, &Instance)> {
+        self.instances.iter().enumerate().filter_map(|(at, one)| one.as_ref().map(|one| (at, one)))
+    }
+
+    async fn end(&mut self, at: usize) {
+        if let Some(instance) = self.instances[at].take() {
+            self.logs.extend(instance.end().await);
+        }
+    }
+
+    /// Waits until each that runs holds so many others in a state.
+    async fn until(&self, what: &str, state: &str, wanted: impl Fn(usize) -> usize) {
+        let mut seen = Vec::new();
+        for _ in 0..3_000 {
+            seen.clear();
+            for (at, instance) in self.running() {
+                let holds = instance.holds(state).await;
+                if holds.len() != wanted(at) {
+                    seen.push((at, holds));
+                }
+            }
+            if seen.is_empty() {
+                return;
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        panic!("{what}: {state} at {seen:?}");
+    }
+
+    async fn all_alive(&self) {
+        let others = self.running().count() - 1;
+        self.until("all that run hold each other for alive", "alive", |_| others).await;
+    }
+
+    /// Ends all; how often an instance's log says that a member of that name, or any, is dead.
+    async fn deaths(mut self, name: Option<&str>) -> usize {
+        for at in 0..self.instances.len() {
+            self.end(at).await;
+        }
+        let dead = |line: &&String| {
+            line.contains("a member changed")
+                && line.contains("state=dead")
+                && name.is_none_or(|name| line.contains(&format!("member={name} ")))
+        };
+        self.logs.iter().filter(dead).count()
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_killed_instance_is_dead_to_all_others_and_no_live_one_is() {
+    let mut cluster = Cluster::formed("kill", 5, 1).await;
+    cluster.instances[3].as_ref().unwrap().signal("-KILL");
+    cluster.end(3).await;
+    cluster.until("the killed one", "dead", |_| 1).await;
+    for (_, instance) in cluster.running() {
+        assert_eq!(instance.holds("dead").await, ["n3"]);
+    }
+    // It comes back under its name, with nothing kept, and is alive again to all.
+    cluster.start(3, KEY).await;
+    cluster.all_alive().await;
+    let (all, killed) = (cluster.deaths(None).await, 4);
+    assert_eq!(all, killed, "each of four held the killed one for dead, once, and nobody else");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn one_that_stood_still_refutes_and_holds_nobody_for_dead_on_waking() {
+    let cluster = Cluster::formed("pause", 5, 2).await;
+    let paused = cluster.instances[2].as_ref().unwrap();
+    paused.signal("-STOP");
+    sleep(Duration::from_millis(900)).await; // three probe times
+    paused.signal("-CONT");
+    cluster.all_alive().await;
+    assert!(paused.members().await["counts"]["pauses"].as_u64() >= Some(1), "it saw that it stood still");
+    // Longer than it can take to be held for dead: on waking it hears so, and refutes.
+    paused.signal("-STOP");
+    let mut dead = 0;
+    for _ in 0..3_000 {
+        dead = 0;
+        for (_, instance) in cluster.running().filter(|&(at, _)| at != 2) {
+            dead += usize::from(instance.holds("dead").await == ["n2"]);
+        }
+        if dead == 4 {
+            break;
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(dead, 4);
+    paused.signal("-CONT");
+    cluster.all_alive().await;
+    assert!(paused.members().await["counts"]["refuted"].as_u64() >= Some(1));
+    assert_eq!(paused.members().await["counts"]["deaths"], 0);
+    let (name, dead) = ("n2", 4);
+    assert_eq!(cluster.deaths(None).await, dead, "only {name}, once at each of the others");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn one_way_that_is_cut_and_messages_that_are_lost_are_no_death() {
+    let cluster = Cluster::formed("harm", 5, 3).await;
+    cluster.net.cut(0, 1, true);
+    sleep(Duration::from_secs(9)).await; // thirty probe times
+    cluster.net.cut(0, 1, false);
+    cluster.net.lose(0.2);
+    sleep(Duration::from_secs(60)).await;
+    cluster.net.lose(0.0);
+    cluster.all_alive().await;
+    let (passed, lost) = cluster.net.counts();
+    assert!(lost * 20 > passed, "{lost} lost, {passed} passed: the harm was done");
+    assert_eq!(cluster.deaths(None).await, 0);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn two_sides_of_a_partition_hold_each_other_for_dead_and_find_together_again() {
+    let mut cluster = Cluster::formed("partition", 5, 4).await;
+    cluster.net.partition(&[0, 1], true);
+    cluster.until("each side sees the other gone", "dead", |at| if at < 2 { 3 } else { 2 }).await;
+    cluster.net.partition(&[0, 1], false);
+    cluster.all_alive().await;
+    // One that ends in good order is not suspected.
+    let leaving = cluster.instances[4].take().unwrap();
+    leaving.signal("-TERM");
+    cluster.until("the one that left", "left", |_| 1).await;
+    cluster.logs.extend(leaving.end().await);
+    assert_eq!(cluster.deaths(Some("n4")).await, 2, "by the other side only, while it was cut off");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn one_with_another_key_is_not_taken_and_is_counted() {
+    let mut cluster = Cluster::formed("key", 2, 5).await;
+    cluster.end(1).await;
+    cluster.start(1, "ff112233445566778899aabbccddeeff").await;
+    let first = cluster.instances[0].as_ref().unwrap();
+    let mut refused = 0;
+    for _ in 0..3_000 {
+        refused = first.members().await["refused"]["mac"].as_u64().unwrap_or(0);
+        if refused > 2 {
+            break;
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    assert!(refused > 2);
+    let other = cluster.instances[1].as_ref().unwrap().members().await;
+    assert_eq!(other["members"], json!([]), "it learns nothing either");
+}
+
+#[tokio::test]
+async fn without_the_table_nothing_of_it_is_there() {
+    let fleet = Fleet::start(Shape::default()).await.unwrap();
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("cluster-off");
+    std::fs::create_dir_all(&folder).unwrap();
+    let mut settings: Value = serde_json::from_str(&config(fleet.agent.address, &fleet.listing())).unwrap();
+    settings["admin_addr"] = json!("127.0.0.1:0");
+    std::fs::write(folder.join("config.json"), settings.to_string()).unwrap();
+    let mut program = Command::new(env!("CARGO_BIN_EXE_dewladder"));
+    program.args(["serve", "--config", "config.json"]).env_clear().current_dir(&folder);
+    let mut child = program.stderr(Stdio::piped()).kill_on_drop(true).spawn().unwrap();
+    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
+    let admin = loop {
+        let line = lines.next_line().await.unwrap().expect("it starts");
+        assert!(!line.contains("cluster"), "{line}");
+        if let Some((_, address)) = line.split_once("second address: ") {
+            break address.parse().unwrap();
+        }
+    };
+    let answer = until_close(admin, "GET /cluster/members HTTP/1.1\r\n").await;
+    assert!(answer.starts_with("ERR "), "{answer}");
+}
