Add replicas of requests that must not run twice, held by W of N, off as shipped

Need: when an instance dies its clients go to another one, which knew nothing of what must not run twice: in a control of 160 requests with kill -9 and a retry elsewhere, over 10 ran twice. A chat front with [chat.repeats] and [cluster.replica] has each keyed request of a class that must not run twice held by a quorum before its first byte is sent; without one it is refused in time. Messages go sealed on a channel of their own on the cluster's socket. Off as shipped.

--- a/crates/membership/src/codec.rs
+++ b/crates/membership/src/codec.rs
@@ -1,7 +1,7 @@
 //! Messages as bytes, in datagrams under [`MOST_BYTES`].
 //!
 //! ```text
-//! 'D' 'W' | version (1 byte) | cluster (8 bytes, little-endian) | HMAC-SHA-256 (32 bytes) | body (postcard)
+//! 'D' 'W' | version (1 byte) | channel (1) | cluster (8, little-endian) | HMAC-SHA-256 (32) | body (postcard)
 //! ```
 //!
 //! The HMAC is over all that stands before and behind it, with the cluster's key. An old datagram that is sent once
@@ -23,9 +23,20 @@
 pub const LEAST_KEY: usize = 16;
 
 const MAGIC: [u8; 2] = *b"DW";
-const HEAD: usize = 2 + 1 + 8;
+const HEAD: usize = 2 + 1 + 1 + 8;
 const MAC: usize = 32;
 
+/// Whose messages a datagram holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[repr(u8)]
+pub enum Channel {
+    /// Of who is alive.
+    #[default]
+    Membership = 0,
+    /// Of what is known together.
+    Replica = 1,
+}
+
 /// Why bytes were not taken.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Refused {
@@ -54,6 +65,7 @@
 /// What seals and opens messages of one cluster.
 #[derive(Clone)]
 pub struct Codec {
+    channel: Channel,
     cluster: [u8; 8],
     mac: Hmac<Sha256>,
 }
@@ -74,7 +86,19 @@
             return Err(ShortKey(key.len()));
         }
         let mac = <Hmac<Sha256> as KeyInit>::new_from_slice(key).map_err(|_| ShortKey(key.len()))?;
-        Ok(Self { cluster: MemberId::of(cluster).0.to_le_bytes(), mac })
+        Ok(Self { channel: Channel::default(), cluster: MemberId::of(cluster).0.to_le_bytes(), mac })
+    }
+
+    /// The same for another channel: what is sealed for one is not opened for another.
+    #[must_use]
+    pub fn on(&self, channel: Channel) -> Self {
+        Self { channel, ..self.clone() }
+    }
+
+    /// Whether bytes claim to be of this codec's channel; only opening them shows that they are.
+    #[must_use]
+    pub fn is_addressed(&self, bytes: &[u8]) -> bool {
+        bytes.get(3) == Some(&(self.channel as u8))
     }
 
     /// A body as a datagram. `None` where it would be too long.
@@ -84,6 +108,7 @@
         let mut bytes = Vec::with_capacity(HEAD + MAC + body.len());
         bytes.extend(MAGIC);
         bytes.push(VERSION);
+        bytes.push(self.channel as u8);
         bytes.extend(self.cluster);
         let mut mac = self.mac.clone();
         mac.update(&bytes);
@@ -104,7 +129,10 @@
         if bytes[2] != VERSION {
             return Err(Refused::Version(bytes[2]));
         }
-        if bytes[3..HEAD] != self.cluster {
+        if bytes[3] != self.channel as u8 {
+            return Err(Refused::Foreign);
+        }
+        if bytes[4..HEAD] != self.cluster {
             return Err(Refused::Cluster);
         }
         let (head, rest) = bytes.split_at(HEAD);
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -222,6 +222,18 @@
         self.members.iter().map(|(&id, member)| (id, member))
     }
 
+    /// Where a member hears; `None` for one that is not known.
+    #[must_use]
+    pub fn place_of(&self, id: MemberId) -> Option<Place> {
+        self.members.get(&id).map(|member| member.place)
+    }
+
+    /// The others that are up.
+    #[must_use]
+    pub fn others_up(&self) -> Vec<MemberId> {
+        self.up_but(None)
+    }
+
     /// This instance, as it stands by itself.
     #[must_use]
     pub fn me(&self) -> Update {
--- a/src/edge/clients/chat.rs
+++ b/src/edge/clients/chat.rs
@@ -33,10 +33,12 @@
 use crate::edge::clients::problem::{json_answer, told, with_id, Problem};
 use crate::edge::clients::repeats::{Begun, Judged, Repeats};
 use crate::edge::clock::Clock;
+use crate::edge::cluster::quorum::Quorum;
 use crate::edge::driver::{Reply, Sender};
 use crate::edge::servers::{header, Payload};
 use crate::edge::settings::{ChatSettings, Config};
 use crate::interface::{Call, Class, Effect, Key, Micros, RequestId};
+use dewladder_replica::RecordId;
 
 /// What servers are asked, whichever way the client asked.
 const TARGET: &str = "/v1/chat/completions";
@@ -87,6 +89,8 @@
     store: Arc<Mutex<Store>>,
     /// What is known of repeats, where that is turned on.
     repeats: Option<Arc<Repeats>>,
+    /// By which other instances hold records of requests that must not run twice, where that is turned on.
+    quorum: Option<Quorum>,
 }
 
 /// Mints ids: no two alike in one life, and by the seed and the start time none of another life either.
@@ -120,7 +124,13 @@
 ///
 /// # Errors
 /// See [`check`].
-pub fn front(chat: &ChatSettings, config: &Config, clock: Clock, driver: Sender) -> Result<Router, String> {
+pub fn front(
+    chat: &ChatSettings,
+    config: &Config,
+    clock: Clock,
+    driver: Sender,
+    quorum: Option<Quorum>,
+) -> Result<Router, String> {
     check(chat, config)?;
     let mut names: Vec<&String> = chat.tenants.values().collect();
     names.sort_unstable();
@@ -153,6 +163,7 @@
         ids: Ids { base: mix(config.seed ^ mix(clock.now())), next: AtomicU64::new(0) },
         store: Arc::new(Mutex::new(Store::new(store_bytes, tenant_bytes))),
         repeats,
+        quorum,
     };
     Ok(Router::new().fallback(serve).with_state(Arc::new(front)))
 }
@@ -322,7 +333,9 @@
             param: Some("Idempotency-Key".to_owned()),
             ..bad("invalid_value", format!("Idempotency-Key {}", bad_key.0))
         })?;
-        self.as_judged(repeats, &offer, &asked).await
+        let record = Repeats::record_id(&head.headers, &tenant.name).filter(|_| model.once);
+        let shared = self.quorum.clone().zip(record);
+        self.as_judged(repeats, &offer, &asked, shared).await
     }
 
     /// Has a request run of which nothing is remembered: each choice as a request of its own.
@@ -357,6 +370,7 @@
         repeats: &Arc<Repeats>,
         offer: &Offer,
         asked: &Asked<'_>,
+        shared: Option<(Quorum, RecordId)>,
     ) -> Result<Response<Body>, Problem> {
         for _ in 0..MOST_JUDGED {
             let (mut reader, joined) = match repeats.judge(offer) {
@@ -369,7 +383,7 @@
                         }
                     };
                     let (call, payload) = self.part(asked, 0);
-                    repeats.run(&reader, &self.driver, call, payload, permit);
+                    repeats.run(&reader, &self.driver, (call, payload), shared.clone(), permit);
                     (reader, false)
                 }
                 Judged::Join(reader) => (reader, true),
--- a/src/edge/clients/repeats.rs
+++ b/src/edge/clients/repeats.rs
@@ -13,6 +13,7 @@
 use dewladder_ledger::{
     canonical, Effect, Ending, EntryId, Figures, Fingerprints, Ledger, Name, Offer, Policy, Read, Verdict,
 };
+use dewladder_replica::{Denied, RecordId};
 use dewladder_router::mix;
 use http_body::{Body, Frame};
 use http_body_util::BodyExt as _;
@@ -22,6 +23,7 @@
 use tokio::time::{sleep_until, Instant};
 
 use crate::edge::clock::Clock;
+use crate::edge::cluster::quorum::{Grant, Quorum};
 use crate::edge::driver::{Reply, Sender};
 use crate::edge::servers::{header, Cut, Payload, Relay};
 use crate::interface::{Call, Micros, RequestId};
@@ -113,6 +115,12 @@
         Ok(Offer { tenant: index, once, name, body, repeat })
     }
 
+    /// The record of a request at other instances; only one that has a key is known again there.
+    #[must_use]
+    pub fn record_id(headers: &HeaderMap, tenant: &str) -> Option<RecordId> {
+        header(headers, KEY).map(|key| RecordId::of(tenant, key))
+    }
+
     /// What is to be done with a request. Who runs or joins reads the answer.
     pub fn judge(self: &Arc<Self>, offer: &Offer) -> Judged {
         let mut inner = self.lock();
@@ -128,13 +136,14 @@
         }
     }
 
-    /// Has a request run, and records its answer. `held` goes when the run is over.
+    /// Has a request run, and records its answer. `held` goes when the run is over. What is `shared` is sent on only
+    /// once enough other instances hold its record.
     pub fn run(
         self: &Arc<Self>,
         reader: &Reader,
         driver: &Sender,
-        call: Call,
-        payload: Arc<Payload>,
+        (call, payload): (Call, Arc<Payload>),
+        shared: Option<(Quorum, RecordId)>,
         held: impl Send + 'static,
     ) {
         let (id, (stop, stopped)) = (reader.id, oneshot::channel());
@@ -142,10 +151,31 @@
         inner.ledger.note(id, [call.id.0, self.clock.now()]);
         inner.recording.insert(id, stop);
         drop(inner);
-        let (asked, over) = driver.begin(call, payload);
-        let repeats = self.clone();
+        let (repeats, driver) = (self.clone(), driver.clone());
         tokio::spawn(async move {
-            let ending = repeats.record(id, asked, over, stopped).await;
+            let mut stopped = stopped;
+            let granted = match shared {
+                None => Ok(None),
+                Some((quorum, record)) => tokio::select! {
+                    granted = quorum.offer(record, call.not_after) => granted.map(Some).map_err(denied),
+                    // Dropped with that: the others are told that it never ran.
+                    Ok(()) = &mut stopped => Err(Ending::LetGo { may_have_run: false }),
+                },
+            };
+            let ending = match granted {
+                Ok(grant) => {
+                    let (asked, over) = driver.begin(call, payload);
+                    let ending = repeats.record(id, asked, over, stopped).await;
+                    if let Some(grant) = grant {
+                        told_to_others(grant, &ending);
+                    }
+                    ending
+                }
+                Err(Ending::Refused { .. }) => {
+                    Ending::Refused { retry_in: driver.settings().max_retry_after }
+                }
+                Err(ending) => ending,
+            };
             drop(held);
             repeats.lock().recording.remove(&id);
             repeats.tell(|ledger, now| ledger.ended(now, id, ending));
@@ -274,6 +304,27 @@
     }
 }
 
+/// What a request comes to that other instances do not let pass.
+fn denied(why: Denied) -> Ending {
+    match why {
+        // Another attempt, at this instance or another, may have run or may be running.
+        Denied::Found(_) => Ending::Failed { may_have_run: true },
+        Denied::NoQuorum | Denied::Behind | Denied::Full => Ending::Refused { retry_in: 0 },
+    }
+}
+
+fn told_to_others(grant: Grant, ending: &Ending) {
+    match ending {
+        Ending::Whole => grant.ran(true),
+        Ending::Cut(_) => grant.ran(false),
+        Ending::Refused { .. }
+        | Ending::Failed { may_have_run: false }
+        | Ending::LetGo { may_have_run: false } => grant.never_ran(),
+        // Its end says as much by itself.
+        Ending::Failed { may_have_run: true } | Ending::LetGo { may_have_run: true } => drop(grant),
+    }
+}
+
 async fn look_after(repeats: Weak<Repeats>) {
     loop {
         let Some(due) = repeats.upgrade().map(|repeats| repeats.clock.instant(repeats.tick())) else {
--- a/src/edge/cluster/file.rs
+++ b/src/edge/cluster/file.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddrV4;
 
 use dewladder_membership::codec::{Codec, LEAST_KEY};
-use dewladder_membership::{Place, Settings};
+use dewladder_membership::{MemberId, Place, Settings};
+use dewladder_replica as replica;
 use serde::Deserialize;
 
 use crate::edge::cluster::TICK;
@@ -45,6 +46,84 @@
     pub sync_every_s: f64,
     /// Dead members are remembered for so long.
     pub forget_after_s: f64,
+    /// What instances know together of requests that must not run twice.
+    pub replica: ReplicaTable,
+}
+
+/// See `deploy/fronts.toml` for each field. Times are in seconds.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ReplicaTable {
+    /// Off, each instance knows its own requests only.
+    pub enabled: bool,
+    /// Names of all instances that hold records, whether they run or not; the same at all.
+    pub members: Vec<String>,
+    /// Each record lies at so many.
+    pub copies: usize,
+    /// So many must hold it before its request is sent on.
+    pub quorum: usize,
+    /// For how long what was done is known.
+    pub window_s: f64,
+    /// How long an offer, and a start, wait.
+    pub settle_s: f64,
+    /// Records held at most.
+    pub most_records: usize,
+    /// Records kept for others that are away, at most.
+    pub most_hints: usize,
+}
+
+impl Default for ReplicaTable {
+    fn default() -> Self {
+        Self {
+            enabled: false,
+            members: Vec::new(),
+            copies: 3,
+            quorum: 2,
+            window_s: 600.0,
+            settle_s: 2.0,
+            most_records: 100_000,
+            most_hints: 20_000,
+        }
+    }
+}
+
+impl ReplicaTable {
+    fn check(&self, name: &str) -> Result<replica::Settings, String> {
+        let settings = replica::Settings {
+            me: MemberId::of(name),
+            life: 0,
+            members: self.members.iter().map(|name| MemberId::of(name)).collect(),
+            copies: self.copies,
+            quorum: self.quorum,
+            window: micros(self.window_s),
+            most_records: self.most_records,
+            most_hints: self.most_hints,
+            settle: micros(self.settle_s),
+            again_after: AGAIN_AFTER,
+            compare_every: COMPARE_EVERY,
+        };
+        settings.check().map_err(|error| format!("cluster.replica.{error}"))?;
+        Ok(settings)
+    }
+}
+
+/// What another instance has not answered is sent again after this, and copies are compared this often (us).
+const AGAIN_AFTER: Micros = 100_000;
+const COMPARE_EVERY: Micros = 500_000;
+
+fn micros(seconds: f64) -> Micros {
+    (seconds.clamp(0.0, 1e9) * 1e6).round() as Micros
+}
+
+/// What the tables come to.
+#[derive(Debug)]
+pub struct Checked {
+    /// Seals and opens messages.
+    pub codec: Codec,
+    /// Of membership.
+    pub settings: Settings,
+    /// Of what is known together, where that is on.
+    pub replica: Option<replica::Settings>,
 }
 
 impl std::fmt::Debug for Table {
@@ -78,6 +157,7 @@
             retransmit: usual.retransmit,
             sync_every_s: seconds(usual.sync_every),
             forget_after_s: seconds(usual.forget_after),
+            replica: ReplicaTable::default(),
         }
     }
 }
@@ -87,7 +167,7 @@
     ///
     /// # Errors
     /// One plain line that names the field.
-    pub fn check(&self, name: &str) -> Result<(Codec, Settings), String> {
+    pub fn check(&self, name: &str) -> Result<Checked, String> {
         let key = unhex(&self.key).ok_or_else(|| {
             format!("cluster.key: not hexadecimal, two digits a byte, {LEAST_KEY} bytes at least")
         })?;
@@ -103,7 +183,6 @@
         if reached.ip().is_unspecified() {
             return Err(format!("cluster.advertise: others can't reach {}", reached.ip()));
         }
-        let micros = |seconds: f64| (seconds.clamp(0.0, 1e9) * 1e6).round() as Micros;
         let settings = Settings {
             name: if self.name.is_empty() { name.to_owned() } else { self.name.clone() },
             place: place(reached),
@@ -121,7 +200,9 @@
             tick_every: crate::edge::clock::micros(TICK),
         };
         settings.check().map_err(|error| format!("cluster.{error}"))?;
-        Ok((codec, settings))
+        let replica = Some(&self.replica).filter(|table| table.enabled);
+        let replica = replica.map(|table| table.check(&settings.name)).transpose()?;
+        Ok(Checked { codec, settings, replica })
     }
 }
 
@@ -160,6 +241,19 @@
         ] {
             assert!(told(text).starts_with(field), "{text}: {}", told(text));
         }
+        let three = "enabled = true\nmembers = [\"n0\", \"n1\", \"n2\"]";
+        assert!(table(&format!("{key}[replica]\n{three}")).check("n0").is_ok());
+        for (text, field) in [
+            ("enabled = true", "cluster.replica.members"),
+            ("enabled = true\nmembers = [\"n1\", \"n2\"]", "cluster.replica.members"),
+            (&format!("{three}\ncopies = 4"), "cluster.replica.copies"),
+            (&format!("{three}\nquorum = 1"), "cluster.replica.quorum"),
+            (&format!("{three}\nsettle_s = 0.0"), "cluster.replica.settle_s"),
+            (&format!("{three}\nwindow_s = nan"), "cluster.replica.window_s"),
+        ] {
+            let said = told(&format!("{key}[replica]\n{text}"));
+            assert!(said.starts_with(field), "{text}: {said}");
+        }
         for (text, field) in [
             ("cluster = \"\"", "cluster.cluster"),
             ("listen = \"0.0.0.0:7946\"", "cluster.advertise"),
--- a/src/edge/cluster/mod.rs
+++ b/src/edge/cluster/mod.rs
@@ -1,15 +1,17 @@
-//! The instances of a cluster: carries out what [`Membership`] decides, on a UDP socket. Off unless the operator's
-//! file turns it on.
+//! The instances of a cluster: carries out what [`Membership`] and [`Replica`] decide, on one UDP socket. Off unless the
+//! operator's file turns it on.
 
 pub mod file;
+pub mod quorum;
 mod view;
 
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::time::Duration;
 
-use dewladder_membership::codec::{Codec, MOST_BYTES};
-use dewladder_membership::{Change, Effect, Event, Membership, Place, Settings, Standing};
+use dewladder_membership::codec::{Channel, Codec, Refused, MOST_BYTES};
+use dewladder_membership::{Change, Effect, Event, MemberId, Membership, Place, Settings, Standing};
+use dewladder_replica::{self as replica, Replica};
 use log::{debug, info, warn};
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
@@ -17,6 +19,7 @@
 
 use crate::edge::clock::Clock;
 pub use file::Table;
+use quorum::{Asked, Asking, Quorum};
 pub use view::View;
 
 /// Time is told to the decisions this often.
@@ -38,6 +41,9 @@
     clock: Clock,
     seed: u64,
     view: View,
+    replica: Option<replica::Settings>,
+    quorum: Quorum,
+    asked: Asking,
 }
 
 impl Cluster {
@@ -47,7 +53,10 @@
     /// # Errors
     /// One plain line that says what can't be.
     pub fn bind(table: &Table, name: &str, shared: bool, clock: Clock, seed: u64) -> Result<Self, String> {
-        let (codec, mut settings) = table.check(name)?;
+        let file::Checked { codec, mut settings, mut replica } = table.check(name)?;
+        if let Some(replica) = &mut replica {
+            replica.life = clock.now();
+        }
         // Above that of an earlier life, unless the clock was set back: then it is refuted as any other.
         settings.incarnation = clock.now() / 1_000;
         let socket = match bind(table.listen) {
@@ -60,7 +69,14 @@
         };
         let view = View::new(&table.cluster);
         let (listen, advertised) = (table.listen, table.advertise.is_some());
-        Ok(Self { codec, settings, listen, advertised, socket, clock, seed, view })
+        let (quorum, asked) = quorum::pair();
+        Ok(Self { codec, settings, listen, advertised, socket, clock, seed, view, replica, quorum, asked })
+    }
+
+    /// By which fronts have others hold a record of a request; `None` where that is off.
+    #[must_use]
+    pub fn quorum(&self) -> Option<Quorum> {
+        self.replica.as_ref().map(|_| self.quorum.clone())
     }
 
     /// What the instance knows, for others to read.
@@ -71,7 +87,19 @@
 
     /// Runs until `leave` comes, then tells the others. Dropping it instead is a death.
     pub async fn run(self, leave: oneshot::Receiver<()>) {
-        let Self { codec, mut settings, listen, advertised, socket, clock, seed, view } = self;
+        let Self {
+            codec,
+            mut settings,
+            listen,
+            advertised,
+            socket,
+            clock,
+            seed,
+            view,
+            replica,
+            quorum: _own,
+            mut asked,
+        } = self;
         let mut leave = std::pin::pin!(leave);
         let socket = match socket {
             Some(socket) => socket,
@@ -89,7 +117,13 @@
             Ok(membership) => membership,
             Err(error) => return warn!("cluster: can't run: {error}"),
         };
-        let mut member = Running { codec, membership, socket, clock, view };
+        let replica = match replica.map(|settings| Replica::new(settings, clock.now())).transpose() {
+            Ok(replica) => replica,
+            Err(error) => return warn!("cluster: can't run: {error}"),
+        };
+        let sealed = codec.on(Channel::Replica);
+        let offers = quorum::Offers::default();
+        let mut member = Running { codec, sealed, membership, replica, offers, socket, clock, view };
         let mut ticks = tokio::time::interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut bytes = [0; MOST_BYTES + 1];
@@ -103,11 +137,13 @@
                 }
                 _ = ticks.tick() => {
                     member.step(Event::Tick);
+                    member.replicate(replica::Event::Tick);
                     shown += 1;
                     if shown % SHOWN_EVERY == 0 {
                         member.show();
                     }
                 }
+                Some(what) = asked.recv() => member.asked(what),
                 heard = member.socket.recv_from(&mut bytes) => match heard {
                     Ok((length, from)) => member.heard(&bytes[..length], from),
                     // An earlier datagram that could not be delivered may be told of here.
@@ -123,7 +159,11 @@
 
 struct Running {
     codec: Codec,
+    /// The same for the replicas' messages.
+    sealed: Codec,
     membership: Membership,
+    replica: Option<Replica>,
+    offers: quorum::Offers,
     socket: UdpSocket,
     clock: Clock,
     view: View,
@@ -131,12 +171,56 @@
 
 impl Running {
     fn heard(&mut self, bytes: &[u8], from: SocketAddr) {
-        match self.codec.open(bytes) {
-            Ok(message) => self.step(Event::Heard(message)),
-            Err(why) => {
-                if self.view.refuse(why) {
-                    warn!("cluster: from {from}: {why}; more of the kind are only counted");
+        let refused = if self.replica.is_some() && self.sealed.is_addressed(bytes) {
+            match self.sealed.open_body::<(MemberId, replica::Message)>(bytes) {
+                Ok((from, message)) => return self.replicate(replica::Event::Heard { from, message }),
+                Err(why) => why,
+            }
+        } else {
+            match self.codec.open(bytes) {
+                Ok(message) => return self.step(Event::Heard(message)),
+                Err(why) => why,
+            }
+        };
+        self.refuse(refused, from);
+    }
+
+    fn refuse(&self, why: Refused, from: SocketAddr) {
+        if self.view.refuse(why) {
+            warn!("cluster: from {from}: {why}; more of the kind are only counted");
+        }
+    }
+
+    /// What a front asks for.
+    fn asked(&mut self, what: Asked) {
+        let event = self.offers.take(what);
+        self.replicate(event);
+    }
+
+    fn replicate(&mut self, event: replica::Event) {
+        let Some(replica) = &mut self.replica else { return };
+        let mut effects = Vec::new();
+        replica.handle(self.clock.now(), event, &mut effects);
+        for effect in effects {
+            match effect {
+                replica::Effect::Send { to, message } => {
+                    let body = (self.membership.me().id, message);
+                    // One that was never heard of can't be reached; what is for it is sent again.
+                    if let Some(place) = self.membership.place_of(to) {
+                        self.send_bytes(place, self.sealed.seal_body(&body));
+                    }
+                }
+                replica::Effect::Granted(ticket) => self.offers.tell(ticket, Ok(())),
+                replica::Effect::Denied(ticket, why) => self.offers.tell(ticket, Err(why)),
+                replica::Effect::CaughtUp(range) => {
+                    let behind = self.replica.as_ref().map_or(0, Replica::behind);
+                    debug!("cluster: caught up with range {range}, {behind} to go");
+                    if behind == 0 {
+                        info!("cluster: caught up with all ranges; this instance holds records for others");
+                        self.show();
+                    }
                 }
+                replica::Effect::Noted(note) => debug!("cluster: {note:?}"),
             }
         }
     }
@@ -159,16 +243,21 @@
             }
         }
         if changed {
+            self.replicate(replica::Event::Up(self.membership.others_up().into_iter().collect()));
             self.show();
         }
     }
 
     fn show(&self) {
-        self.view.show(&self.membership, self.clock.now());
+        self.view.show(&self.membership, self.replica.as_ref(), self.clock.now());
     }
 
     fn send(&self, to: Place, message: &dewladder_membership::Message) {
-        let Some(bytes) = self.codec.seal(message) else {
+        self.send_bytes(to, self.codec.seal(message));
+    }
+
+    fn send_bytes(&self, to: Place, bytes: Option<Vec<u8>>) {
+        let Some(bytes) = bytes else {
             return warn!("cluster: a message to {to} is too long and not sent");
         };
         let [a, b, c, d] = to.ip;
--- a/src/edge/cluster/view.rs
+++ b/src/edge/cluster/view.rs
@@ -5,6 +5,7 @@
 
 use dewladder_membership::codec::Refused;
 use dewladder_membership::Membership;
+use dewladder_replica::Replica;
 use serde_json::{json, Value};
 
 use crate::interface::Micros;
@@ -46,7 +47,7 @@
         *count == 1
     }
 
-    pub(super) fn show(&self, membership: &Membership, now: Micros) {
+    pub(super) fn show(&self, membership: &Membership, replica: Option<&Replica>, now: Micros) {
         let me = membership.me();
         let members: Vec<Value> = membership
             .others()
@@ -57,7 +58,14 @@
             })
             .collect();
         let counts = membership.counts();
+        let replica = replica.map(|replica| {
+            let counts = replica.counts();
+            json!({"records": replica.store().len(), "ranges_behind": replica.behind(), "hints": replica.hinted(),
+                "granted": counts.granted, "found": counts.found, "no_quorum": counts.no_quorum,
+                "full": counts.full, "hints_lost": counts.hints_lost})
+        });
         self.shown().membership = json!({
+            "replica": replica,
             "me": {"name": me.name, "address": me.place.to_string(), "state": me.standing.name(),
                 "incarnation": me.incarnation, "health": membership.health_score()},
             "members": members,
--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -115,16 +115,22 @@
         let listen = |address: SocketAddr| if joins { Ok(None) } else { listen(address, shared).map(Some) };
         let platform = platform::front(clock, to_driver.clone(), figures.clone());
         let platform = platform.merge(balancers::routes(health.clone()));
+        let cluster = settings.cluster.as_ref().filter(|cluster| cluster.enabled);
+        let cluster = cluster.map(|table| Cluster::bind(table, &config.name, shared, clock, config.seed));
+        let cluster = cluster.transpose()?;
         let mut fronts = vec![(config.listen, listen(config.listen)?, platform)];
         if let Some(chat) = settings.chat.as_ref().filter(|chat| chat.enabled) {
-            let front = chat::front(chat, &config, clock, to_driver.clone())?;
+            let front = chat::front(
+                chat,
+                &config,
+                clock,
+                to_driver.clone(),
+                cluster.as_ref().and_then(Cluster::quorum),
+            )?;
             fronts.push((chat.listen, listen(chat.listen)?, front.merge(balancers::routes(health.clone()))));
         }
         let agent = settings.agent_check.as_ref().filter(|agent| agent.enabled);
         let agent = agent.map(|agent| crate::edge::dispatcher::listen(agent.listen, shared)).transpose()?;
-        let cluster = settings.cluster.as_ref().filter(|cluster| cluster.enabled);
-        let cluster = cluster.map(|table| Cluster::bind(table, &config.name, shared, clock, config.seed));
-        let cluster = cluster.transpose()?;
         let admin = config.admin.map(|at| {
             let cluster = cluster.as_ref().map(Cluster::view);
             Admin::start(at, health.clone(), cluster)
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -1,168 +1,20 @@
-//! Instances of the program as they are started, talking through a network that harms what passes: who is alive,
-//! under deaths, pauses, cuts in one direction, loss and partitions. The bounds themselves are held in virtual time
-//! (`crates/lab/tests/membership.rs`); here all that is waited for comes or the test fails.
+//! Who is alive, under deaths, pauses, cuts in one direction, loss and partitions, with the program as it is started.
+//! The bounds themselves are held in virtual time (`crates/lab/tests/membership.rs`); here all that is waited for comes
+//! or the test fails.
+
+mod processes;
 
-use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::Stdio;
 use std::time::Duration;
 
-use dewladder_stand_in::{config, until_close, Fleet, Net, Shape};
+use dewladder_stand_in::{config, until_close, Fleet, Shape};
+use processes::{Cluster, KEY};
 use serde_json::{json, Value};
 use tokio::io::{AsyncBufReadExt as _, BufReader};
-use tokio::process::{Child, Command};
+use tokio::process::Command;
 use tokio::time::sleep;
 
-const KEY: &str = "00112233445566778899aabbccddeeff";
-/// A probe each 0.3 s.
-const TIMES: &str = "probe_every_s = 0.3\nprobe_timeout_s = 0.15\nsync_every_s = 1.0\n";
-
-struct Instance {
-    child: Child,
-    admin: SocketAddr,
-    log: tokio::task::JoinHandle<Vec<String>>,
-}
-
-impl Instance {
-    async fn members(&self) -> Value {
-        let answer = until_close(self.admin, "GET /cluster/members HTTP/1.1\r\nHost: h\r\n\r\n").await;
-        let (head, body) = answer.split_once("\r\n\r\n").unwrap_or_else(|| panic!("an answer: {answer:?}"));
-        assert!(head.starts_with("HTTP/1.1 200 "), "{head}");
-        serde_json::from_str(body).unwrap_or_else(|error| panic!("{error}: {body}"))
-    }
-
-    /// Names of the others that it holds in a state.
-    async fn holds(&self, state: &str) -> Vec<String> {
-        let all = self.members().await;
-        let members = all["members"].as_array().cloned().unwrap_or_default();
-        let names = members.iter().filter(|member| member["state"] == state);
-        names.map(|member| member["name"].as_str().unwrap().to_owned()).collect()
-    }
-
-    fn signal(&self, signal: &str) {
-        let id = self.child.id().expect("it runs").to_string();
-        assert!(std::process::Command::new("kill").args([signal, &id]).status().unwrap().success());
-    }
-
-    /// Kills it where it still runs; its log.
-    async fn end(mut self) -> Vec<String> {
-        let _ = self.child.start_kill();
-        self.log.await.unwrap()
-    }
-}
-
-struct Cluster {
-    fleet: Fleet,
-    net: Net,
-    folder: PathBuf,
-    instances: Vec<Option<Instance>>,
-    logs: Vec<String>,
-}
-
-impl Cluster {
-    /// So many instances that all hold each other for alive.
-    async fn formed(name: &str, count: usize, seed: u64) -> Self {
-        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("cluster-{name}"));
-        let fleet = Fleet::start(Shape::default()).await.unwrap();
-        let net = Net::start(count, seed).await.unwrap();
-        let mut cluster = Self { fleet, net, folder, instances: Vec::new(), logs: Vec::new() };
-        for at in 0..count {
-            cluster.instances.push(None);
-            cluster.start(at, KEY).await;
-        }
-        cluster.all_alive().await;
-        cluster
-    }
-
-    async fn start(&mut self, at: usize, key: &str) {
-        let folder = self.folder.join(at.to_string());
-        std::fs::create_dir_all(folder.join("shared")).unwrap();
-        let mut settings: Value =
-            serde_json::from_str(&config(self.fleet.agent.address, &self.fleet.listing())).unwrap();
-        settings["name"] = json!(format!("n{at}"));
-        settings["admin_addr"] = json!("127.0.0.1:0");
-        std::fs::write(folder.join("config.json"), settings.to_string()).unwrap();
-        let (own, seed) = (self.net.address(at), self.net.address(if at == 0 { 1 } else { 0 }));
-        let fronts = format!(
-            "[cluster]\nenabled = true\nlisten = \"127.0.0.1:0\"\nadvertise = \"{own}\"\nkey = \"{key}\"\n\
-             seeds = [\"{seed}\"]\n{TIMES}"
-        );
-        std::fs::write(folder.join("fronts.toml"), fronts).unwrap();
-        let mut program = Command::new(env!("CARGO_BIN_EXE_dewladder"));
-        program.args(["serve", "--config", "config.json", "--fronts", "fronts.toml"]).env_clear();
-        program.env("TMPDIR", folder.join("shared")).current_dir(&folder);
-        let mut child = program.stderr(Stdio::piped()).kill_on_drop(true).spawn().unwrap();
-        let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
-        let (mut admin, mut own) = (None, None);
-        let mut all = Vec::new();
-        while admin.is_none() || own.is_none() {
-            let line = lines.next_line().await.unwrap().unwrap_or_else(|| panic!("it starts: {all:?}"));
-            if let Some((_, address)) = line.split_once("second address: ") {
-                admin = address.parse().ok();
-            }
-            if let Some((_, rest)) = line.split_once("listens on ") {
-                own = rest.split(',').next().and_then(|address| address.parse().ok());
-            }
-            all.push(line);
-        }
-        self.net.attach(at, own.unwrap());
-        let log = tokio::spawn(async move {
-            while let Ok(Some(line)) = lines.next_line().await {
-                all.push(line);
-            }
-            all
-        });
-        self.instances[at] = Some(Instance { child, admin: admin.unwrap(), log });
-    }
-
-    fn running(&self) -> impl Iterator<Item = (usize, &Instance)> {
-        self.instances.iter().enumerate().filter_map(|(at, one)| one.as_ref().map(|one| (at, one)))
-    }
-
-    async fn end(&mut self, at: usize) {
-        if let Some(instance) = self.instances[at].take() {
-            self.logs.extend(instance.end().await);
-        }
-    }
-
-    /// Waits until each that runs holds so many others in a state.
-    async fn until(&self, what: &str, state: &str, wanted: impl Fn(usize) -> usize) {
-        let mut seen = Vec::new();
-        for _ in 0..3_000 {
-            seen.clear();
-            for (at, instance) in self.running() {
-                let holds = instance.holds(state).await;
-                if holds.len() != wanted(at) {
-                    seen.push((at, holds));
-                }
-            }
-            if seen.is_empty() {
-                return;
-            }
-            sleep(Duration::from_millis(20)).await;
-        }
-        panic!("{what}: {state} at {seen:?}");
-    }
-
-    async fn all_alive(&self) {
-        let others = self.running().count() - 1;
-        self.until("all that run hold each other for alive", "alive", |_| others).await;
-    }
-
-    /// Ends all; how often an instance's log says that a member of that name, or any, is dead.
-    async fn deaths(mut self, name: Option<&str>) -> usize {
-        for at in 0..self.instances.len() {
-            self.end(at).await;
-        }
-        let dead = |line: &&String| {
-            line.contains("a member changed")
-                && line.contains("state=dead")
-                && name.is_none_or(|name| line.contains(&format!("member={name} ")))
-        };
-        self.logs.iter().filter(dead).count()
-    }
-}
-
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_killed_instance_is_dead_to_all_others_and_no_live_one_is() {
     let mut cluster = Cluster::formed("kill", 5, 1).await;
