--- a/src/edge/clients/repeats.rs
+++ b/src/edge/clients/repeats.rs
@@ -160,6 +160,8 @@
                     granted = quorum.offer(record, call.not_after) => granted.map(Some).map_err(denied),
                     // Dropped with that: the others are told that it never ran.
                     Ok(()) = &mut stopped => Err(Ending::LetGo { may_have_run: false }),
+                    // At an upgrade the old process may still have the cluster's socket.
+                    () = sleep_until(repeats.clock.instant(call.not_after)) => Err(Ending::Refused { retry_in: 0 }),
                 },
             };
             let ending = match granted {
--- a/src/edge/cluster/quorum.rs
+++ b/src/edge/cluster/quorum.rs
@@ -66,7 +66,7 @@
         self.ended = Stage::NeverRan;
     }
 
-    /// It ran, and its answer came whole or not.
+    /// It ran, and its answer came whole or not. What it said stays with this instance: others tell only that it ran.
     pub fn ran(mut self, whole: bool) {
         self.ended = Stage::Ran(Ran { whole, digest: 0 });
     }
