Let a returning instance catch up with buckets of any size, and tidy the cluster's parts

A new test with 700 records in one bucket stood at 240: each answer to a comparison sent the first 240 records of the buckets that differ (send_buckets), so a larger bucket never became equal and the instance stayed behind for good, refusing what lies there. Ruled out: slow work, by the same test in virtual time. Change: what goes out begins behind what went to that holder last, and round again.

--- a/crates/membership/src/member.rs
+++ b/crates/membership/src/member.rs
@@ -12,13 +12,10 @@
 pub struct MemberId(pub u64);
 
 impl MemberId {
-    /// The id of a name (64-bit FNV-1a, then mixed): the same at every instance.
+    /// The id of a name: the same at every instance.
     #[must_use]
     pub fn of(name: &str) -> Self {
-        let hash = name.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
-            (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-        });
-        Self(hash ^ (hash >> 29))
+        Self(xxhash_rust::xxh3::xxh3_64(name.as_bytes()))
     }
 }
 
--- a/crates/replica/src/ranges.rs
+++ b/crates/replica/src/ranges.rs
@@ -48,10 +48,6 @@
     }
 }
 
-fn bucket(id: RecordId) -> usize {
-    usize::from(id.0[1]) % BUCKETS
-}
-
 /// The records that an instance holds, with a digest of each bucket that is kept up with every change.
 #[derive(Debug, Default)]
 pub struct Store {
@@ -95,18 +91,17 @@
             self.records.insert(id, copy.clone());
             self.placed.entry(Self::at(id)).or_default().insert(id);
             self.expiry.insert((copy.expires, id));
-            self.turn(id, copy);
+            self.turn(id, hash(id, copy));
             return true;
         };
-        let before = own.clone();
+        let (expired, before) = (own.expires, hash(id, own));
         if !own.merge(copy) {
             return false;
         }
-        let after = own.clone();
-        self.expiry.remove(&(before.expires, id));
-        self.expiry.insert((after.expires, id));
-        self.turn(id, &before);
-        self.turn(id, &after);
+        let (expires, after) = (own.expires, hash(id, own));
+        self.expiry.remove(&(expired, id));
+        self.expiry.insert((expires, id));
+        self.turn(id, before ^ after);
         true
     }
 
@@ -116,7 +111,7 @@
         while let Some(&(_, id)) = self.expiry.first().filter(|(expires, _)| *expires <= now) {
             self.expiry.pop_first();
             if let Some(record) = self.records.remove(&id) {
-                self.turn(id, &record);
+                self.turn(id, hash(id, &record));
                 self.placed.entry(Self::at(id)).or_default().remove(&id);
                 gone += 1;
             }
@@ -136,13 +131,22 @@
         ids.filter_map(|&id| Some((id, self.records.get(&id)?)))
     }
 
+    /// The bucket of its range that a record lies in.
+    #[must_use]
+    pub fn bucket_of(id: RecordId) -> usize {
+        usize::from(id.0[1]) % BUCKETS
+    }
+
     fn at(id: RecordId) -> (usize, usize) {
-        (Ranges::of(id), bucket(id))
+        (Ranges::of(id), Self::bucket_of(id))
     }
 
     /// Puts a record's hash into its bucket's digest, or takes it out: they are joined by exclusive or.
-    fn turn(&mut self, id: RecordId, record: &Record) {
-        let hash = postcard::to_allocvec(&(id, record)).map_or(0, |bytes| xxh3_64(&bytes));
+    fn turn(&mut self, id: RecordId, hash: u64) {
         *self.digests.entry(Self::at(id)).or_default() ^= hash;
     }
 }
+
+fn hash(id: RecordId, record: &Record) -> u64 {
+    postcard::to_allocvec(&(id, record)).map_or(0, |bytes| xxh3_64(&bytes))
+}
--- a/crates/replica/src/record.rs
+++ b/crates/replica/src/record.rs
@@ -96,13 +96,15 @@
 
     /// Takes over what the other copy knows; whether that changed anything.
     pub fn merge(&mut self, other: &Self) -> bool {
-        let before = self.clone();
+        let mut changed = other.expires > self.expires;
         for (&attempt, &stage) in &other.attempts {
-            let own = self.attempts.entry(attempt).or_insert(stage);
-            *own = stage.max(*own);
+            if self.stage(attempt).is_none_or(|own| own < stage) {
+                self.attempts.insert(attempt, stage);
+                changed = true;
+            }
         }
         self.expires = self.expires.max(other.expires);
-        *self != before
+        changed
     }
 
     /// What all of it says.
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -294,6 +294,8 @@
     turn: usize,
     compare_at: Micros,
     compared: usize,
+    /// The record of a range that last went to a holder in answer to a comparison.
+    sent: BTreeMap<(MemberId, usize), RecordId>,
     counts: Counts,
 }
 
@@ -324,6 +326,7 @@
             turn: 0,
             compare_at: now,
             compared: 0,
+            sent: BTreeMap::new(),
             counts: Counts::default(),
             settings,
         })
@@ -621,16 +624,27 @@
         let differ = (0..BUCKETS).filter(|&bucket| own[bucket] != digests[bucket]);
         let differ = differ.fold(0u64, |bits, bucket| bits | 1 << bucket);
         let (equal, ready) = (differ == 0, !self.behind.contains_key(&at));
-        // Bits of buckets, of which there are as many as a number has.
         out.push(Effect::Send { to: from, message: Message::Compared { range, equal, ready, differ } });
         self.send_buckets(from, at, differ, out);
     }
 
-    /// Records of buckets, as many as go at once; those that come back equal need not be sent again.
-    fn send_buckets(&self, to: MemberId, range: usize, buckets: u64, out: &mut Vec<Effect>) {
-        let some = (0..BUCKETS).filter(|bucket| buckets & 1 << bucket != 0);
-        let records = some.flat_map(|bucket| self.store.bucket(range, bucket)).take(RECORDS_AT_ONCE);
+    /// Records of buckets, as many as go at once, from behind those that went to that one last, and round again: however
+    /// many a bucket has, all of them come.
+    fn send_buckets(&mut self, to: MemberId, range: usize, buckets: u64, out: &mut Vec<Effect>) {
+        let last = self.sent.get(&(to, range)).copied();
+        let first = last.map_or(0, Store::bucket_of);
+        let some = (0..BUCKETS).map(|at| (first + at) % BUCKETS).filter(|bucket| buckets & 1 << bucket != 0);
+        let behind = |id: RecordId| last.is_none_or(|last| Store::bucket_of(id) != first || id > last);
+        let all = some.flat_map(|bucket| self.store.bucket(range, bucket));
+        // What lies before the last one in its bucket comes round at the end.
+        let before =
+            (buckets & 1 << first != 0).then(|| self.store.bucket(range, first)).into_iter().flatten();
+        let records = all.filter(|(id, _)| behind(*id)).chain(before.filter(|(id, _)| !behind(*id)));
+        let records = records.take(RECORDS_AT_ONCE);
         let records: Vec<(RecordId, Record)> = records.map(|(id, record)| (id, record.clone())).collect();
+        if let Some((id, _)) = records.last() {
+            self.sent.insert((to, range), *id);
+        }
         for records in in_messages(records) {
             out.push(Effect::Send { to, message: Message::Put { number: 0, records } });
         }
--- a/crates/replica/tests/cluster.rs
+++ b/crates/replica/tests/cluster.rs
@@ -463,3 +463,23 @@
     assert!(!effects.iter().any(|effect| matches!(effect, Effect::Granted(_))), "granted after its time");
     assert!(effects.iter().any(|effect| matches!(effect, Effect::Denied(_, Denied::NoQuorum))));
 }
+
+#[test]
+fn a_bucket_of_more_records_than_go_at_once_is_caught_up_with_too() {
+    let mut lab = Lab::new(3, 12);
+    lab.kill(2);
+    let attempt = dewladder_replica::AttemptId { owner: member(0), life: 1, number: 1 };
+    let record = dewladder_replica::Record::new(attempt, RAN, lab.now + 500 * SECOND);
+    for number in 0..700u16 {
+        let [high, low] = number.to_be_bytes();
+        // All of one range and one bucket.
+        let id = RecordId([0, 0, high, low, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0]);
+        for at in 0..2 {
+            let message = Message::Put { number: 0, records: vec![(id, record.clone())] };
+            lab.step(at, Event::Heard { from: member(2), message });
+        }
+    }
+    lab.start(2, 3);
+    lab.pass(20 * SECOND);
+    assert_eq!((lab.replica(2).store().len(), lab.replica(2).behind()), (700, 0));
+}
--- a/src/edge/cluster/file.rs
+++ b/src/edge/cluster/file.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddrV4;
 
-use dewladder_membership::codec::{Codec, LEAST_KEY};
+use dewladder_membership::codec::Codec;
 use dewladder_membership::{MemberId, Place, Settings};
 use dewladder_replica as replica;
 use serde::Deserialize;
@@ -111,8 +111,9 @@
 const AGAIN_AFTER: Micros = 100_000;
 const COMPARE_EVERY: Micros = 500_000;
 
+/// What is no time comes to 0, which is refused by the field's name.
 fn micros(seconds: f64) -> Micros {
-    (seconds.clamp(0.0, 1e9) * 1e6).round() as Micros
+    std::time::Duration::try_from_secs_f64(seconds).map_or(0, crate::edge::clock::micros)
 }
 
 /// What the tables come to.
@@ -168,9 +169,7 @@
     /// # Errors
     /// One plain line that names the field.
     pub fn check(&self, name: &str) -> Result<Checked, String> {
-        let key = unhex(&self.key).ok_or_else(|| {
-            format!("cluster.key: not hexadecimal, two digits a byte, {LEAST_KEY} bytes at least")
-        })?;
+        let key = hex::decode(&self.key).map_err(|error| format!("cluster.key: not hexadecimal: {error}"))?;
         if self.cluster.is_empty() {
             return Err("cluster.cluster: a cluster has a name".to_owned());
         }
@@ -212,14 +211,6 @@
     Place { ip: at.ip().octets(), port: at.port() }
 }
 
-/// Pairs of hexadecimal digits as bytes.
-fn unhex(text: &str) -> Option<Vec<u8>> {
-    let digits: Option<Vec<u8>> =
-        text.chars().map(|digit| digit.to_digit(16).map(|digit| digit as u8)).collect();
-    let digits = digits.filter(|digits| digits.len() % 2 == 0)?;
-    Some(digits.chunks(2).map(|pair| pair[0] * 16 + pair[1]).collect())
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -1,5 +1,6 @@
 //! Daily service, with the program as it is started: the second address, the figures, and two processes on one port.
 
+mod processes;
 mod stand_in;
 
 use std::io::{Read as _, Write as _};
@@ -12,30 +13,14 @@
 use dewladder::edge::clients::room::Room;
 use dewladder::edge::stats::Figures;
 use dewladder_stand_in::{Fault, Fleet, Shape};
+use processes::Port;
 use serde_json::{json, Value};
-use socket2::{Domain, Socket, Type};
 use stand_in::{field, platform, talk, until_close};
 use tokio::io::{AsyncBufReadExt as _, AsyncReadExt as _, AsyncWriteExt as _, BufReader};
 use tokio::net::TcpStream;
 use tokio::process::{Child, Command};
 use tokio::time::sleep;
 
-/// An address that two processes may listen at; it stays taken while this lives.
-struct Port(Socket);
-
-impl Port {
-    fn new() -> Self {
-        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-        socket.set_reuse_port(true).unwrap();
-        socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
-        Self(socket)
-    }
-
-    fn address(&self) -> SocketAddr {
-        self.0.local_addr().unwrap().as_socket().unwrap()
-    }
-}
-
 /// A deployment: a fleet, an address for clients, and a folder for its files.
 struct Deployment {
     fleet: Fleet,
--- a/tests/processes/mod.rs
+++ b/tests/processes/mod.rs
@@ -66,7 +66,7 @@
 pub struct Port(Socket);
 
 impl Port {
-    fn new() -> Self {
+    pub fn new() -> Self {
         let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
         socket.set_reuse_port(true).unwrap();
         socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
