Keep what has been read, keep turns at one reader, and tell others of work sent to readers

Followed by request ids through debug logs of all 306 dispatchers: - 545 of 4,226 tries ended `Refuse` 450 ms after `Finished { Read }`: no writer was "ready", while writers gave first tokens in 0.09 s. `mean_tokens` took a front's momentary tokens (some four requests) times 306 for what all hold. - 1,212 reads were follow-up turns, 507 at the reader of the turn before; an opening was read at 3.2 readers for 5.3 reads.

Changed in control.rs: `mean_tokens` counts only what is surely no chance, and a state about to be let go is sent on by what servers said, not by an estimate; `homes` depends on the beginning alone, prefers the zone's own readers, weighs popularity against 30 calls; time-outs know the aim of the prompt's length. claims.rs is gossip.rs now: five bytes, work sent adds up at all others, a queue that nobody expected replaces it, nothing is saved up before the first call. Figures for the staff moved to observed.rs.

--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -14,8 +14,8 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::asking::Asking;
-use crate::claims::{ClaimCounts, Hearsay};
-use crate::figures::{against_mean, lower_median, mix, quantile, unit, Pace, Rate};
+use crate::figures::{against_mean, lower_median, mix, quantile, surely, unit, Pace, Rate};
+use crate::gossip::LoadGossip;
 use crate::interface::{
     Action, Call, CellId, DedupGroup, Effect, Ended, EngineId, Entry, Event, Health, Key, ListKind, Micros,
     Outcome, RequestId, Role, Settings, TimerToken, ZoneId,
@@ -30,14 +30,17 @@
 /// The valve: a reader is at its cap when the reads that all fronts may have sent it (`of_all_fronts`), or
 /// what its comebacks queued, take this share of the shortest aim, and as long as rereading elsewhere what it
 /// holds. Scales by itself with aim and pace.
-const CAP_SHARE_OF_AIM: f64 = 0.5;
+const CAP_SHARE_OF_AIM: f64 = 0.25;
 /// Homes of a beginning for each even share of the calls that begin with it: more than one, so that no
 /// server is filled by a single beginning. Scales by itself with servers and popularity.
 const HOMES_PER_SHARE: f64 = 1.4;
-/// A beginning has a home for each so many readers at least: fronts that see few calls, or have just started,
-/// would disagree on the number, and not find what others had read. Harm: rare beginnings are kept twice.
-/// Scales with how far a popular beginning stands above an even share.
+/// Homes of a beginning at the least, alike at fronts that see few calls: as many as read all of it while one
+/// reads `FIRST_GUESS_TOKENS`, at most one for so many readers. A long one costs readers and memory at each.
 const READERS_PER_HOME: usize = 8;
+/// Calls that popularity is weighed against: with few of its own, a front takes no chance for a trend.
+const PRIOR_CALLS: f64 = 30.0;
+/// Part of its readers' even share that a zone's own calls take: sends to other zones cost, a full zone more.
+const ZONE_SHARE: f64 = 0.8;
 const READER_PULL: [f64; 2] = [0.2, 1.5]; // even shares that a cell's readers get, to suit its writers
 /// Own requests that a server must hold to be judged by them as much as by the mean of its pool.
 const PRIOR_REQUESTS: f64 = 1.0;
@@ -59,7 +62,7 @@
 /// Weight of a new sample in a pace. Scales with how many samples make a verdict (about 1 / weight).
 const PACE_WEIGHT: f64 = 0.25;
 /// How fast the unhindered pace follows better and worse samples: a low quantile, which no jam may raise.
-const BEST_FALLS: f64 = 0.2;
+const BEST_FALLS: f64 = 0.5;
 const BEST_RISES: f64 = 0.001;
 /// A pace without new samples goes half way to the middle of its peers in this time (us).
 const PACE_HALF_LIFE: f64 = 4_000_000.0;
@@ -108,7 +111,7 @@
     asking: Asking,
     ask_at: Option<Micros>,
     sweeping: bool,
-    hearsay: Hearsay,
+    pub(crate) gossip: LoadGossip,
     part: f64, // of this front that this process is, while another takes over
 }
 
@@ -132,26 +135,12 @@
             asking: Asking::default(),
             ask_at: settings.must_subscribe.then_some(now),
             sweeping: false,
-            hearsay: Hearsay::new(&settings),
+            gossip: LoadGossip::new(&settings),
             settings,
             part: 1.0,
         }
     }
 
-    /// What became of messages between fronts.
-    #[must_use]
-    pub fn claims(&self) -> ClaimCounts {
-        self.hearsay.counts()
-    }
-
-    /// Servers of the list that get no new work now: they drain, or rest after failures of some class.
-    #[must_use]
-    pub fn avoided(&self) -> usize {
-        let listed = self.engines.values().filter(|engine| engine.entry.health != Health::Gone);
-        let rests = |e: &Engine| e.seen.standing.values().any(|class| !class.takes_work(self.now, true));
-        listed.filter(|engine| engine.entry.health != Health::Ready || rests(engine)).count()
-    }
-
     /// Takes an event and adds what is to be done to `out`.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         self.now = now;
@@ -166,15 +155,13 @@
             Event::Ended(ended) => self.ended(ended, out),
             Event::Hangup(id) => self.hangup(id, out),
             Event::Due(SWEEP) => self.sweep(out),
-            Event::Heard(bytes) => {
-                self.hearsay.hear(&bytes, now, |engine| self.engines.contains_key(&engine))
-            }
+            Event::Heard(bytes) => self.gossip.hear(&bytes, now),
             Event::Retuned { settings, heirs } => self.retune(*settings, &heirs),
             Event::TakenOver(handover) => self.takes_over(*handover),
             Event::Part(part) => self.part = part,
             Event::Due(_) | Event::Ignored => {}
         }
-        self.hearsay.tell(now, out);
+        self.gossip.tell(now, out);
     }
 
     /// New settings: what is known of servers for a class goes on under its new number.
@@ -186,7 +173,7 @@
             }
             engine.seen.standing.retain(|class, _| settings.classes.contains_key(class));
         }
-        self.hearsay.retune(&settings);
+        self.gossip.retune(&settings);
         self.settings = settings;
     }
 
@@ -200,7 +187,7 @@
         self.call_rate.add(1.0, self.now, RATE_TIME);
         let time = self.share_time();
         self.calls_lately.add(1.0, self.now, time);
-        self.hearsay.earn();
+        self.gossip.earn();
         if let Some(key) = call.shared {
             self.beginnings.get_or_insert_mut(key, Rate::default).add(1.0, self.now, time);
             if self.beginnings.len() > PREFIX_KEYS {
@@ -414,9 +401,15 @@
         };
         let reader = request.state.and_then(|(reader, _)| self.engines.get(&reader));
         let far = reader.is_some_and(|reader| reader.entry.cell != engine.entry.cell);
-        let patience = self.patience(engine, stage, effort, request.failed.len());
+        let aim =
+            self.settings.classes.get(&call.class).map_or(0.0, |class| class.aim_for(call.prompt_tokens));
+        let patience = self.patience(engine, stage, effort, request.failed.len(), aim);
         let patience = (patience * if far { FAR_PATIENCE } else { 1 }).min(call.not_after - self.now).max(1);
         let permit = self.cold_permit(engine);
+        let expected = self.gossip.believed(to, self.now);
+        if stage != Stage::Write {
+            self.gossip.sent(to, effort * self.stages[stage as usize].best);
+        }
         let (Some(request), Some(engine)) = (self.requests.get_mut(&id), self.engines.get_mut(&to)) else {
             return;
         };
@@ -434,20 +427,22 @@
         request.attempts += 1;
         let promised = held.filter(|_| stage != Stage::Write);
         let engine = to;
-        request.out =
-            Some(Attempt { number, engine, stage, sent, tokens, effort, class, promised, begun, far });
+        let attempt =
+            Attempt { number, engine, stage, sent, tokens, effort, expected, class, promised, begun, far };
+        request.out = Some(attempt);
         self.parked.remove(&id);
         out.push(Action::Assign { id, engine, patience });
     }
 
-    /// How long an attempt may take: a multiple of what its like usually takes behind own work there, more
+    /// How long an attempt may take: a multiple of what its like usually takes behind what waits there, more
     /// with each failure, so that a jam of the whole pool ends in waiting and not in ever more repeats.
-    fn patience(&self, engine: &Engine, stage: Stage, effort: f64, failures: usize) -> Micros {
-        let usual = self.stages[stage as usize].usual * (engine.waiting_effort[stage as usize] + effort);
-        let usual = usual
-            + if stage == Stage::Write { 0.0 } else { self.hearsay.believed(engine.entry.engine, self.now) };
-        let least = PATIENCE_SHARE_OF_AIM * self.settings.shortest_aim();
-        ((PATIENCE_MULTIPLE * usual).max(least) * f64::from(1u32 << failures.min(6))) as Micros
+    fn patience(&self, engine: &Engine, stage: Stage, effort: f64, failures: usize, aim: f64) -> Micros {
+        let usual = self.stages[stage as usize].usual;
+        let told = self.gossip.believed(engine.entry.engine, self.now);
+        let waits = told.max(usual * engine.waiting_effort[stage as usize]);
+        let least = PATIENCE_SHARE_OF_AIM * aim.max(self.settings.shortest_aim());
+        let patience = (PATIENCE_MULTIPLE * (usual * effort + waits)).max(least);
+        (patience * f64::from(1u32 << failures.min(6))) as Micros
     }
 
     fn may_hold(&self, since: Micros, not_after: Micros) -> bool {
@@ -464,13 +459,12 @@
         let request = self.requests.get(&id)?;
         let pool = self.usable(role, request);
         let call = &request.call;
-        let (homes, several) = self.homes(role, call);
         let class = call.class;
         let mut ranking: Vec<_> = Vec::with_capacity(pool.len());
-        for (at, id) in homes.into_iter().enumerate().filter(|(_, id)| pool.contains(id)) {
+        for (at, id) in self.homes(role, call).into_iter().enumerate().filter(|(_, id)| pool.contains(id)) {
             let engine = &self.engines[&id];
             let held = engine.prefixes.longest(call, self.now).map_or(0, |(tokens, _)| tokens);
-            let held = if at == 0 && several { held.max(call.shared_tokens) } else { held };
+            let held = if at == 0 { held.max(call.shared_tokens) } else { held };
             let in_flight = engine.waiting.len();
             let (first, then) = if held > 0 { (in_flight, usize::from(at > 0)) } else { (0, at) };
             ranking.push((Reverse(held), first, then, in_flight, self.rng.next_u32(), id));
@@ -478,12 +472,13 @@
         ranking.sort_unstable();
         let mean_tokens = self.mean_tokens(role);
         let stage = if role == Role::Reader { Stage::Read } else { Stage::Whole };
+        let best = self.stages[stage as usize].best;
         for &(Reverse(held), .., id) in &ranking {
             let lot = unit(self.rng.next_u64());
             let engine = &self.engines[&id];
-            let rereading = self.stages[stage as usize].best * held as f64; // a match is worth that wait
+            let rereading = best * held as f64; // a match is worth that wait
             let queued = engine.seen.queued[stage as usize].now(0.0, self.now, PACE_HALF_LIFE);
-            let queued = queued.max(self.hearsay.believed(engine.entry.engine, self.now));
+            let queued = queued.max(self.gossip.believed(id, self.now));
             let free = !self.capped(engine, stage, rereading)
                 && queued <= rereading + CAP_SHARE_OF_AIM * self.settings.shortest_aim()
                 && !self.stranded(engine, class)
@@ -492,44 +487,46 @@
                 return Some(id);
             }
         }
-        // Of those with the fewest, the longest match: text read anew by a full pool fills it the more. Of
-        // two by lot, the one that is said to queue less: all fronts hear the same.
-        ranking.sort_unstable_by_key(|rank| (rank.3, rank.0, rank.4));
-        let first = ranking.first().map(|rank| (rank.3, rank.0));
-        let fewest = ranking.iter().take(2).filter(|rank| Some((rank.3, rank.0)) == first);
-        let fewest = fewest.map(|rank| rank.5).min_by(|a, b| {
-            let [a, b] = [a, b].map(|&id| self.hearsay.believed(id, self.now));
-            a.total_cmp(&b)
+        // Of those with the fewest, the one done first: text read anew by a full pool fills it the more.
+        let done = |held: u64, id| self.gossip.believed(id, self.now) - best * held as f64;
+        let fewest = ranking.iter().min_by(|a, b| {
+            a.3.cmp(&b.3).then(done(a.0 .0, a.5).total_cmp(&done(b.0 .0, b.5))).then(a.4.cmp(&b.4))
         });
-        fewest.filter(|_| !only_free)
+        fewest.map(|rank| rank.5).filter(|_| !only_free)
     }
 
-    /// Servers from the home on, by rendezvous hash: all fronts agree on the home and on who stands in for
-    /// it, and a change of the list moves only what lay there. A beginning too popular for one server has
-    /// several homes and is taken to be kept at each (true is returned); the session picks among them.
-    fn homes(&self, role: Role, call: &Call) -> (Vec<EngineId>, bool) {
+    /// Servers from the home on, by rendezvous hash: all fronts of a zone agree on the home and stand-ins,
+    /// and a change of the list moves only what lay there. A zone's own servers come first, for as many
+    /// keys as they can take. Of several homes of a beginning the session picks one, and it counts as kept
+    /// there: turns must find it, so nothing here may depend on how long the prompt has grown.
+    fn homes(&self, role: Role, call: &Call) -> Vec<EngineId> {
         let key = call.shared.or(call.session).unwrap_or(Key(0));
-        // What is kept costs little to read, but all of it has to move: it belongs beside writers.
-        let shared = call.shared_tokens as f64 / call.prompt_tokens.max(1) as f64;
+        let moves = role == Role::Reader && call.shared.is_some();
         let score = |e: &Engine| {
             let lot = unit(mix(key.0 ^ mix(u64::from(e.entry.engine.0))));
-            let cell = self.cells.get(&e.entry.cell).filter(|_| role == Role::Reader);
-            let pull = cell.map_or(1.0, |cell| cell.near.powf(shared).clamp(READER_PULL[0], READER_PULL[1]));
+            // What is kept costs little to read, but all of it has to move: it belongs beside writers.
+            let cell = self.cells.get(&e.entry.cell).filter(|_| moves);
+            let pull = cell.map_or(1.0, |cell| cell.near.sqrt().clamp(READER_PULL[0], READER_PULL[1]));
             lot.ln() / pull
         };
         let listed = self.engines.values().filter(|e| e.role == role && e.entry.health == Health::Ready);
-        let mut order: Vec<(f64, EngineId)> = listed.map(|e| (score(e), e.entry.engine)).collect();
-        order.sort_unstable_by(|a, b| b.0.total_cmp(&a.0));
+        let zones: BTreeSet<ZoneId> = listed.clone().map(|e| e.entry.zone).collect();
+        let own = |e: &Engine| e.entry.zone == self.settings.zone;
+        let mut order: Vec<_> = listed.map(|e| (own(e), score(e), e.entry.engine)).collect();
+        let part = order.iter().filter(|rank| rank.0).count() as f64 / order.len().max(1) as f64;
+        let stays = unit(mix(!key.0)) < ZONE_SHARE * part * zones.len() as f64;
+        order.sort_unstable_by(|a, b| (a.0 != stays).cmp(&(b.0 != stays)).then(b.1.total_cmp(&a.1)));
         let time = self.share_time();
         let seen = self.beginnings.peek(&key).map_or(0.0, |rate| rate.count(self.now, time));
         let calls = self.calls_lately.count(self.now, time);
-        let share = (seen - 1.0).max(0.0) / calls.max(1.0); // one sighting proves nothing
-        let least = order.len().div_ceil(READERS_PER_HOME);
-        let homes =
-            ((HOMES_PER_SHARE * share * order.len() as f64).ceil() as usize).clamp(least, order.len());
+        let share = (seen - 1.0).max(0.0) / (calls + PRIOR_CALLS); // one sighting proves nothing
+        let reads = FIRST_GUESS_TOKENS / call.shared_tokens.max(1) as f64;
+        let least = reads.ceil().min(order.len().div_ceil(READERS_PER_HOME) as f64);
+        let homes = (HOMES_PER_SHARE * share * order.len() as f64).ceil().max(least) as usize;
+        let homes = homes.min(order.len());
         let session = call.session.unwrap_or(key).0;
-        order[..homes].sort_by_key(|(_, id)| Reverse(mix(session ^ mix(u64::from(id.0) + 1))));
-        (order.into_iter().map(|(_, id)| id).collect(), homes > 1)
+        order[..homes].sort_by_key(|rank| Reverse(mix(session ^ mix(u64::from(rank.2 .0) + 1))));
+        order.into_iter().map(|rank| rank.2).collect()
     }
 
     fn share_time(&self) -> f64 {
@@ -544,8 +541,10 @@
     fn pick_writer(&mut self, id: RequestId, reader: EngineId) -> Option<EngineId> {
         let [stays, in_zone, spare] = [(); 3].map(|()| self.rng.next_u64());
         let request = self.requests.get(&id)?;
+        // What has been read is not thrown away for an estimate: last, only what servers said counts.
+        let last = !request.state.is_some_and(|(_, since)| self.may_hold(since, request.call.not_after));
         let ready = [Role::Writer, Role::Mixed].into_iter().map(|role| {
-            let mean = self.mean_tokens(role);
+            let mean = if last { 0.0 } else { self.mean_tokens(role) };
             let mut ready = self.usable(role, request);
             ready.retain(|id| self.has_room(&self.engines[id], mean));
             ready
@@ -669,12 +668,14 @@
 
     /// Whether the oldest attempt there has been silent for too long, before any time-out says so.
     fn is_late(&self, engine: &Engine, stage: Stage) -> bool {
-        engine.oldest(self.now) > self.patience(engine, stage, 0.0, 0) / 2
+        engine.oldest(self.now) > self.patience(engine, stage, 0.0, 0, 0.0) / 2
     }
 
+    /// Own tokens a server, as far as they are no chance: few requests say little of what other fronts hold.
     fn mean_tokens(&self, role: Role) -> f64 {
         let tokens: u64 = self.engines.values().filter(|e| e.role == role).map(|e| e.tokens).sum();
-        tokens as f64 / self.count(role).max(1.0)
+        let requests = tokens as f64 / self.stages[Stage::Write as usize].typical;
+        surely(requests) * tokens as f64 / self.count(role).max(1.0)
     }
 
     /// Room for an answer: tokens of all fronts within the memory (`mean` is its role's own tokens a server),
@@ -782,7 +783,7 @@
         engine.seen.pace[at].sample(pace, usual, self.now, PACE_HALF_LIFE, PACE_WEIGHT);
         engine.seen.queued[at].follow(queued, self.now, PACE_HALF_LIFE, PACE_WEIGHT);
         if attempt.stage != Stage::Write {
-            self.hearsay.saw(attempt.engine, queued);
+            self.gossip.saw(attempt.engine, queued, attempt.expected);
         }
         self.crowds(attempt, queued, false);
         self.press(at, queued.min(MOST_QUEUED * self.settings.shortest_aim()));
@@ -897,7 +898,7 @@
             self.list(entry);
         }
         self.engines.retain(|_, e| e.entry.health != Health::Gone || e.tokens > 0 || !e.waiting.is_empty());
-        self.hearsay.keep(|id| self.engines.contains_key(&id));
+        self.gossip.list(self.engines.keys().copied());
         self.weigh_cells();
     }
 
@@ -962,9 +963,9 @@
             self.route(id, out);
         }
         for (&id, engine) in self.engines.iter().filter(|(_, e)| e.role == Role::Reader) {
-            let queued = self.silent(engine, Stage::Read as usize);
-            if queued > 0.0 {
-                self.hearsay.saw(id, queued);
+            let oldest = engine.waiting.first().and_then(|(_, id)| self.requests.get(id)?.out.as_ref());
+            if let Some(oldest) = oldest {
+                self.gossip.saw(id, self.silent(engine, Stage::Read as usize), oldest.expected);
             }
         }
     }
--- a/crates/router/src/figures.rs
+++ b/crates/router/src/figures.rs
@@ -79,6 +79,11 @@
     (prior + amount) / (prior + mean).max(1.0)
 }
 
+/// The part of a count that is surely no chance: a standard deviation less, where counts vary as chance has it.
+pub(crate) fn surely(count: f64) -> f64 {
+    (1.0 - count.max(1.0).sqrt().recip()).powi(2)
+}
+
 pub(crate) fn lower_median(values: Vec<f64>) -> Option<f64> {
     quantile(values, 0.5)
 }
--- a/crates/router/src/interface.rs
+++ b/crates/router/src/interface.rs
@@ -154,6 +154,14 @@
     pub fall_window: Micros,
 }
 
+impl Class {
+    /// The aim for the first token of a prompt of so many tokens (us): reading a long one takes longer.
+    #[must_use]
+    pub fn aim_for(&self, prompt_tokens: u64) -> f64 {
+        self.aim as f64 + self.aim_per_1000_tokens as f64 * prompt_tokens as f64 / 1_000.0
+    }
+}
+
 impl Settings {
     /// The classes that new requests may have.
     pub fn current(&self) -> impl Iterator<Item = &Class> {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -5,19 +5,20 @@
 #![warn(missing_docs)]
 
 mod asking;
-mod claims;
 mod classes;
 pub mod control;
 mod figures;
+mod gossip;
 mod handover;
 pub mod interface;
+mod observed;
 pub mod pairs;
 mod state;
 mod tables;
 
 pub use asking::Asking;
-pub use claims::{Claim, ClaimCounts};
 pub use classes::Classes;
 pub use control::Router;
 pub use figures::mix;
+pub use gossip::{tag, GossipCounts, Load, LoadUpdate};
 pub use handover::Handover;
--- /dev/null
+++ b/crates/router/src/observed.rs
@@ -0,0 +1,22 @@
+//! What others may see of a front: figures for the staff. Nothing here decides anything.
+
+use crate::control::Router;
+use crate::gossip::GossipCounts;
+use crate::interface::Health;
+use crate::state::Engine;
+
+impl Router {
+    /// What became of messages between fronts.
+    #[must_use]
+    pub fn gossip(&self) -> GossipCounts {
+        self.gossip.counts()
+    }
+
+    /// Servers of the list that get no new work now: they drain, or rest after failures of some class.
+    #[must_use]
+    pub fn avoided(&self) -> usize {
+        let listed = self.engines.values().filter(|engine| engine.entry.health != Health::Gone);
+        let rests = |e: &Engine| e.seen.standing.values().any(|class| !class.takes_work(self.now, true));
+        listed.filter(|engine| engine.entry.health != Health::Ready || rests(engine)).count()
+    }
+}
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -21,7 +21,8 @@
     pub(crate) stage: Stage,
     pub(crate) sent: Micros,
     pub(crate) tokens: u64,
-    pub(crate) effort: f64, // until its read or first token, in tokens
+    pub(crate) effort: f64,   // until its read or first token, in tokens
+    pub(crate) expected: f64, // work that was believed to wait there (us)
     pub(crate) class: u32,
     pub(crate) promised: Option<(u64, Micros)>, // tokens that the record promised, when it was made
     pub(crate) begun: bool,
--- a/src/edge/core.rs
+++ b/src/edge/core.rs
@@ -10,7 +10,7 @@
     Role, Settings, TimerToken,
 };
 use crate::Router;
-use dewladder_router::{ClaimCounts, Classes, Handover};
+use dewladder_router::{Classes, GossipCounts, Handover};
 
 /// What has happened outside.
 #[derive(Clone, Debug, PartialEq)]
@@ -265,8 +265,8 @@
 
     /// What became of messages between dispatchers.
     #[must_use]
-    pub fn claims(&self) -> ClaimCounts {
-        self.router.claims()
+    pub fn gossip(&self) -> GossipCounts {
+        self.router.gossip()
     }
 
     /// Servers of the list that are avoided now.
--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -18,7 +18,7 @@
 use crate::interface::{
     Call, Class, EngineId, Entry, Health, ListKind, Micros, Outcome, RequestId, Settings,
 };
-use dewladder_router::{mix, ClaimCounts, Handover};
+use dewladder_router::{mix, GossipCounts, Handover};
 
 /// Time between two lines of what clients got.
 const TALLY: Micros = 10_000_000;
@@ -396,7 +396,7 @@
         }
         let mut record = self.figures.record();
         record.open = self.core.open();
-        record.messages_dropped = self.core.claims().dropped;
+        record.messages_dropped = self.core.gossip().dropped;
         let now = self.clock.now();
         if now >= self.avoided_due {
             self.avoided_due = now + AVOIDED;
@@ -416,10 +416,10 @@
         let Counts { taken, completed, rejected, failed, left } = counts.since(&self.told.counts);
         if counts != self.told.counts {
             let pending = counts.pending();
-            let claims = self.core.claims();
+            let gossip = self.core.gossip();
             info!("in 10 s: {taken} asked, {completed} served, {rejected} refused, {failed} failed, {left} left; {pending} open");
-            if claims != ClaimCounts::default() {
-                let ClaimCounts { told, heard, dropped } = claims;
+            if gossip != GossipCounts::default() {
+                let GossipCounts { told, heard, dropped } = gossip;
                 info!("messages between dispatchers since the start: {told} told, {heard} heard, {dropped} dropped");
             }
         }
