--- a/src/edge/clients/listener.rs
+++ b/src/edge/clients/listener.rs
@@ -244,11 +244,10 @@
 }
 
 impl Drop for Wire {
-    /// A close while bytes lie unread resets the connection, which can take the answer along: the rest is read
-    /// for a while after sending has been shut down.
+    /// A lingering close: sending is shut down, and what still comes is read for a while and dropped.
     fn drop(&mut self) {
         let (Some(stream), Some(place)) = (self.stream.take(), self.place.take()) else { return };
-        if !place.seat.unread() {
+        if !place.seat.lingers() {
             return;
         }
         let (seat, running) = (place.seat.clone(), self.running.clone());
@@ -273,11 +272,16 @@
         into: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = into.filled().len();
-        ready!(self.stream()?.poll_read(context, into))?;
+        let room = into.remaining() > 0;
+        let read = ready!(self.stream()?.poll_read(context, into));
         if let Some(place) = &self.place {
-            place.seat.came(Instant::now(), &into.filled()[before..]);
+            let came = &into.filled()[before..];
+            if read.is_err() || (room && came.is_empty()) {
+                place.seat.ended();
+            }
+            place.seat.came(Instant::now(), came);
         }
-        Poll::Ready(Ok(()))
+        Poll::Ready(read)
     }
 }
 
--- a/src/edge/clients/room.rs
+++ b/src/edge/clients/room.rs
@@ -46,6 +46,10 @@
     served: bool,
     /// The connection is being closed: what still comes is read and dropped.
     closing: bool,
+    /// The client has ended its side: nothing can come any more.
+    ended: bool,
+    /// It leaves to make room for another.
+    evicted: bool,
 }
 
 /// A connection's place.
@@ -64,8 +68,8 @@
 impl Seat {
     fn new(now: Instant, crowded: bool) -> Self {
         let framing = Framing::default();
-        let (begun, served, closing) = (None, false, false);
-        let stage = Stage { framing, open: 0, begun, since: now, heard: now, served, closing };
+        let (begun, served, closing, ended, evicted) = (None, false, false, false, false);
+        let stage = Stage { framing, open: 0, begun, since: now, heard: now, served, closing, ended, evicted };
         Self { stage: Mutex::new(stage), task: Mutex::new(None), crowded }
     }
 
@@ -109,10 +113,18 @@
         Some(stage.begun.map_or(stage.since + wait, |begun| begun + WHOLE)).filter(|_| stage.open == 0)
     }
 
-    /// Whether bytes that nobody will read may still come.
+    /// The client has ended its side, or its connection has broken.
+    pub fn ended(&self) {
+        lock(&self.stage).ended = true;
+    }
+
+    /// Whether a close has to linger: bytes that nobody will read may still come, and a close over them is a reset
+    /// that can take the answer along. That is so until the client has ended its side; one that leaves to make room
+    /// lingers only within a request, as a flood of connections must not be kept by their number.
     #[must_use]
-    pub fn unread(&self) -> bool {
-        lock(&self.stage).framing.within()
+    pub fn lingers(&self) -> bool {
+        let stage = lock(&self.stage);
+        !stage.ended && (!stage.evicted || stage.framing.within())
     }
 
     /// This task serves the connection; where room is short it may be ended.
@@ -175,6 +187,7 @@
         let of_these = self.taken.iter().filter(|(_, seat)| seat.crowded == crowded);
         let first = of_these.filter_map(|(&at, seat)| Some((seat.rank(now)?, at))).min();
         let seat = first.and_then(|(_, at)| self.taken.remove(&at));
+        seat.iter().for_each(|seat| lock(&seat.stage).evicted = true);
         // Its task ends before anything else of it runs: the connection closes with no answer cut.
         let task = seat.as_ref().and_then(|seat| lock(&seat.task).take());
         task.iter().for_each(AbortHandle::abort);
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -327,6 +327,24 @@
     assert_eq!(status(&slow.await), 200);
 }
 
+/// A close over bytes that nobody has read is a reset: the client would find one where the end of its answer is.
+#[tokio::test]
+async fn what_still_comes_as_a_connection_is_closed_resets_nothing_and_is_not_sent_on() {
+    let site = Site::start(Does::Read, Does::Stream(1)).await;
+    let mut stream = TcpStream::connect(site.platform).await.unwrap();
+    stream.write_all(platform("21", "ask", "0.9").as_bytes()).await.unwrap();
+    sleep(Duration::from_millis(150)).await; // it is answered, and sending has been shut down
+    for piece in [platform("22", "ask", "0.9"), "POST /v1/chat/compl".to_owned()] {
+        stream.write_all(piece.as_bytes()).await.expect("the other side still reads");
+        sleep(Duration::from_millis(40)).await;
+    }
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.expect("an end and no reset");
+    assert_eq!(status(&answer), 200);
+    assert!(answer.contains("[DONE]"), "{answer}");
+    assert_eq!(site.reader.posts(), 1, "a request read after the shutdown is not sent on");
+}
+
 /// What hyper hides: a request in another's body, where that body's end is told in two ways.
 #[tokio::test]
 async fn a_request_whose_end_can_not_be_told_is_refused_with_all_that_is_behind_it() {
