Refuse settings with an unknown group, or memory or descriptors that are not positive, by their path

Need: a `lanes.N.group` that this version does not know was read as `all`, by which a request that may have run could be sent to a server that does not know of it; `kind_memory_tokens` of -2 was read as "not told"; `limits.memory_mb` and `limits.sockets` of 0 were taken. Each is an error now that names the field, at start, by check-config and at SIGHUP (the old settings stay); seven more files in the test of broken files.

--- a/crates/router/src/pairs.rs
+++ b/crates/router/src/pairs.rs
@@ -121,7 +121,9 @@
     let group = match pairs.text(&path("group")) {
         "zone" => DedupGroup::Zone,
         "cell" => DedupGroup::Cell,
-        _ => DedupGroup::All,
+        "all" | "" | "-" => DedupGroup::All,
+        // A guess could send what may have run to a server that does not know of it.
+        other => return Err(pairs.bad(&path("group"), &format!("unknown group '{other}'"))),
     };
     let name = pairs.text(&path("name"));
     Ok(Class {
@@ -152,7 +154,13 @@
                     return Err(pairs.bad("domain.role_by_kind", &format!("unknown role '{other}'")));
                 }
             };
-            Ok(Kind { role, memory_tokens: whole(pairs.number_at("domain.kind_memory_tokens", at)?) })
+            let memory = pairs.number_at("domain.kind_memory_tokens", at)?;
+            let told = pairs.list("domain.kind_memory_tokens").get(at).is_some();
+            if told && !(memory.is_finite() && memory > 0.0) {
+                let what = format!("{memory} of kind {at} is not a positive number");
+                return Err(pairs.bad("domain.kind_memory_tokens", &what));
+            }
+            Ok(Kind { role, memory_tokens: whole(memory) })
         })
         .collect()
 }
--- a/src/edge/clients/room.rs
+++ b/src/edge/clients/room.rs
@@ -69,7 +69,8 @@
     fn new(now: Instant, crowded: bool) -> Self {
         let framing = Framing::default();
         let (begun, served, closing, ended, evicted) = (None, false, false, false, false);
-        let stage = Stage { framing, open: 0, begun, since: now, heard: now, served, closing, ended, evicted };
+        let stage =
+            Stage { framing, open: 0, begun, since: now, heard: now, served, closing, ended, evicted };
         Self { stage: Mutex::new(stage), task: Mutex::new(None), crowded }
     }
 
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -72,6 +72,17 @@
     pub sockets: usize,
 }
 
+impl Limits {
+    /// Whether a program can run within them.
+    fn check(self) -> Result<(), String> {
+        match self {
+            Self { memory_mb: 0, .. } => Err("limits.memory_mb: 0 is not a positive number".to_owned()),
+            Self { sockets: 0, .. } => Err("limits.sockets: 0 is not a positive number".to_owned()),
+            _ => Ok(()),
+        }
+    }
+}
+
 impl Default for Limits {
     fn default() -> Self {
         Self { memory_mb: 192, sockets: 1_024 }
@@ -204,6 +215,7 @@
             return Err(bad("settings name no lanes or no kinds of servers".to_owned()));
         }
         check_rules(&file.settings).map_err(bad)?;
+        file.limits.check().map_err(bad)?;
         let seconds = |path: &str, absent: f64| {
             let told = pairs.get(path).and_then(|text| text.parse::<f64>().ok());
             Duration::try_from_secs_f64(told.unwrap_or(absent)).unwrap_or_default()
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -439,6 +439,13 @@
         ("/settings/limits/max_attempts", json!(5_000_000_000u64), "max_attempts"),
         ("/settings/limits/max_attempts", json!(true), "max_attempts"),
         ("/settings/lanes/0/effect", json!("at_a_guess"), "unknown effect"),
+        ("/settings/lanes/0/group", json!("rack"), "lanes.0.group: unknown group 'rack'"),
+        ("/settings/domain/role_by_kind", json!(["read", "scribe"]), "role_by_kind: unknown role 'scribe'"),
+        ("/settings/domain/kind_memory_tokens", json!([0, 9]), "kind_memory_tokens: 0 of kind 0"),
+        ("/settings/domain/kind_memory_tokens", json!([9, -2]), "kind_memory_tokens: -2 of kind 1"),
+        ("/limits/memory_mb", json!(0), "limits.memory_mb: 0"),
+        ("/limits/memory_mb", json!(-64), "invalid value"),
+        ("/limits/sockets", json!(0), "limits.sockets: 0"),
         ("/settings/lanes/2/name", json!("ask"), "\"ask\" is there twice"),
         ("/settings/lanes/2/name", json!(""), "lanes.2.name"),
     ] {
