Try the last resort for a held state early enough that its connect may fail and be let go

Where that writer is cut off the connect fails 0.25 s later, time goes on running, and a release has 0.1 s left of 0.8. Now it is dropped at half of `domain.release_within_s`.

--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -541,8 +541,8 @@
     fn pick_writer(&mut self, id: RequestId, reader: EngineId) -> Option<EngineId> {
         let [stays, in_zone, spare] = [(); 3].map(|()| self.rng.next_u64());
         let request = self.requests.get(&id)?;
-        // What has been read is not thrown away for an estimate: last, only what servers said counts.
-        let last = !request.state.is_some_and(|(_, since)| self.may_hold(since, request.call.not_after));
+        // What has been read is not thrown away for an estimate; early enough that a connect may yet fail.
+        let last = request.state.is_none_or(|(_, since)| self.now >= since + self.settings.release_within / 2);
         let ready = [Role::Writer, Role::Mixed].into_iter().map(|role| {
             let mean = if last { 0.0 } else { self.mean_tokens(role) };
             let mut ready = self.usable(role, request);
