--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -542,7 +542,7 @@
         let [stays, in_zone, spare] = [(); 3].map(|()| self.rng.next_u64());
         let request = self.requests.get(&id)?;
         // What has been read is not thrown away for an estimate; early enough that a connect may yet fail.
-        let last = request.state.is_none_or(|(_, since)| self.now >= since + self.settings.release_within / 2);
+        let last = request.state.is_none_or(|(_, at)| self.now >= at + self.settings.release_within / 2);
         let ready = [Role::Writer, Role::Mixed].into_iter().map(|role| {
             let mean = if last { 0.0 } else { self.mean_tokens(role) };
             let mut ready = self.usable(role, request);
