--- a/crates/router/tests/placement.rs
+++ b/crates/router/tests/placement.rs
@@ -68,6 +68,7 @@
         for id in 1..=40 {
             world.simple(id);
             world.end(RequestId(id), Outcome::Read);
+            let read = world.now;
             world.pass(400_000);
             if let Some(out) = world.out(RequestId(id)).filter(|out| !out.reads && !out.begun) {
                 let ends = if full { Outcome::Full } else { Outcome::Served };
@@ -76,7 +77,8 @@
                 } else {
                     world.begin(RequestId(id));
                 }
-                assert!(out.at <= world.now);
+                // Half of the time that it may be held, and a sweep: a connect that fails leaves time to let go.
+                assert!(full || out.at <= read + world.settings.release_within / 2 + 45_000, "{id}");
             }
         }
         world.count(|action| matches!(action, Action::Refuse { .. }))
