--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -302,7 +302,7 @@
             // Also told where the reader is only cut off from that writer: the state may still be pinned.
             Outcome::NoState if request.state.take().is_some() => out.push(Action::LetGo(id)),
             // The time that a state may wait goes on running while connections fail to come up.
-            Outcome::ConnectFailed | Outcome::Moot => {}
+            Outcome::ConnectFailed | Outcome::Moot | Outcome::Unacknowledged => {}
             _ => request.state = request.state.map(|(reader, _)| (reader, self.now)),
         }
         if !worked {
--- a/crates/router/src/interface.rs
+++ b/crates/router/src/interface.rs
@@ -260,6 +260,8 @@
     ConnectFailed,
     /// The connection broke; it might have run.
     Reset,
+    /// The server's machine acknowledged not all of it in time; it might have run, as acknowledgements get lost too.
+    Unacknowledged,
     /// Called off; it might have run.
     Cancelled,
     /// Never sent.
--- a/crates/router/tests/cold_fleet.rs
+++ b/crates/router/tests/cold_fleet.rs
@@ -202,3 +202,35 @@
         seed: 9,
     });
 }
+
+/// The term of the standing test: N calls and 2 x root of N + 2, under 30 calls 3 x root of N + 3.
+fn standing_limit(allowed: f64) -> f64 {
+    let root = allowed.sqrt();
+    allowed + if allowed < 30.0 { 3.0 * root + 3.0 } else { 2.0 * root + 2.0 }
+}
+
+/// However few fronts there are, the budget binds: one to three of them, each with a large part of all calls, restarted
+/// without memory before most servers come back cold under a burst.
+#[test]
+fn one_to_three_fronts_leave_cold_servers_standing() {
+    for (fronts, capacity, seed) in [(1, 6.0, 1), (1, 40.0, 2), (2, 12.0, 3), (2, 60.0, 4), (3, 20.0, 5)] {
+        for forget in [0.0, 1.0] {
+            let draw = Draw {
+                fronts,
+                readers: 8,
+                writers: 8,
+                capacity,
+                load: 0.9,
+                before: 8 * S,
+                cold: 0.6,
+                forget,
+                seed,
+            };
+            let worst = play(draw);
+            assert!(worst.colds > 0 && worst.all > 0, "nothing was put to the test: {draw:?} {worst:?}");
+            let limit = standing_limit(worst.allowed);
+            assert!(worst.sent <= limit, "{} of {limit}: {draw:?} {worst:?}", worst.sent);
+            assert_eq!(worst.windows_over, 0, "{draw:?} {worst:?}");
+        }
+    }
+}
--- a/crates/router/tests/properties.rs
+++ b/crates/router/tests/properties.rs
@@ -6,7 +6,7 @@
 use dewladder_router::interface::*;
 use proptest::prelude::*;
 
-const OUTCOMES: [Outcome; 10] = [
+const OUTCOMES: [Outcome; 11] = [
     Outcome::Read,
     Outcome::Served,
     Outcome::Full,
@@ -16,6 +16,7 @@
     Outcome::Error,
     Outcome::Cancelled,
     Outcome::NoState,
+    Outcome::Unacknowledged,
     Outcome::Unknown,
 ];
 
--- a/src/edge/connections.rs
+++ b/src/edge/connections.rs
@@ -8,7 +8,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
@@ -19,6 +19,8 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use log::debug;
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::sync::{oneshot, watch, Notify};
 use tokio::task::AbortHandle;
@@ -78,15 +80,25 @@
 struct Stream {
     io: TokioIo<TcpStream>,
     written: Written,
-    /// A request's body has been taken in hand, and its last byte is not written yet.
-    carries: Arc<AtomicBool>,
+    transfer: Arc<Transfer>,
+    /// The acknowledgement time-out that the socket has now, in milliseconds; 0 for the system's own.
+    acknowledge_ms: u32,
     _open: watch::Sender<()>,
 }
 
+/// What an attempt and its connection tell one another.
+#[derive(Debug, Default)]
+struct Transfer {
+    /// A request's body has been taken in hand, and its last byte is not written yet.
+    carries: AtomicBool,
+    /// The acknowledgement time-out that the next request wants, in milliseconds; 0 for the system's own.
+    acknowledge_ms: AtomicU32,
+}
+
 /// A connection as seen by the attempt that goes over it.
 #[derive(Clone, Debug)]
 pub struct Handle {
-    carries: Arc<AtomicBool>,
+    transfer: Arc<Transfer>,
     open: watch::Receiver<()>,
     task: AbortHandle,
 }
@@ -94,13 +106,20 @@
 impl Handle {
     /// An attempt's last bytes are handed over to be written.
     pub fn carries(&self) {
-        self.carries.store(true, Ordering::Relaxed);
+        self.transfer.carries.store(true, Ordering::Relaxed);
+    }
+
+    /// How long what is written next may stay unacknowledged before the connection counts as broken (RFC 5482); `None`
+    /// for as long as the system has it. A machine that is cut off says nothing, and the system takes in all bytes.
+    pub fn acknowledge_within(&self, time: Option<Duration>) {
+        let milliseconds = time.map_or(0, |time| time.as_millis().max(1) as u32);
+        self.transfer.acknowledge_ms.store(milliseconds, Ordering::Relaxed);
     }
 
     /// Whether bytes that were handed over have not all been written.
     #[must_use]
     pub fn carrying(&self) -> bool {
-        self.carries.load(Ordering::Relaxed)
+        self.transfer.carries.load(Ordering::Relaxed)
     }
 
     /// Closes the connection, whatever is still to come on it, and waits until that is done.
@@ -221,22 +240,27 @@
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         let (tell, open) = watch::channel(());
-        let carries = Arc::new(AtomicBool::new(false));
-        let written = self.0.written.clone();
-        let told = Stream { io: TokioIo::new(stream), written, carries: carries.clone(), _open: tell };
+        let transfer = Arc::<Transfer>::default();
+        let stream = Stream {
+            io: TokioIo::new(stream),
+            written: self.0.written.clone(),
+            transfer: transfer.clone(),
+            acknowledge_ms: 0,
+            _open: tell,
+        };
         let (sender, connection) = http1::Builder::new()
             // Bounds a head that does not end.
             .max_buf_size(MOST_HEAD)
             // A line that can't be read, a load report's say, spoils no answer that is good otherwise.
             .ignore_invalid_headers_in_responses(true)
-            .handshake(told)
+            .handshake(stream)
             .await
             .map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
             // How it ends, its requests are told.
             let _ = connection.await;
         });
-        Ok(Connection { sender, handle: Handle { carries, open, task: task.abort_handle() } })
+        Ok(Connection { sender, handle: Handle { transfer, open, task: task.abort_handle() } })
     }
 
     /// Keeps a connection for the next request, once its answer has come to its end.
@@ -280,6 +304,22 @@
     }
 }
 
+impl Stream {
+    /// Sets the time-out that the next request wants, where it is another than before.
+    fn set_acknowledgement_timeout(&mut self) {
+        let wanted = self.transfer.acknowledge_ms.load(Ordering::Relaxed);
+        if wanted == self.acknowledge_ms {
+            return;
+        }
+        self.acknowledge_ms = wanted;
+        let timeout = Some(Duration::from_millis(wanted.into()));
+        // Where the system can't, the attempt's own time-out ends it, later.
+        if let Err(error) = SockRef::from(self.io.inner()).set_tcp_user_timeout(timeout) {
+            debug!("no time-out for acknowledgements: {error}");
+        }
+    }
+}
+
 impl Read for Stream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -296,13 +336,14 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.set_acknowledgement_timeout();
         Pin::new(&mut self.io).poll_write(context, bytes)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(Pin::new(&mut self.io).poll_flush(context))?;
         // Nothing is left to be written: hyper flushes once all that it has is out.
-        if self.carries.swap(false, Ordering::Relaxed) {
+        if self.transfer.carries.swap(false, Ordering::Relaxed) {
             (self.written)();
         }
         Poll::Ready(Ok(()))
@@ -321,6 +362,7 @@
         context: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.set_acknowledgement_timeout();
         Pin::new(&mut self.io).poll_write_vectored(context, parts)
     }
 }
--- a/src/edge/core.rs
+++ b/src/edge/core.rs
@@ -102,6 +102,8 @@
         until: Micros,
         /// Nothing of it may be written from then on.
         begin_by: Micros,
+        /// Where something is held for the request: by when the server's machine is to have acknowledged all of it.
+        acknowledge_by: Option<Micros>,
     },
     /// Call an attempt off if nothing of it has been written yet; only then `Stopped` is to follow.
     Withdraw {
@@ -402,9 +404,9 @@
         if !out.reads && outcome.may_have_run() {
             request.ran.get_or_insert(out.sent);
         }
-        // While connections fail to come up, the time that something may be held goes on running.
+        // While requests don't reach servers, the time that something may be held goes on running.
         let late = self.now >= request.held_since + self.release_within;
-        if !matches!(outcome, Outcome::ConnectFailed | Outcome::Moot) {
+        if !matches!(outcome, Outcome::ConnectFailed | Outcome::Moot | Outcome::Unacknowledged) {
             request.held_since = self.now;
         } else if late && request.out.is_empty() {
             self.let_go(id);
@@ -523,10 +525,9 @@
         request.attempts += 1;
         let reads = self.servers.get(&engine).is_some_and(|&(role, _)| role == Role::Reader);
         let (sent, until) = (self.now, request.not_after.min(self.now + patience));
-        let mut begin_by = until;
-        if !request.held.is_empty() {
-            begin_by = begin_by.min(request.held_since + self.release_within);
-        }
+        let release_by = request.held_since + self.release_within;
+        let acknowledge_by = (!request.held.is_empty()).then_some(release_by);
+        let mut begin_by = acknowledge_by.map_or(until, |by| until.min(by));
         let class = self.classes.known().get(&request.class);
         let first = request.ran.filter(|_| !reads);
         if let (Some(first), Some(class)) = (first, class) {
@@ -545,7 +546,7 @@
         }
         request.out.insert(attempt, Out { engine, reads, sent, until, stopping: None });
         self.timers.insert((until, Timer::Attempt(id, attempt)));
-        self.effects.push(Effect::Send { id, attempt, engine, reads, until, begin_by });
+        self.effects.push(Effect::Send { id, attempt, engine, reads, until, begin_by, acknowledge_by });
     }
 
     fn let_go(&mut self, id: RequestId) {
--- a/src/edge/servers.rs
+++ b/src/edge/servers.rs
@@ -1,6 +1,8 @@
 //! Servers: attempts, the relay of their streams, and the release of what they hold.
 
+use std::error::Error as _;
 use std::future::Future as _;
+use std::io;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, OnceLock};
@@ -39,6 +41,9 @@
 const RELEASE_STEP: Duration = Duration::from_millis(40);
 const RELEASE_TRY: Duration = Duration::from_millis(160);
 const RELEASE_FOR: Duration = Duration::from_secs(3);
+/// No acknowledgement is given up sooner: a machine delays it by up to 40 ms, and a lost packet is sent again first.
+/// Within the 300 ms that the protocol page adds to the time of what is held.
+const LEAST_ACKNOWLEDGEMENT: Duration = Duration::from_millis(100);
 /// The end of a stream that tells of kept tokens and load.
 const TAIL: usize = 512;
 
@@ -159,6 +164,8 @@
     pub until: Instant,
     /// Nothing of it is written from then on.
     pub begin_by: Instant,
+    /// By when the server's machine is to have acknowledged all of it, where that has a bound of its own.
+    pub acknowledge_by: Option<Instant>,
 }
 
 /// The servers, as attempts reach them.
@@ -169,6 +176,40 @@
     stall: Duration,
 }
 
+/// Why a request could not be sent, or its answer not be read.
+#[derive(Debug, thiserror::Error)]
+enum SendError {
+    /// The connection took a part of it only.
+    #[error("it takes no more bytes")]
+    Stuck,
+    /// The server's machine did not acknowledge all of it in time.
+    #[error("what was written is not acknowledged")]
+    Unacknowledged,
+    /// The connection broke.
+    #[error("{0}")]
+    Broken(hyper::Error),
+}
+
+impl From<hyper::Error> for SendError {
+    fn from(error: hyper::Error) -> Self {
+        let cause = error.source().and_then(|cause| cause.downcast_ref::<io::Error>());
+        match cause.map(io::Error::kind) {
+            Some(io::ErrorKind::TimedOut) => Self::Unacknowledged,
+            _ => Self::Broken(error),
+        }
+    }
+}
+
+impl SendError {
+    /// What becomes of an attempt whose last byte had been written.
+    fn outcome(&self) -> Outcome {
+        match self {
+            Self::Unacknowledged => Outcome::Unacknowledged,
+            Self::Stuck | Self::Broken(_) => Outcome::Reset,
+        }
+    }
+}
+
 /// A stream whose first event is here.
 #[derive(Debug)]
 pub struct Opened {
@@ -277,7 +318,7 @@
     }
 
     async fn send(&self, attempt: &Attempt, progress: &Arc<Progress>) -> Result {
-        let Attempt { address, payload, reads, until, begin_by } = attempt;
+        let Attempt { address, payload, reads, until, begin_by, acknowledge_by } = attempt;
         let never = |why: &dyn std::fmt::Display| {
             debug!("server {address}: {why}; never ran");
             Result::Ended(Outcome::ConnectFailed.into())
@@ -289,6 +330,7 @@
         };
         let handle = ready.handle.clone();
         let _ = progress.handle.set(handle.clone()); // an attempt has one
+        handle.acknowledge_within(acknowledge_by.map(|by| self.acknowledgement_timeout(by)));
         let body = Marked {
             body: Some(payload.body.clone()),
             begin_by: Some(*begin_by),
@@ -318,8 +360,8 @@
             }
         };
         let sent = tokio::select! {
-            sent = ready.sender.try_send_request(request) => sent.map_err(|error| error.into_error().to_string()),
-            () = stuck => Err("it takes no more bytes".to_owned()),
+            sent = ready.sender.try_send_request(request) => sent.map_err(|error| SendError::from(error.into_error())),
+            () = stuck => Err(SendError::Stuck),
         };
         match sent {
             Ok(response) => {
@@ -333,11 +375,18 @@
                     return never(&error);
                 }
                 debug!("server {address}: {error}; it may have run");
-                Result::Ended(Outcome::Reset.into())
+                Result::Ended(error.outcome().into())
             }
         }
     }
 
+    /// How long what is written may stay unacknowledged: as long as the answer to a connect may take, as it is the same
+    /// machine that answers, and not beyond `by`.
+    fn acknowledgement_timeout(&self, by: Instant) -> Duration {
+        let left = by.saturating_duration_since(Instant::now());
+        self.connect_timeout.min(left).max(LEAST_ACKNOWLEDGEMENT)
+    }
+
     /// Has everything that is held for a request let go: the holder is asked first, then, as any server takes
     /// the call, the others, until one has answered. It takes the connection on which the holder has just
     /// answered a read: where a server's places for connections are all taken, a new one would be refused.
--- a/tests/crossings_clients.rs
+++ b/tests/crossings_clients.rs
@@ -5,6 +5,8 @@
 mod crossing;
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
 use std::time::Duration;
 
 use crossing::*;
@@ -408,11 +410,16 @@
 
 /// A front of a test's own behind the listener: one path, whose answer is this long and one piece.
 async fn listening(room: Room, answer: usize) -> (SocketAddr, watch::Sender<Phase>) {
-    let listener: TcpListener = listener::listen("127.0.0.1:0".parse().unwrap(), false).unwrap();
-    let at = listener.local_addr().unwrap();
     let front = axum::Router::new()
         .route("/", axum::routing::get(move || async move { "y".repeat(answer) }))
         .route("/wait", axum::routing::get(|| async { std::future::pending::<()>().await }));
+    served(room, front)
+}
+
+/// A listener with a front of the test's own.
+fn served(room: Room, front: axum::Router) -> (SocketAddr, watch::Sender<Phase>) {
+    let listener: TcpListener = listener::listen("127.0.0.1:0".parse().unwrap(), false).unwrap();
+    let at = listener.local_addr().unwrap();
     let (phase, phases) = watch::channel(Phase::Serving);
     tokio::spawn(listener::serve(listener, front, room, Figures::default(), phases));
     (at, phase)
@@ -454,6 +461,60 @@
     assert!(left.is_empty() && ended, "it is ended, with no answer: {left:?}");
 }
 
+/// Room is short, and a new connection on which nothing has come for a while has to make room as its request comes. The
+/// bytes come first, after, or in the same turn as the one that wants its place: what the front has been handed is
+/// answered, and a connection that is closed with no answer has had nothing of it read.
+#[tokio::test]
+async fn a_new_connection_that_makes_room_as_its_request_comes_is_answered_if_it_was_read() {
+    let mut closed = 0;
+    for turns in [0, 1, 2, 3, 5, 8] {
+        for bytes_first in [true, false] {
+            let taken = Arc::new(AtomicUsize::new(0));
+            let (counted, room) = (taken.clone(), Room::new(1));
+            let answers = move || {
+                counted.fetch_add(1, Ordering::Relaxed);
+                async { "y".repeat(1_000) }
+            };
+            let front = axum::Router::new()
+                .route("/first", axum::routing::get(answers))
+                .route("/", axum::routing::get(|| async { "other" }));
+            let (at, _phase) = served(room, front);
+            let first = std::net::TcpStream::connect(at).unwrap();
+            sleep(Duration::from_millis(200)).await; // from now on it may be asked to leave
+            let asks = || {
+                let text = "GET /first HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+                std::io::Write::write_all(&mut &first, text.as_bytes()).unwrap();
+            };
+            let wants_its_place = || std::net::TcpStream::connect(at).unwrap();
+            let other = if bytes_first {
+                asks();
+                for _ in 0..turns {
+                    tokio::task::yield_now().await;
+                }
+                wants_its_place()
+            } else {
+                let other = wants_its_place();
+                for _ in 0..turns {
+                    tokio::task::yield_now().await;
+                }
+                asks();
+                other
+            };
+            first.set_nonblocking(true).unwrap();
+            let mut first = TcpStream::from_std(first).unwrap();
+            let mut read = Vec::new();
+            let ended = timeout(LONG, first.read_to_end(&mut read)).await;
+            drop(other);
+            assert!(ended.is_ok(), "it is ended");
+            let answered = status(&String::from_utf8_lossy(&read)) == 200 && read.ends_with(b"yyy");
+            closed += usize::from(!answered);
+            let was_read = taken.load(Ordering::Relaxed) > 0;
+            assert_eq!(was_read, answered, "{turns} turns, bytes first: {bytes_first}; {} bytes", read.len());
+        }
+    }
+    assert!(closed > 0, "none was asked to leave: nothing was put to the test");
+}
+
 /// Bytes of the answer that still come, to its end or that of the connection.
 async fn takes_in(slow: &mut TcpStream, most: usize) -> usize {
     let (mut length, mut piece) = (0, vec![0; 1 << 20]);
--- a/tests/crossings_handover.rs
+++ b/tests/crossings_handover.rs
@@ -214,6 +214,65 @@
     released(&mut bed, "01", Instant::now()).await;
 }
 
+/// Sends that no machine acknowledges have not reached a server: the time that a state may be held goes on from the
+/// read's end, however many writers are tried, and what was read is let go when it is over.
+#[test]
+fn the_time_of_what_is_held_goes_on_while_nothing_is_acknowledged() {
+    let mut core = Core::new(settings([Effect::Idempotent; 3]), 3, SECOND, 24);
+    let entries = (0..SERVERS).map(|engine| entry(engine, Health::Ready)).collect();
+    let mut now = SECOND;
+    core.step(now, Input::Listed { how: ListKind::Whole, entries });
+    let call = Call {
+        id: ID,
+        class: 0,
+        session: Some(Key(1)),
+        shared: None,
+        shared_tokens: 0,
+        prompt_tokens: 1_000,
+        max_tokens: 100,
+        hint: None,
+        not_after: now + 4 * SECOND,
+    };
+    let mut effects = core.step(now, Input::Arrived(call));
+    let (mut read_at, mut unacknowledged) = (None, 0);
+    while now < 4 * SECOND {
+        let mut next = Vec::new();
+        for effect in std::mem::take(&mut effects) {
+            match effect {
+                Asks::Send { id, attempt, reads: true, acknowledge_by, .. } => {
+                    assert_eq!(acknowledge_by, None, "nothing is held yet");
+                    now += 10_000;
+                    read_at = Some(now);
+                    next.extend(
+                        core.step(now, Input::Finished { id, attempt, ending: Outcome::Read.into() }),
+                    );
+                }
+                Asks::Send { id, attempt, engine, acknowledge_by, .. } => {
+                    let release_by = read_at.expect("a read") + RELEASE;
+                    assert_eq!(acknowledge_by, Some(release_by), "at {now}, to {engine:?}");
+                    now += 120_000;
+                    unacknowledged += 1;
+                    let ending = Outcome::Unacknowledged.into();
+                    next.extend(core.step(now, Input::Finished { id, attempt, ending }));
+                }
+                Asks::Release { .. } => {
+                    let held = now - read_at.expect("a read");
+                    assert!(unacknowledged > 1, "one writer was tried");
+                    assert!(held <= RELEASE + 130_000, "held for {held} us");
+                    return;
+                }
+                _ => {}
+            }
+        }
+        if next.is_empty() {
+            now = core.next_due().expect("the sweep").max(now);
+            next = core.step(now, Input::Tick);
+        }
+        effects = next;
+    }
+    panic!("never let go");
+}
+
 /// The only writer begins to drain between the read's end and the send, or while the read is out: nothing new is sent
 /// to it then, and what was read is let go in time.
 #[tokio::test]
@@ -660,7 +719,7 @@
                         Outcome::ConnectFailed,
                         Outcome::Reset,
                         Outcome::Error,
-                        Outcome::ConnectFailed,
+                        Outcome::Unacknowledged,
                     ],
                 };
                 self.finishes(ends[lot as usize % ends.len()]);
