--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -4,7 +4,8 @@
 //! request; `route` finds its next step; `pick_by_match` and `pick_writer` choose a server;
 //! `allowed` and `send` guard the rules for every send; `begun`, `ended` and `hangup` take what comes back;
 //! `answer` ends it. Then what is learnt: `did_well`, `did_badly`, with the tables in `src/tables.rs`;
-//! last the `sweep`. Records are in `src/state.rs`, plain arithmetic in `src/figures.rs`.
+//! last the `sweep`. Records are in `src/state.rs`, what is asked of all servers in `src/fleet.rs`, plain arithmetic
+//! in `src/figures.rs`.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -14,13 +15,15 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::asking::Asking;
-use crate::figures::{against_mean, lower_median, mix, quantile, surely, unit, Pace, Rate};
+use crate::figures::{against_mean, lower_median, median_is_over, mix, quantile, surely, unit, Pace, Rate};
+use crate::fleet::{CellShare, Cold, Fleet, FleetTimes};
 use crate::gossip::LoadGossip;
 use crate::interface::{
     Action, Call, CellId, DedupGroup, Effect, Ended, EngineId, Entry, Event, Health, Key, ListKind, Micros,
     Outcome, RequestId, Role, Settings, TimerToken, ZoneId,
 };
-use crate::state::{Attempt, Cell, Engine, Request, Seen, Stage, StageFigures};
+use crate::ranking::{Rank, Ranking};
+use crate::state::{Attempt, Cell, Engine, Pool, Reach, Request, Stage, StageFigures};
 use crate::tables::{ColdBudget, PrefixTable, PREFIX_KEYS};
 
 const KEPT_SHARE: f64 = 0.5; // of what the record promised: less is a broken promise
@@ -52,10 +55,9 @@
 const ENDS_TAKEN_DOWN: usize = 32;
 const LOST_AT_MOST: f64 = 0.6;
 const FIRST_GUESS_TOKENS: f64 = 8_000.0; // read within the shortest aim, before anything is known
-/// An attempt's first time-out: so many times what its like usually takes, and this share of the shortest
-/// aim at the least, so that a short pause does not set off repeats.
+/// An attempt's first time-out: so many times what its like usually takes, and the shortest aim at the least, so
+/// that a short pause does not set off repeats.
 const PATIENCE_MULTIPLE: f64 = 4.0;
-const PATIENCE_SHARE_OF_AIM: f64 = 1.0;
 const FAR_PATIENCE: Micros = 3; // times the patience for a state that leaves its cell: repeats move it anew
 const SLOW_LINKS: f64 = 3.0; // times the usual that first tokens take after a far move, where links are slow
 const SLUGGISH: f64 = 2.0; // times the middle of its peers that a sluggish server takes
@@ -99,7 +101,8 @@
     settings: Settings,
     rng: Pcg64Mcg,
     pub(crate) now: Micros,
-    pub(crate) engines: BTreeMap<EngineId, Engine>,
+    pub(crate) fleet: Fleet,
+    shortest_aim: f64,
     requests: HashMap<RequestId, Request>, // looked up, never iterated
     parked: BTreeSet<RequestId>,           // their state waits for a writer
     pub(crate) stages: [StageFigures; 3],
@@ -120,10 +123,13 @@
     #[must_use]
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Self {
         let guess = settings.shortest_aim() / FIRST_GUESS_TOKENS;
+        let cold_for = settings.cold_for;
+        let times = FleetTimes { cold_for, queued_half_life: PACE_HALF_LIFE, rate_time: RATE_TIME };
         Self {
             rng: Pcg64Mcg::seed_from_u64(seed),
             now,
-            engines: BTreeMap::new(),
+            fleet: Fleet::new(times, now),
+            shortest_aim: settings.shortest_aim(),
             requests: HashMap::new(),
             parked: BTreeSet::new(),
             stages: [(); 3].map(|()| StageFigures::new(guess, WRITE_OVERHEAD)),
@@ -144,6 +150,7 @@
     /// Takes an event and adds what is to be done to `out`.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         self.now = now;
+        self.fleet.advance(now);
         if !self.sweeping {
             self.sweeping = true;
             self.sweep(out);
@@ -166,14 +173,10 @@
 
     /// New settings: what is known of servers for a class goes on under its new number.
     fn retune(&mut self, settings: Settings, heirs: &BTreeMap<u32, u32>) {
-        for engine in self.engines.values_mut() {
-            for (&new, old) in heirs {
-                let known = engine.seen.standing.get(old).cloned();
-                engine.seen.standing.extend(known.map(|known| (new, known)));
-            }
-            engine.seen.standing.retain(|class, _| settings.classes.contains_key(class));
-        }
+        self.fleet.renumber(heirs, &settings.classes);
         self.gossip.retune(&settings);
+        self.fleet.set_cold_for(settings.cold_for);
+        self.shortest_aim = settings.shortest_aim();
         self.settings = settings;
     }
 
@@ -204,7 +207,8 @@
         let Some(request) = self.requests.get(&id) else { return };
         if request.call.not_after <= self.now
             || self.spent(request)
-            || !self.engines.values().any(|engine| self.effect_allows(request, engine))
+            || self.fleet.is_empty()
+            || self.reach(request) == Reach::Nowhere
         {
             return self.answer(id, out);
         }
@@ -234,9 +238,8 @@
         if let Some(reader) = self.pick_by_match(id, Role::Reader, false) {
             return self.send(id, reader, Stage::Read, out);
         }
-        let in_need =
-            [Role::Mixed, Role::Writer].into_iter().take(1 + usize::from(self.settings.writers_read));
-        for role in in_need {
+        let in_need = 1 + usize::from(self.settings.writers_read);
+        for role in [Role::Mixed, Role::Writer].into_iter().take(in_need) {
             if let Some(engine) = self.pick_by_match(id, role, false) {
                 return self.send(id, engine, Stage::Whole, out);
             }
@@ -277,9 +280,8 @@
 
     fn begun(&mut self, id: RequestId, number: u32, taken: Micros) {
         let Some(request) = self.requests.get_mut(&id) else { return };
-        let Some(attempt) = request.out.as_mut().filter(|out| out.number == number && !out.begun) else {
-            return;
-        };
+        let out = request.out.as_mut().filter(|out| out.number == number && !out.begun);
+        let Some(attempt) = out else { return };
         attempt.begun = true;
         request.state = None;
         let attempt = attempt.clone();
@@ -289,9 +291,7 @@
 
     fn ended(&mut self, ended: Ended, out: &mut Vec<Action>) {
         let Ended { id, outcome, .. } = ended;
-        if let (Some(engine), Some(report)) = (self.engines.get_mut(&ended.engine), ended.report) {
-            engine.seen.report = Some((report, self.now));
-        }
+        self.fleet.reported(ended.engine, ended.report);
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(mut attempt) = request.out.take_if(|out| out.number == ended.attempt) else { return };
         let prompt = request.call.prompt_tokens;
@@ -311,13 +311,13 @@
         if outcome.may_have_run() && attempt.stage != Stage::Read && request.ran.is_none() {
             request.ran = Some((attempt.engine, attempt.sent));
         }
-        if let Some(engine) = self.engines.get_mut(&attempt.engine) {
+        self.fleet.change(attempt.engine, |engine| {
             engine.tokens = engine.tokens.saturating_sub(attempt.tokens);
             if let Some((promised, made)) = attempt.promised.filter(|_| worked) {
                 let kept = ended.kept_tokens as f64 >= KEPT_SHARE * promised as f64;
                 engine.prefixes.judge(kept, made, attempt.sent);
             }
-        }
+        });
         if !attempt.begun {
             self.off_waiting(id, &attempt);
             if outcome == Outcome::Read {
@@ -340,11 +340,8 @@
     fn hangup(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.over = true;
-        if let Some(attempt) = request.out.as_ref().filter(|out| !out.begun) {
-            if self.settings.may_cancel {
-                out.push(Action::Revoke { id, attempt: attempt.number });
-            }
-        }
+        let attempt = request.out.as_ref().filter(|out| self.settings.may_cancel && !out.begun);
+        out.extend(attempt.map(|attempt| Action::Revoke { id, attempt: attempt.number }));
         self.close(id, out);
     }
 
@@ -353,11 +350,15 @@
     /// Whether the rules allow this send now: (1) the request is not over; (2) nothing else is out and no
     /// effect can happen twice; (3) the list has the server as ready; (4) a cold server's budget allows it.
     fn allowed(&self, request: &Request, engine: &Engine) -> bool {
-        let window = self.settings.fall_window;
         let open = !request.over && request.out.is_none() && request.call.not_after > self.now;
         open && engine.entry.health == Health::Ready
-            && self.effect_allows(request, engine)
-            && self.cold_permit(engine).is_none_or(|permit| engine.cold.allows(permit, self.now, window))
+            && self.reach(request).has(engine)
+            && self.cold_allows(engine.role, engine.entry.started, &engine.cold)
+    }
+
+    fn cold_allows(&self, role: Role, started: Option<Micros>, budget: &ColdBudget) -> bool {
+        let window = self.settings.fall_window;
+        self.cold_permit(role, started).is_none_or(|permit| budget.allows(permit, self.now, window))
     }
 
     fn spent(&self, request: &Request) -> bool {
@@ -365,28 +366,24 @@
         class.is_some_and(|class| request.attempts >= class.max_attempts)
     }
 
-    fn effect_allows(&self, request: &Request, engine: &Engine) -> bool {
-        let Some((first, sent)) = request.ran else { return true };
-        let Some(class) = self.settings.classes.get(&request.call.class) else { return false };
-        let same_group = || {
-            let first = self.engines.get(&first).map(|first| &first.entry);
-            first.is_some_and(|first| match class.group {
-                DedupGroup::All => true,
-                DedupGroup::Zone => first.zone == engine.entry.zone,
-                DedupGroup::Cell => first.cell == engine.entry.cell,
-            })
-        };
-        match class.effect {
-            Effect::Idempotent => true,
-            Effect::AtMostOnce => false,
-            Effect::Deduplicated => {
-                self.now + 2 * self.settings.resolution < sent + class.dedup_window && same_group()
-            }
+    /// Where the request may be sent to without a second effect.
+    fn reach(&self, request: &Request) -> Reach {
+        let Some((first, sent)) = request.ran else { return Reach::Everywhere };
+        let class = self.settings.classes.get(&request.call.class);
+        let first = self.fleet.get(first).map(|first| &first.entry);
+        let Some(class) = class else { return Reach::Nowhere };
+        match (class.effect, class.group, first) {
+            (Effect::Idempotent, ..) => Reach::Everywhere,
+            (Effect::AtMostOnce, ..) | (_, _, None) => Reach::Nowhere,
+            _ if self.now + 2 * self.settings.resolution >= sent + class.dedup_window => Reach::Nowhere,
+            (Effect::Deduplicated, DedupGroup::All, _) => Reach::Everywhere,
+            (Effect::Deduplicated, DedupGroup::Zone, Some(first)) => Reach::Zone(first.zone),
+            (Effect::Deduplicated, DedupGroup::Cell, Some(first)) => Reach::Cell(first.cell),
         }
     }
 
     fn send(&mut self, id: RequestId, to: EngineId, stage: Stage, out: &mut Vec<Action>) {
-        let (Some(request), Some(engine)) = (self.requests.get(&id), self.engines.get(&to)) else { return };
+        let (Some(request), Some(engine)) = (self.requests.get(&id), self.fleet.get(to)) else { return };
         if !self.allowed(request, engine) || self.spent(request) {
             return self.answer(id, out);
         }
@@ -399,39 +396,36 @@
             Stage::Write => (call.prompt_tokens + answer, call.prompt_tokens as f64 + WRITE_OVERHEAD),
             Stage::Whole => (call.prompt_tokens + answer, unread as f64 + READ_OVERHEAD),
         };
-        let reader = request.state.and_then(|(reader, _)| self.engines.get(&reader));
+        let reader = request.state.and_then(|(reader, _)| self.fleet.get(reader));
         let far = reader.is_some_and(|reader| reader.entry.cell != engine.entry.cell);
         let aim =
             self.settings.classes.get(&call.class).map_or(0.0, |class| class.aim_for(call.prompt_tokens));
         let patience = self.patience(engine, stage, effort, request.failed.len(), aim);
         let patience = (patience * if far { FAR_PATIENCE } else { 1 }).min(call.not_after - self.now).max(1);
-        let permit = self.cold_permit(engine);
+        let permit = self.cold_permit(engine.role, engine.entry.started);
         let expected = self.gossip.believed(to, self.now);
         if stage != Stage::Write {
             self.gossip.sent(to, effort * self.stages[stage as usize].best);
         }
-        let (Some(request), Some(engine)) = (self.requests.get_mut(&id), self.engines.get_mut(&to)) else {
-            return;
-        };
-        if let Some(permit) = permit {
-            engine.cold.spend(permit, self.now, self.settings.fall_window);
-        }
-        engine.waiting.insert((self.now, id));
-        engine.waiting_effort[stage as usize] += effort;
-        engine.tokens += tokens;
-        if stage != Stage::Write {
-            engine.prefixes.record(&request.call, self.now);
-        }
-        let class = request.call.class;
-        let (number, sent, begun) = (request.attempts, self.now, false);
-        request.attempts += 1;
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let (now, window) = (self.now, self.settings.fall_window);
+        let (number, engine, sent, class, begun) = (request.attempts, to, now, request.call.class, false);
         let promised = held.filter(|_| stage != Stage::Write);
-        let engine = to;
         let attempt =
             Attempt { number, engine, stage, sent, tokens, effort, expected, class, promised, begun, far };
+        self.fleet.change(to, |engine| {
+            if let Some(permit) = permit {
+                engine.cold.spend(permit, now, window);
+            }
+            engine.takes(id, &attempt);
+        });
+        if stage != Stage::Write {
+            self.fleet.sent(to, &request.call);
+        }
+        request.attempts += 1;
         request.out = Some(attempt);
         self.parked.remove(&id);
-        out.push(Action::Assign { id, engine, patience });
+        out.push(Action::Assign { id, engine: to, patience });
     }
 
     /// How long an attempt may take: a multiple of what its like usually takes behind what waits there, more
@@ -440,8 +434,7 @@
         let usual = self.stages[stage as usize].usual;
         let told = self.gossip.believed(engine.entry.engine, self.now);
         let waits = told.max(usual * engine.waiting_effort[stage as usize]);
-        let least = PATIENCE_SHARE_OF_AIM * aim.max(self.settings.shortest_aim());
-        let patience = (PATIENCE_MULTIPLE * (usual * effort + waits)).max(least);
+        let patience = (PATIENCE_MULTIPLE * (usual * effort + waits)).max(aim.max(self.shortest_aim));
         (patience * f64::from(1u32 << failures.min(6))) as Micros
     }
 
@@ -456,77 +449,94 @@
     /// with no match anywhere the ranking starts at the home. The valve passes servers at their cap; all
     /// capped: none where `only_free`, else fewest in flight.
     fn pick_by_match(&mut self, id: RequestId, role: Role, only_free: bool) -> Option<EngineId> {
+        let salt = self.rng.next_u64();
         let request = self.requests.get(&id)?;
-        let pool = self.usable(role, request);
+        let pool = self.pool(role, request)?;
         let call = &request.call;
-        let class = call.class;
-        let mut ranking: Vec<_> = Vec::with_capacity(pool.len());
-        for (at, id) in self.homes(role, call).into_iter().enumerate().filter(|(_, id)| pool.contains(id)) {
-            let engine = &self.engines[&id];
-            let held = engine.prefixes.longest(call, self.now).map_or(0, |(tokens, _)| tokens);
-            let held = if at == 0 { held.max(call.shared_tokens) } else { held };
-            let in_flight = engine.waiting.len();
-            let (first, then) = if held > 0 { (in_flight, usize::from(at > 0)) } else { (0, at) };
-            ranking.push((Reverse(held), first, then, in_flight, self.rng.next_u32(), id));
-        }
-        ranking.sort_unstable();
+        let mut order = self.homes(role, call);
+        let home = order.get(0)?;
+        let believed = |e: &Engine| e.prefixes.longest(call, self.now).map_or(0, |(tokens, _)| tokens);
+        let at_home = |e: &Engine| if e.entry.engine == home { call.shared_tokens } else { 0 };
+        let held = |e: &Engine| believed(e).max(at_home(e));
+        let lot = |id: EngineId| mix(salt ^ mix(u64::from(id.0)));
+        let known = self.fleet.holders(call, home);
+        let matches = known.filter(|e| held(e) > 0 && self.in_pool(&pool, request, e));
+        let rank = |e: &Engine| (Reverse(held(e)), e.waiting.len(), e.entry.engine != home);
+        let mut matches: Vec<_> = matches.map(|e| (rank(e), lot(e.entry.engine), e.entry.engine)).collect();
+        matches.sort_unstable();
         let mean_tokens = self.mean_tokens(role);
         let stage = if role == Role::Reader { Stage::Read } else { Stage::Whole };
-        let best = self.stages[stage as usize].best;
-        for &(Reverse(held), .., id) in &ranking {
-            let lot = unit(self.rng.next_u64());
-            let engine = &self.engines[&id];
-            let rereading = best * held as f64; // a match is worth that wait
-            let queued = engine.seen.queued[stage as usize].now(0.0, self.now, PACE_HALF_LIFE);
-            let queued = queued.max(self.gossip.believed(id, self.now));
-            let free = !self.capped(engine, stage, rereading)
-                && queued <= rereading + CAP_SHARE_OF_AIM * self.settings.shortest_aim()
-                && !self.stranded(engine, class)
-                && lot < self.share_for_pace(engine, stage);
+        for at in 0..matches.len() + order.len() {
+            let next = matches.get(at).map_or_else(|| order.get(at - matches.len()), |ranked| Some(ranked.2));
+            let engine = &self.fleet[next?];
+            let held = held(engine);
+            if at >= matches.len() && (held > 0 || !self.in_pool(&pool, request, engine)) {
+                continue;
+            }
+            let chance = unit(self.rng.next_u64());
+            let free = self.is_free(engine, stage, held, call.class);
+            let free = free && chance < self.share_for_pace(engine, stage);
             if free && (role == Role::Reader || self.has_room(engine, mean_tokens)) {
-                return Some(id);
+                return next;
             }
         }
+        if only_free {
+            return None;
+        }
         // Of those with the fewest, the one done first: text read anew by a full pool fills it the more.
-        let done = |held: u64, id| self.gossip.believed(id, self.now) - best * held as f64;
-        let fewest = ranking.iter().min_by(|a, b| {
-            a.3.cmp(&b.3).then(done(a.0 .0, a.5).total_cmp(&done(b.0 .0, b.5))).then(a.4.cmp(&b.4))
-        });
-        fewest.map(|rank| rank.5).filter(|_| !only_free)
+        let ready = || self.fleet.ready(role).filter(|e| self.in_pool(&pool, request, e));
+        let fewest = ready().map(|e| e.waiting.len()).min()?;
+        let best = self.stages[stage as usize].best;
+        let done = |e: &Engine| self.gossip.believed(e.entry.engine, self.now) - best * held(e) as f64;
+        let ranked = ready().filter(|e| e.waiting.len() == fewest).map(|e| (done(e), lot(e.entry.engine), e));
+        let first = ranked.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        first.map(|(_, _, engine)| engine.entry.engine)
+    }
+
+    /// Neither at its cap nor queueing for longer than rereading what it holds elsewhere would take.
+    fn is_free(&self, engine: &Engine, stage: Stage, held: u64, class: u32) -> bool {
+        let rereading = self.stages[stage as usize].best * held as f64; // a match is worth that wait
+        let queued = engine.seen.queued[stage as usize].now(0.0, self.now, PACE_HALF_LIFE);
+        let queued = queued.max(self.gossip.believed(engine.entry.engine, self.now));
+        !self.capped(engine, stage, rereading)
+            && queued <= rereading + CAP_SHARE_OF_AIM * self.shortest_aim
+            && !self.stranded(engine, class)
     }
 
     /// Servers from the home on, by rendezvous hash: all fronts of a zone agree on the home and stand-ins,
     /// and a change of the list moves only what lay there. A zone's own servers come first, for as many
     /// keys as they can take. Of several homes of a beginning the session picks one, and it counts as kept
     /// there: turns must find it, so nothing here may depend on how long the prompt has grown.
-    fn homes(&self, role: Role, call: &Call) -> Vec<EngineId> {
+    fn homes(&self, role: Role, call: &Call) -> Ranking {
         let key = call.shared.or(call.session).unwrap_or(Key(0));
         let moves = role == Role::Reader && call.shared.is_some();
-        let score = |e: &Engine| {
-            let lot = unit(mix(key.0 ^ mix(u64::from(e.entry.engine.0))));
-            // What is kept costs little to read, but all of it has to move: it belongs beside writers.
-            let cell = self.cells.get(&e.entry.cell).filter(|_| moves);
-            let pull = cell.map_or(1.0, |cell| cell.near.sqrt().clamp(READER_PULL[0], READER_PULL[1]));
-            lot.ln() / pull
-        };
-        let listed = self.engines.values().filter(|e| e.role == role && e.entry.health == Health::Ready);
-        let zones: BTreeSet<ZoneId> = listed.clone().map(|e| e.entry.zone).collect();
-        let own = |e: &Engine| e.entry.zone == self.settings.zone;
-        let mut order: Vec<_> = listed.map(|e| (own(e), score(e), e.entry.engine)).collect();
-        let part = order.iter().filter(|rank| rank.0).count() as f64 / order.len().max(1) as f64;
+        let (zones, ready) = (self.fleet.zones(role), self.fleet.ready_count(role));
+        let own = zones.get(&self.settings.zone).copied().unwrap_or(0);
+        let part = own as f64 / ready.max(1) as f64;
         let stays = unit(mix(!key.0)) < ZONE_SHARE * part * zones.len() as f64;
-        order.sort_unstable_by(|a, b| (a.0 != stays).cmp(&(b.0 != stays)).then(b.1.total_cmp(&a.1)));
+        let mut ranks = Vec::with_capacity(ready);
+        for (cell, members) in self.fleet.ready_by_cell(role) {
+            // What is kept costs little to read, but all of it has to move: it belongs beside writers.
+            let pull = self.cells.get(&cell).filter(|_| moves).map(|cell| cell.pull);
+            ranks.extend(members.iter().map(|member| {
+                let lot = mix(key.0 ^ member.hash);
+                // The lowest key is the largest of ln(lot) / pull.
+                let key = pull.map_or(!lot, |pull| (0.0 - unit(lot).ln() / pull).to_bits());
+                let tier = 1 + u8::from((member.zone == self.settings.zone) != stays);
+                Rank { tier, key, engine: member.engine }
+            }));
+        }
         let time = self.share_time();
         let seen = self.beginnings.peek(&key).map_or(0.0, |rate| rate.count(self.now, time));
         let calls = self.calls_lately.count(self.now, time);
         let share = (seen - 1.0).max(0.0) / (calls + PRIOR_CALLS); // one sighting proves nothing
         let reads = FIRST_GUESS_TOKENS / call.shared_tokens.max(1) as f64;
-        let least = reads.ceil().min(order.len().div_ceil(READERS_PER_HOME) as f64);
-        let homes = (HOMES_PER_SHARE * share * order.len() as f64).ceil().max(least) as usize;
-        let homes = homes.min(order.len());
+        let least = reads.ceil().min(ready.div_ceil(READERS_PER_HOME) as f64);
+        let homes = (HOMES_PER_SHARE * share * ready as f64).ceil().max(least) as usize;
         let session = call.session.unwrap_or(key).0;
-        order[..homes].sort_by_key(|rank| Reverse(mix(session ^ mix(u64::from(rank.2 .0) + 1))));
-        order.into_iter().map(|rank| rank.2).collect()
+        let mut ranking = Ranking::new(ranks);
+        ranking.rank_first_by(homes, |id| !mix(session ^ mix(u64::from(id.0) + 1)));
+        ranking
     }
 
     fn share_time(&self) -> f64 {
@@ -539,64 +549,72 @@
     /// Racks are uneven: a cell, or a zone, keeps only the part of its states that its writers can take, and
     /// the rest goes where writers have room to spare. Harm: states that a quiet rack could have kept move.
     fn pick_writer(&mut self, id: RequestId, reader: EngineId) -> Option<EngineId> {
-        let [stays, in_zone, spare] = [(); 3].map(|()| self.rng.next_u64());
+        let lots = [(); 3].map(|()| self.rng.next_u64());
         let request = self.requests.get(&id)?;
+        let drawn = self.writers_for(request, reader, lots);
+        self.better_of_two(&drawn)
+    }
+
+    fn writers_for(&self, request: &Request, reader: EngineId, lots: [u64; 3]) -> Vec<EngineId> {
+        let [stays, in_zone, spare] = lots;
         // What has been read is not thrown away for an estimate; early enough that a connect may yet fail.
         let last = request.state.is_none_or(|(_, at)| self.now >= at + self.settings.release_within / 2);
-        let ready = [Role::Writer, Role::Mixed].into_iter().map(|role| {
+        let usable = |pool: &Pool, mean, e: &Engine| self.in_pool(pool, request, e) && self.has_room(e, mean);
+        let found = [Role::Writer, Role::Mixed].into_iter().find_map(|role| {
             let mean = if last { 0.0 } else { self.mean_tokens(role) };
-            let mut ready = self.usable(role, request);
-            ready.retain(|id| self.has_room(&self.engines[id], mean));
-            ready
+            let pool = self.pool(role, request)?;
+            self.fleet.ready(role).any(|e| usable(&pool, mean, e)).then_some((pool, mean))
         });
-        let mut ready = ready.into_iter().find(|ready| !ready.is_empty())?;
-        self.pass_crowded(&mut ready, unit(mix(!spare)));
-        let Some(from) = self.engines.get(&reader).map(|engine| &engine.entry) else {
-            return self.better_of_two(&ready);
+        let Some((pool, mean)) = found else { return Vec::new() };
+        let crowded = self.crowded(unit(mix(!spare)));
+        let prompt = |e: &Engine| !crowded.contains(&e.entry.cell);
+        let all_crowded =
+            !crowded.is_empty() && !self.fleet.ready(pool.role).any(|e| prompt(e) && usable(&pool, mean, e));
+        let ready = |e: &Engine| (all_crowded || prompt(e)) && usable(&pool, mean, e);
+        let Some(from) = self.fleet.get(reader).map(|engine| &engine.entry) else {
+            return self.fleet.passing(pool.role, ready);
         };
         let whole = Cell::default();
         let cell = |entry: &Entry| self.cells.get(&entry.cell).unwrap_or(&whole);
-        let stays = unit(stays) < cell(from).near;
+        if unit(stays) < cell(from).near {
+            let near = self.fleet.ready_in(from.cell, pool.role);
+            let near: Vec<EngineId> = near.filter(|e| ready(e)).map(|e| e.entry.engine).collect();
+            if !near.is_empty() {
+                return near;
+            }
+        }
         let in_zone = unit(in_zone) < cell(from).zone_takes;
         let has_spare = |to: &Entry| unit(mix(spare ^ u64::from(to.engine.0))) < 1.0 - 1.0 / cell(to).near;
-        let tests: [&dyn Fn(&Entry) -> bool; 5] = [
-            &|to| stays && to.cell == from.cell,
+        let tests: [&dyn Fn(&Entry) -> bool; 4] = [
             &|to| in_zone && to.zone == from.zone && has_spare(to),
             &|to| to.zone != from.zone && has_spare(to),
             &|to| to.zone == from.zone,
             &|_| true,
         ];
-        let draw = |test: &&dyn Fn(&Entry) -> bool| -> Vec<EngineId> {
-            ready.iter().copied().filter(|id| test(&self.engines[id].entry)).collect()
-        };
-        let drawn = tests.iter().map(draw).find(|drawn| !drawn.is_empty());
-        self.better_of_two(&drawn.unwrap_or_default())
+        let draw =
+            |test: &&dyn Fn(&Entry) -> bool| self.fleet.passing(pool.role, |e| test(&e.entry) && ready(e));
+        tests.iter().map(draw).find(|drawn| !drawn.is_empty()).unwrap_or_default()
     }
 
-    /// Passes writers of a cell that lately queued or timed out over what is permitted and twice the middle
+    /// Cells to pass: their writers lately queued or timed out over what is permitted and twice the middle
     /// cell, in proportion, unless links are slow: a front meets the cell often, each writer seldom. Also
     /// catches a cell of slow writers. Harm: one slow writer sends its neighbours' states off.
-    fn pass_crowded(&self, ready: &mut Vec<EngineId>, lot: f64) {
+    fn crowded(&self, lot: f64) -> Vec<CellId> {
         if self.slow_links() {
-            return;
+            return Vec::new();
         }
         let queued = |cell: &Cell| cell.queued.now(0.0, self.now, PACE_HALF_LIFE);
         let middle = lower_median(self.cells.values().map(queued).collect()).unwrap_or(0.0);
-        let permitted = WAIT_SHARE_OF_AIM[Stage::Write as usize] * self.settings.shortest_aim();
+        let permitted = WAIT_SHARE_OF_AIM[Stage::Write as usize] * self.shortest_aim;
         let limit = (QUEUED_PART * permitted).max(SLUGGISH * middle);
-        let prompt = self.cells.iter().filter(|(_, cell)| lot < limit / queued(cell));
-        let prompt: Vec<&CellId> = prompt.map(|(id, _)| id).collect();
-        let stays = |id: &EngineId| prompt.contains(&&self.engines[id].entry.cell);
-        if ready.iter().any(stays) {
-            ready.retain(stays);
-        }
+        let prompt = |cell: &Cell| lot < limit / queued(cell);
+        self.cells.iter().filter(|(_, cell)| !prompt(cell)).map(|(&id, _)| id).collect()
     }
 
     /// Over slow links a reader without a writer in its cell is passed like one at its cap.
     fn stranded(&self, reader: &Engine, class: u32) -> bool {
-        let beside = |e: &&Engine| e.role != Role::Reader && e.entry.cell == reader.entry.cell;
-        let mut beside = self.engines.values().filter(beside);
-        reader.role == Role::Reader && self.slow_links() && !beside.any(|e| self.well(e, class))
+        let beside = |role| self.fleet.ready_in(reader.entry.cell, role).any(|e| self.well(e, class));
+        reader.role == Role::Reader && self.slow_links() && !beside(Role::Writer) && !beside(Role::Mixed)
     }
 
     fn slow_links(&self) -> bool {
@@ -611,7 +629,7 @@
         let first = self.rng.next_u64() as usize % from.len();
         let second = (first + 1 + self.rng.next_u64() as usize % (from.len() - 1)) % from.len();
         let load = |at: usize| {
-            let engine = &self.engines[&from[at]];
+            let engine = &self.fleet[from[at]];
             engine.tokens as f64 / engine.entry.weight.max(0.01) / self.share_for_pace(engine, Stage::Write)
         };
         Some(if load(second) < load(first) { from[second] } else { from[first] })
@@ -619,22 +637,36 @@
 
     /// Mixed servers take their share of sessions: by count of machines, each session always alike.
     fn takes_mixed_share(&mut self, class: u32, session: Option<Key>) -> bool {
-        let well = |e: &&Engine, role| e.role == role && self.well(e, class);
-        let count = |role| self.engines.values().filter(|e| well(e, role)).count() as f64;
+        let resting = |role| self.fleet.struck(role).filter(|e| !self.well(e, class)).count();
+        let count = |role| (self.fleet.ready_count(role) - resting(role)) as f64;
         let mixed = count(Role::Mixed);
         let share = mixed / (mixed + count(Role::Reader) + count(Role::Writer)).max(1.0);
         let lot = session.map_or_else(|| self.rng.next_u64(), |Key(key)| mix(key));
         unit(lot) < share
     }
 
-    /// Servers of a role that the rules allow and that look well; where too few do, all that are allowed.
-    fn usable(&self, role: Role, request: &Request) -> Vec<EngineId> {
+    fn pool(&self, role: Role, request: &Request) -> Option<Pool> {
         let class = request.call.class;
-        let allowed = |e: &&Engine| e.role == role && self.allowed(request, e);
-        let pool = most(self.engines.values().filter(allowed).collect(), |e| self.well(e, class));
-        let untried = |e: &&Engine| !request.failed.contains(&e.entry.engine);
-        let any_untried = pool.iter().any(untried);
-        pool.into_iter().filter(|e| !any_untried || untried(e)).map(|e| e.entry.engine).collect()
+        let allowed = |e: &&Engine| self.allowed(request, e);
+        let allowed_count = if self.reach(request) == Reach::Everywhere {
+            let allows = |cold: &&Cold| self.cold_allows(role, cold.started, &cold.budget);
+            self.fleet.ready_count(role) - self.fleet.cold(role).iter().filter(|cold| !allows(cold)).count()
+        } else {
+            self.fleet.ready(role).filter(allowed).count()
+        };
+        let resting = self.fleet.struck(role).filter(allowed).filter(|e| !self.well(e, class)).count();
+        let all = too_few(allowed_count - resting, allowed_count);
+        let size = if all { allowed_count } else { allowed_count - resting };
+        let pool = Pool { role, all, again: true };
+        let failed = self.fleet.these(&request.failed).filter(|e| self.in_pool(&pool, request, e)).count();
+        (size > 0).then_some(Pool { again: failed == size, ..pool })
+    }
+
+    fn in_pool(&self, pool: &Pool, request: &Request, engine: &Engine) -> bool {
+        engine.role == pool.role
+            && self.allowed(request, engine)
+            && (pool.all || self.well(engine, request.call.class))
+            && (pool.again || !request.failed.contains(&engine.entry.engine))
     }
 
     fn well(&self, engine: &Engine, class: u32) -> bool {
@@ -652,9 +684,9 @@
             return full;
         }
         let figures = &self.stages[stage as usize];
-        let mean = figures.under_way.now(self.now, RATE_TIME) / self.count(engine.role).max(1.0);
+        let mean = figures.under_way.now(self.now, RATE_TIME) / self.fleet.known(engine.role);
         let load = self.of_all_fronts(engine.waiting_effort[stage as usize], mean, figures.typical);
-        let cap = CAP_SHARE_OF_AIM * self.settings.shortest_aim() + rereading;
+        let cap = CAP_SHARE_OF_AIM * self.shortest_aim + rereading;
         self.is_late(engine, stage) || load * figures.best > cap
     }
 
@@ -673,9 +705,9 @@
 
     /// Own tokens a server, as far as they are no chance: few requests say little of what other fronts hold.
     fn mean_tokens(&self, role: Role) -> f64 {
-        let tokens: u64 = self.engines.values().filter(|e| e.role == role).map(|e| e.tokens).sum();
+        let tokens = self.fleet.tokens(role);
         let requests = tokens as f64 / self.stages[Stage::Write as usize].typical;
-        surely(requests) * tokens as f64 / self.count(role).max(1.0)
+        surely(requests) * tokens as f64 / self.fleet.known(role)
     }
 
     /// Room for an answer: tokens of all fronts within the memory (`mean` is its role's own tokens a server),
@@ -704,21 +736,27 @@
     fn jammed(&self, class: u32, stage: Stage, lot: f64) -> bool {
         let at = stage as usize;
         let limit = WAIT_SHARE_OF_AIM[at] * self.aim_by_worth(class);
-        let serves = |e: &&Engine| e.seen.pace[at].known.is_some() || e.waiting_effort[at] > 0.0;
         let prompt = |e: &Engine| self.well(e, class) && !self.is_late(e, stage);
-        let pool = most(self.engines.values().filter(serves).collect(), prompt);
-        let middle = |figure: &dyn Fn(&Engine) -> f64| {
-            lower_median(pool.iter().map(|e| figure(e)).collect()).unwrap_or(0.0)
-        };
-        let queued = middle(&|e| self.queue_time(e, at));
+        let (serving, ready) = self.fleet.serving(at);
+        let ready_but = |e: &&Engine| e.serves(at) && e.entry.health == Health::Ready && !prompt(e);
+        let passing = ready - self.fleet.busy_or_struck().filter(ready_but).count();
+        let all = too_few(passing, serving);
+        let size = if all { serving } else { passing };
+        let in_pool = |e: &&Engine| e.serves(at) && (all || prompt(e));
+        let queues = |e: &&Engine| self.queue_time(e, at) > QUEUED_PART * limit;
+        let lately = |e: &&Engine| e.seen.queued[at].now(0.0, self.now, PACE_HALF_LIFE) > QUEUED_PART * limit;
+        let idle = self.fleet.by_queued(at).take_while(lately).filter(|e| !e.is_busy());
+        let queueing = self.fleet.busy().chain(idle).filter(in_pool).filter(queues).count();
         // Without queueing seen, only what stands behind another attempt counts: one long read is no queue.
         let (part, heads) =
-            if queued > QUEUED_PART * limit { (BURST_PART, 0.0) } else { (CERTAIN_PART, 1.0) };
+            if median_is_over(queueing, size) { (BURST_PART, 0.0) } else { (CERTAIN_PART, 1.0) };
         let behind = |e: &Engine| e.waiting_effort[at] * (1.0 - heads / e.waiting.len().max(1) as f64);
-        if middle(&behind) * self.stages[at].best * f64::from(self.settings.balancers) > part * limit {
+        let of_all = |e: &Engine| behind(e) * self.stages[at].best * f64::from(self.settings.balancers);
+        let full = self.fleet.busy().filter(in_pool).filter(|e| of_all(e) > part * limit).count();
+        if median_is_over(full, size) {
             return true;
         }
-        let waiting: f64 = pool.iter().map(|e| e.waiting_effort[at]).sum();
+        let waiting: f64 = self.fleet.busy().filter(in_pool).map(|e| e.waiting_effort[at]).sum();
         let mean = self.stages[at].under_way.now(self.now, RATE_TIME);
         let still = against_mean(waiting, mean, PRIOR_REQUESTS * self.stages[at].typical).min(1.0);
         let pressure = still * self.pressure(at);
@@ -727,22 +765,19 @@
 
     /// What attempts lately waited there, or the oldest one out has waited by now, beyond the work itself.
     fn queue_time(&self, engine: &Engine, at: usize) -> f64 {
-        engine.seen.queued[at].now(0.0, self.now, PACE_HALF_LIFE).max(self.silent(engine, at))
-    }
-
-    /// How long the oldest attempt out there has waited by now, beyond the work itself.
-    fn silent(&self, engine: &Engine, at: usize) -> f64 {
-        engine.oldest(self.now) as f64 - self.stages[at].best * engine.waiting_effort[at]
+        engine.seen.queued[at].now(0.0, self.now, PACE_HALF_LIFE).max(engine.silent(
+            self.now,
+            at,
+            self.stages[at].best,
+        ))
     }
 
     /// All classes share the queues: a long aim may make them longer than the shortest aim wants only as far
     /// as the class's worth is above the lowest, or it would push the others out.
     fn aim_by_worth(&self, class: u32) -> f64 {
-        let Some(class) = self.settings.classes.get(&class) else {
-            return self.settings.shortest_aim();
-        };
+        let Some(class) = self.settings.classes.get(&class) else { return self.shortest_aim };
         let lowest = self.settings.current().map(|class| class.worth).fold(class.worth, f64::min);
-        (class.aim as f64).min(self.settings.shortest_aim() * class.worth / lowest.max(f64::MIN_POSITIVE))
+        (class.aim as f64).min(self.shortest_aim * class.worth / lowest.max(f64::MIN_POSITIVE))
     }
 
     fn answer_tokens(&self, call: &Call) -> u64 {
@@ -757,9 +792,8 @@
 
     fn off_waiting(&mut self, id: RequestId, attempt: &Attempt) {
         let at = attempt.stage as usize;
-        let Some(engine) = self.engines.get_mut(&attempt.engine) else { return };
-        if engine.waiting.remove(&(attempt.sent, id)) {
-            engine.waiting_effort[at] = (engine.waiting_effort[at] - attempt.effort).max(0.0);
+        let waited = self.fleet.change(attempt.engine, |engine| engine.stops_waiting(id, attempt));
+        if waited == Some(true) {
             let taken = (self.now - attempt.sent) as f64 / 1e6;
             let stage = &mut self.stages[at];
             stage.under_way.add(attempt.effort * taken, self.now, RATE_TIME);
@@ -770,24 +804,25 @@
     fn did_well(&mut self, attempt: &Attempt, taken: Micros) {
         let at = attempt.stage as usize;
         let pace = taken as f64 / attempt.effort;
-        let Some(engine) = self.engines.get_mut(&attempt.engine) else { return };
-        engine.seen.standing.remove(&attempt.class);
-        engine.seen.carried.add(1.0, self.now, RATE_TIME);
-        let usual = self.stages[at].usual;
+        let (now, usual) = (self.now, self.stages[at].usual);
+        let served = |engine: &mut Engine| engine.seen.served(attempt.class, now, RATE_TIME);
+        let Some(()) = self.fleet.change(attempt.engine, served) else { return };
         if attempt.far {
-            return self.far_pace.sample(pace, usual, self.now, PACE_HALF_LIFE, PACE_WEIGHT);
+            return self.far_pace.sample(pace, usual, now, PACE_HALF_LIFE, PACE_WEIGHT);
         }
         let best = &mut self.stages[at].best;
         *best += (pace - *best) * if pace < *best { BEST_FALLS } else { BEST_RISES };
         let queued = (taken as f64 - *best * attempt.effort).max(0.0);
-        engine.seen.pace[at].sample(pace, usual, self.now, PACE_HALF_LIFE, PACE_WEIGHT);
-        engine.seen.queued[at].follow(queued, self.now, PACE_HALF_LIFE, PACE_WEIGHT);
+        self.fleet.change(attempt.engine, |engine| {
+            engine.seen.pace[at].sample(pace, usual, now, PACE_HALF_LIFE, PACE_WEIGHT);
+            engine.seen.queued[at].follow(queued, now, PACE_HALF_LIFE, PACE_WEIGHT);
+        });
         if attempt.stage != Stage::Write {
             self.gossip.saw(attempt.engine, queued, attempt.expected);
         }
         self.crowds(attempt, queued, false);
-        self.press(at, queued.min(MOST_QUEUED * self.settings.shortest_aim()));
-        self.take_down(at, queued);
+        self.press(at, queued.min(MOST_QUEUED * self.shortest_aim));
+        self.stages[at].take_down(now, queued, ENDS_TAKEN_DOWN);
     }
 
     /// What comebacks of a stage queued, over the last second or the last few samples, whichever is longer.
@@ -799,12 +834,6 @@
         pressure.sample(queued, 0.0, self.now, PACE_HALF_LIFE, weight);
     }
 
-    fn take_down(&mut self, at: usize, queued: f64) {
-        let lately = &mut self.stages[at].lately;
-        lately.push_front((self.now, queued));
-        lately.truncate(ENDS_TAKEN_DOWN);
-    }
-
     /// What a stage queues: the mean of what came back or, where that is more, a low quantile of what lately
     /// ended, time-outs above all: a jam does not hide behind what gets through, nor do some silent servers
     /// look like one. One more counts as prompt: few prove nothing. Also catches a pool wholly silent. Harm:
@@ -821,59 +850,49 @@
     /// counts as twice what came back at most: where others are prompt, its writer is silent, not crowded.
     fn crowds(&mut self, attempt: &Attempt, queued: f64, lost: bool) {
         let near = attempt.stage == Stage::Write && !attempt.far;
-        let writer = self.engines.get(&attempt.engine).filter(|_| near);
+        let writer = self.fleet.get(attempt.engine).filter(|_| near);
         let Some(cell) = writer.and_then(|writer| self.cells.get_mut(&writer.entry.cell)) else { return };
         let most = if lost { SLUGGISH * cell.queued.now(0.0, self.now, PACE_HALF_LIFE) } else { queued };
         cell.queued.follow(queued.min(most), self.now, PACE_HALF_LIFE, PACE_WEIGHT);
     }
 
     fn did_badly(&mut self, attempt: &Attempt, outcome: Outcome) {
-        let Some(engine) = self.engines.get_mut(&attempt.engine) else { return };
+        let Some(role) = self.fleet.get(attempt.engine).map(|engine| engine.role) else { return };
+        let now = self.now;
         match outcome {
             Outcome::Full => {
-                engine.seen.full_until = self.now + FULL_REST;
-                return self.press(attempt.stage as usize, self.settings.shortest_aim());
+                self.fleet.change(attempt.engine, |engine| engine.seen.full_until = now + FULL_REST);
+                return self.press(attempt.stage as usize, self.shortest_aim);
             }
             Outcome::NoState | Outcome::Cancelled | Outcome::Moot => return,
             _ => {}
         }
-        let role = engine.role;
         if outcome == Outcome::Timeout {
-            self.crowds(attempt, (self.now - attempt.sent) as f64, true);
-            self.take_down(attempt.stage as usize, MOST_QUEUED * self.settings.shortest_aim());
+            self.crowds(attempt, (now - attempt.sent) as f64, true);
+            let most = MOST_QUEUED * self.shortest_aim;
+            self.stages[attempt.stage as usize].take_down(now, most, ENDS_TAKEN_DOWN);
         }
         // This front comes to each server of the pool about once in that time: a shorter rest would be none.
-        let turn = self.count(role) * 1e6 / self.call_rate.now(self.now, RATE_TIME).max(1e-3);
+        let turn = self.fleet.known(role) * 1e6 / self.call_rate.now(now, RATE_TIME).max(1e-3);
         let lot = self.rng.next_u64();
-        if let Some(engine) = self.engines.get_mut(&attempt.engine) {
+        self.fleet.change(attempt.engine, |engine| {
             let standing = engine.seen.standing.entry(attempt.class).or_default();
-            standing.strike(self.now, FIRST_REST.max(turn as Micros), lot);
-        }
-    }
-
-    fn count(&self, role: Role) -> f64 {
-        self.engines.values().filter(|e| e.role == role).count() as f64
+            standing.strike(now, FIRST_REST.max(turn as Micros), lot);
+        });
     }
 
-    /// The part of its capacity that a cold server surely has by now; `None` if it is warm.
-    fn cold_share(&self, engine: &Engine) -> Option<f64> {
-        let (from, set) = (engine.entry.started?, &self.settings);
+    /// Sends that a window permits to a cold server: the part of its capacity that it surely has by now, by what
+    /// a warm server of its role carries for this front; `None` if it is warm.
+    fn cold_permit(&self, role: Role, started: Option<Micros>) -> Option<f64> {
+        let (from, set) = (started?, &self.settings);
         let age = self.now.saturating_sub(from) as f64 / set.cold_for.max(1) as f64;
-        (self.now < from.saturating_add(set.cold_for)).then_some(set.cold_from * (1.0 + COLD_GAIN * age))
-    }
-
-    /// Sends that a window permits to a cold server: the part of its capacity that it surely has, by what a
-    /// warm server of its role carries for this front; `None` if it is warm.
-    fn cold_permit(&self, engine: &Engine) -> Option<f64> {
-        let set = &self.settings;
-        let share = self.cold_share(engine)?;
-        let peers = self.engines.values().filter(|e| e.role == engine.role && self.cold_share(e).is_none());
-        let ready = peers.filter(|e| e.entry.health == Health::Ready);
-        let carried = ready.map(|e| e.seen.carried.young(self.now, RATE_TIME));
-        let (sum, warm) = carried.fold((0.0, 0.0), |(sum, count), rate| (sum + rate, count + 1.0));
-        let even = self.call_rate.young(self.now, RATE_TIME) / self.count(engine.role).max(1.0);
-        let rate = if warm > 0.0 { sum / warm } else { COLD_ROLE_SHARE * even };
-        Some(self.part * COLD_MARGIN * set.fall_multiple * share * rate * set.fall_window as f64 / 1e6)
+        let share = set.cold_from * (1.0 + COLD_GAIN * age);
+        let (sum, warm) = self.fleet.carried_by_warm(role);
+        let even = || self.call_rate.young(self.now, RATE_TIME) / self.fleet.known(role);
+        let rate = if warm > 0 { sum / warm as f64 } else { COLD_ROLE_SHARE * even() };
+        let permit =
+            self.part * COLD_MARGIN * set.fall_multiple * share * rate * set.fall_window as f64 / 1e6;
+        (self.now < from.saturating_add(set.cold_for)).then_some(permit)
     }
 
     // ---- The list of servers ----
@@ -887,44 +906,33 @@
         }
         self.asking.answered();
         if how != ListKind::Patch {
-            let named: BTreeSet<EngineId> = entries.iter().map(|entry| entry.engine).collect();
-            for (id, engine) in &mut self.engines {
-                if !named.contains(id) {
-                    engine.entry.health = Health::Gone;
-                }
-            }
+            self.fleet.take_away_all_but(entries.iter().map(|entry| entry.engine).collect());
         }
-        for entry in entries {
-            self.list(entry);
+        entries.into_iter().for_each(|entry| self.list(entry));
+        self.fleet.forget_gone();
+        if self.fleet.has_other_servers() {
+            self.gossip.list(self.fleet.ids());
         }
-        self.engines.retain(|_, e| e.entry.health != Health::Gone || e.tokens > 0 || !e.waiting.is_empty());
-        self.gossip.list(self.engines.keys().copied());
         self.weigh_cells();
     }
 
     /// What the list says of racks, worked out when it changes. A zone takes of the states that leave cells
     /// what its other cells have room for: were it more, its one cell of many writers would be buried.
     fn weigh_cells(&mut self) {
-        let ready: Vec<&Engine> = self.engines.values().filter(|e| e.entry.health == Health::Ready).collect();
-        let count = |role: Role, test: &dyn Fn(&Entry) -> bool| {
-            ready.iter().filter(|e| e.role == role && test(&e.entry)).count() as f64
-        };
-        let [readers, writers] = [Role::Reader, Role::Writer].map(|role| count(role, &|_| true).max(1.0));
-        let places: BTreeMap<CellId, ZoneId> = ready.iter().map(|e| (e.entry.cell, e.entry.zone)).collect();
+        let shares = self.fleet.cell_shares();
         let mut zones: BTreeMap<ZoneId, [f64; 2]> = BTreeMap::new(); // room to spare, states that leave cells
         let mut cells = BTreeMap::new();
-        for (&id, &zone) in &places {
-            let reading = count(Role::Reader, &|e| e.cell == id) / readers;
-            let writing = count(Role::Writer, &|e| e.cell == id) / writers;
+        for (&id, &CellShare { zone, reading, writing }) in &shares {
             let [room, leaving] = zones.entry(zone).or_default();
             *room += (writing - reading).max(0.0);
             *leaving += (reading - writing).max(0.0);
             let queued = self.cells.remove(&id).map(|cell| cell.queued).unwrap_or_default();
             let near = writing / reading.max(f64::MIN_POSITIVE);
-            cells.insert(id, Cell { near, queued, ..Cell::default() });
+            let pull = near.sqrt().clamp(READER_PULL[0], READER_PULL[1]);
+            cells.insert(id, Cell { near, pull, queued, ..Cell::default() });
         }
         for (id, cell) in &mut cells {
-            let [room, leaving] = zones[&places[id]];
+            let [room, leaving] = zones[&shares[id].zone];
             cell.zone_takes = room / leaving.max(f64::MIN_POSITIVE);
         }
         self.cells = cells;
@@ -934,18 +942,13 @@
     fn list(&mut self, entry: Entry) {
         let kind = self.settings.kinds.get(entry.kind as usize);
         let (role, memory) = kind.map_or((Role::Mixed, 0), |kind| (kind.role, kind.memory_tokens));
-        let debt = unit(self.rng.next_u64());
-        let now = self.now;
-        let cold = || ColdBudget::owing(debt, now);
-        let fresh = || Engine::new(entry.clone(), PrefixTable::new(), cold());
-        let engine = self.engines.entry(entry.engine).or_insert_with(fresh);
-        if engine.entry.started != entry.started && entry.health == Health::Ready {
-            engine.prefixes = PrefixTable::new();
-            engine.seen = Seen::default();
-            engine.cold = cold();
+        let cold = ColdBudget::owing(unit(self.rng.next_u64()), self.now);
+        let id = entry.engine;
+        let same = |engine: &Engine| engine.entry.started == entry.started || entry.health != Health::Ready;
+        if !self.fleet.get(id).is_some_and(same) {
+            self.fleet.starts_anew(id, Engine::new(entry.clone(), PrefixTable::new(), cold));
         }
-        engine.entry = entry;
-        (engine.role, engine.memory) = (role, memory);
+        self.fleet.change(id, |engine| (engine.entry, engine.role, engine.memory) = (entry, role, memory));
     }
 
     /// What no event brings up: the list to ask for, the middle of the paces, states that wait for a writer.
@@ -956,27 +959,21 @@
             out.push(Action::Subscribe);
         }
         for (at, stage) in self.stages.iter_mut().enumerate() {
-            let known = self.engines.values().filter_map(|e| e.seen.pace[at].known);
-            stage.usual = lower_median(known.map(|(pace, _)| pace).collect()).unwrap_or(stage.usual);
+            stage.usual = self.fleet.middle_pace(at).unwrap_or(stage.usual);
         }
         for id in std::mem::take(&mut self.parked) {
             self.route(id, out);
         }
-        for (&id, engine) in self.engines.iter().filter(|(_, e)| e.role == Role::Reader) {
+        let at = Stage::Read as usize;
+        for engine in self.fleet.busy().filter(|e| e.role == Role::Reader) {
             let oldest = engine.waiting.first().and_then(|(_, id)| self.requests.get(id)?.out.as_ref());
-            if let Some(oldest) = oldest {
-                self.gossip.saw(id, self.silent(engine, Stage::Read as usize), oldest.expected);
-            }
+            let silent = engine.silent(self.now, at, self.stages[at].best);
+            oldest.iter().for_each(|oldest| self.gossip.saw(oldest.engine, silent, oldest.expected));
         }
     }
 }
 
-/// Those of a pool that pass a test; where too few do, all of it: then the yardstick is wrong.
-fn most(pool: Vec<&Engine>, test: impl Fn(&Engine) -> bool) -> Vec<&Engine> {
-    let passing: Vec<&Engine> = pool.iter().copied().filter(|e| test(e)).collect();
-    if passing.len() as f64 >= LEAST_WELL_SHARE * pool.len() as f64 {
-        passing
-    } else {
-        pool
-    }
+/// Whether so few of a pool pass a test that the yardstick is wrong: then all of it serves.
+fn too_few(passing: usize, of: usize) -> bool {
+    (passing as f64) < LEAST_WELL_SHARE * of as f64
 }
--- a/crates/router/src/figures.rs
+++ b/crates/router/src/figures.rs
@@ -59,7 +59,19 @@
     /// The rate of one that is younger than the time constant: scaled up to its age, ten times at most.
     pub(crate) fn young(&self, now: Micros, time: f64) -> f64 {
         let age = self.since.map_or(0.0, |since| (now - since) as f64);
-        self.now(now, time) / (1.0 - (-age / time).exp()).max(0.1)
+        self.now(now, time) / Self::part_of_age((-age / time).exp())
+    }
+
+    /// The part of its full height that a rate has reached, where `left` of it is still missing; a tenth at the least.
+    pub(crate) fn part_of_age(left: f64) -> f64 {
+        (1.0 - left).max(0.1)
+    }
+
+    /// Its value, and what was missing of its full height, as they would stand at `epoch`: both fade alike since.
+    pub(crate) fn as_of(&self, epoch: Micros, time: f64) -> (f64, f64) {
+        let at = |moment: Micros| ((moment as f64 - epoch as f64) / time).exp();
+        let Some(since) = self.since else { return (0.0, 0.0) };
+        (self.value * at(self.at), at(since))
     }
 
     /// How many units that is within the time constant.
@@ -84,6 +96,11 @@
     (1.0 - count.max(1.0).sqrt().recip()).powi(2)
 }
 
+/// Whether the lower median of `of` values lies over a limit that `over` of them are over.
+pub(crate) fn median_is_over(over: usize, of: usize) -> bool {
+    of > 0 && over >= of - (of - 1) / 2
+}
+
 pub(crate) fn lower_median(values: Vec<f64>) -> Option<f64> {
     quantile(values, 0.5)
 }
@@ -94,6 +111,33 @@
     values.get((values.len().saturating_sub(1) as f64 * share) as usize).copied()
 }
 
+/// Values in their order, one by one put in and taken out; room for some thousands, as each moves those behind it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct SortedValues(Vec<f64>);
+
+impl SortedValues {
+    fn place(&self, value: f64) -> usize {
+        self.0.partition_point(|other| other.total_cmp(&value).is_lt())
+    }
+
+    pub(crate) fn insert(&mut self, value: f64) {
+        self.0.insert(self.place(value), value);
+    }
+
+    /// Takes out one that was put in.
+    pub(crate) fn remove(&mut self, value: f64) {
+        let place = self.place(value);
+        if self.0.get(place).is_some_and(|other| other.total_cmp(&value).is_eq()) {
+            self.0.remove(place);
+        }
+    }
+
+    /// The middle value, the lower one where there are two.
+    pub(crate) fn lower_median(&self) -> Option<f64> {
+        self.0.get(self.0.len().saturating_sub(1) / 2).copied()
+    }
+}
+
 /// A fixed 64-bit mixer (the finaliser of SplitMix64): the same at every front.
 #[must_use]
 pub fn mix(value: u64) -> u64 {
--- a/crates/router/src/handover.rs
+++ b/crates/router/src/handover.rs
@@ -5,7 +5,8 @@
 
 use crate::control::Router;
 use crate::figures::{Pace, Rate};
-use crate::interface::{Key, Micros};
+use crate::interface::{EngineId, Key, Micros};
+use crate::tables::PREFIX_KEYS;
 
 /// Newest beliefs that are handed over, over all servers; at some 46 bytes each under 1 MB as text.
 const MOST_PREFIXES: usize = 20_000;
@@ -50,7 +51,7 @@
     #[must_use]
     pub fn hands_over(&self) -> Handover {
         let mut made: Vec<Micros> = self
-            .engines
+            .fleet
             .values()
             .flat_map(|engine| engine.prefixes.sent.iter().map(|(_, sent)| sent.1))
             .collect();
@@ -80,7 +81,7 @@
             call_rate: self.call_rate.clone(),
             calls_lately: self.calls_lately.clone(),
             stages: self.stages.iter().map(stage).collect(),
-            servers: self.engines.values().map(server).collect(),
+            servers: self.fleet.values().map(server).collect(),
             beginnings: beginnings.map(|(key, rate)| (key.0, rate.clone())).collect(),
         }
     }
@@ -92,7 +93,6 @@
         if handover.at > now || handover.stages.len() != self.stages.len() {
             return;
         }
-        let sound = |value: f64| value.is_finite() && value > 0.0;
         if self.call_rate.is_new() && handover.call_rate.is_sound(now) {
             self.call_rate = handover.call_rate;
         }
@@ -116,10 +116,16 @@
             }
         }
         for learnt in handover.servers {
-            let Some(engine) = self.engines.get_mut(&crate::interface::EngineId(learnt.id)) else { continue };
-            if engine.entry.started != learnt.started {
-                continue;
-            }
+            self.takes_over_server(learnt);
+        }
+    }
+
+    fn takes_over_server(&mut self, learnt: ServerLearnt) {
+        let (id, now) = (EngineId(learnt.id), self.now);
+        if self.fleet.get(id).is_none_or(|engine| engine.entry.started != learnt.started) {
+            return;
+        }
+        self.fleet.change(id, |engine| {
             for (own, learnt) in engine.seen.pace.iter_mut().zip(learnt.pace) {
                 if own.known.is_none() && learnt.known.is_some_and(|(pace, at)| sound(pace) && at <= now) {
                     *own = learnt;
@@ -129,15 +135,12 @@
                 engine.seen.carried = learnt.carried;
             }
             engine.prefixes.distrusted = engine.prefixes.distrusted.max(learnt.distrusted.min(now));
-            for (key, tokens, made) in learnt.prefixes {
-                let known = engine.prefixes.sent.peek(&Key(key)).is_some_and(|own| own.1 >= made);
-                if !known && made <= now {
-                    engine.prefixes.sent.put(Key(key), (tokens, made));
-                }
-            }
-            while engine.prefixes.sent.len() > crate::tables::PREFIX_KEYS {
-                engine.prefixes.sent.pop_lru();
-            }
-        }
+        });
+        let texts = learnt.prefixes.into_iter().map(|(key, tokens, made)| (Key(key), tokens, made));
+        self.fleet.believes(id, &texts.collect::<Vec<_>>(), PREFIX_KEYS);
     }
 }
+
+fn sound(value: f64) -> bool {
+    value.is_finite() && value > 0.0
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -8,11 +8,15 @@
 mod classes;
 pub mod control;
 mod figures;
+mod fleet;
 mod gossip;
 mod handover;
+mod holders;
 pub mod interface;
 mod observed;
 pub mod pairs;
+mod ranking;
+mod rate_sum;
 mod state;
 mod tables;
 
--- a/crates/router/src/observed.rs
+++ b/crates/router/src/observed.rs
@@ -12,10 +12,16 @@
         self.gossip.counts()
     }
 
+    /// What the index of servers says otherwise than a recount of them, if anything: for tests.
+    #[must_use]
+    pub fn index_disagreement(&self) -> Option<String> {
+        self.fleet.disagreement()
+    }
+
     /// Servers of the list that get no new work now: they drain, or rest after failures of some class.
     #[must_use]
     pub fn avoided(&self) -> usize {
-        let listed = self.engines.values().filter(|engine| engine.entry.health != Health::Gone);
+        let listed = self.fleet.values().filter(|engine| engine.entry.health != Health::Gone);
         let rests = |e: &Engine| e.seen.standing.values().any(|class| !class.takes_work(self.now, true));
         listed.filter(|engine| engine.entry.health != Health::Ready || rests(engine)).count()
     }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::figures::{Pace, Rate};
-use crate::interface::{Call, EngineId, Entry, Micros, Report, RequestId, Role};
+use crate::interface::{Call, CellId, Class, EngineId, Entry, Micros, Report, RequestId, Role, ZoneId};
 use crate::tables::{ColdBudget, PrefixTable, Standing};
 
 /// What an attempt is to do: read and keep the state, fetch a state and answer, or read and answer.
@@ -78,25 +78,88 @@
         }
     }
 
+    /// How long the oldest attempt out there has waited by now, beyond the work of a stage itself at its best pace.
+    pub(crate) fn silent(&self, now: Micros, stage: usize, best: f64) -> f64 {
+        self.oldest(now) as f64 - best * self.waiting_effort[stage]
+    }
+
+    /// An attempt goes out to it.
+    pub(crate) fn takes(&mut self, id: RequestId, attempt: &Attempt) {
+        self.waiting.insert((attempt.sent, id));
+        self.waiting_effort[attempt.stage as usize] += attempt.effort;
+        self.tokens += attempt.tokens;
+    }
+
+    /// An attempt waits there no more; whether it did.
+    pub(crate) fn stops_waiting(&mut self, id: RequestId, attempt: &Attempt) -> bool {
+        let waited = self.waiting.remove(&(attempt.sent, id));
+        if waited {
+            let effort = &mut self.waiting_effort[attempt.stage as usize];
+            *effort = (*effort - attempt.effort).max(0.0);
+        }
+        waited
+    }
+
+    /// Whether own attempts wait there.
+    pub(crate) fn is_busy(&self) -> bool {
+        !self.waiting.is_empty() || self.waiting_effort.iter().any(|effort| *effort > 0.0)
+    }
+
+    /// Whether it has served a stage, or has work of it waiting.
+    pub(crate) fn serves(&self, stage: usize) -> bool {
+        self.seen.pace[stage].known.is_some() || self.waiting_effort[stage] > 0.0
+    }
+
     /// How long the oldest attempt there has waited.
     pub(crate) fn oldest(&self, now: Micros) -> Micros {
         self.waiting.first().map_or(0, |&(sent, _)| now - sent)
     }
 }
 
+/// Servers at which no second effect can happen.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Reach {
+    Nowhere,
+    Zone(ZoneId),
+    Cell(CellId),
+    Everywhere,
+}
+
+impl Reach {
+    pub(crate) fn has(self, engine: &Engine) -> bool {
+        match self {
+            Self::Nowhere => false,
+            Self::Zone(zone) => engine.entry.zone == zone,
+            Self::Cell(cell) => engine.entry.cell == cell,
+            Self::Everywhere => true,
+        }
+    }
+}
+
+/// Servers of a role that the rules allow and that look well; where too few do, all that are allowed (`all`). Those
+/// that the request has failed at are left, unless there are no others (`again`).
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Pool {
+    pub(crate) role: Role,
+    pub(crate) all: bool,
+    pub(crate) again: bool,
+}
+
 /// What the list says of a cell: its writers' part of all writing over its readers' part of all reading (above
 /// 1 there is room for others' states), and the part of the states leaving cells of its zone that stays there.
 #[derive(Debug)]
 pub(crate) struct Cell {
     pub(crate) near: f64,
     pub(crate) zone_takes: f64,
+    /// Even shares of a beginning's homes that its readers get, to suit its writers.
+    pub(crate) pull: f64,
     /// Time that states lately queued at its writers (us).
     pub(crate) queued: Pace,
 }
 
 impl Default for Cell {
     fn default() -> Self {
-        Self { near: 1.0, zone_takes: 1.0, queued: Pace::default() }
+        Self { near: 1.0, zone_takes: 1.0, pull: 1.0, queued: Pace::default() }
     }
 }
 
@@ -113,6 +176,23 @@
     pub(crate) report: Option<(Report, Micros)>,
 }
 
+impl Seen {
+    /// It has served a request of a class, or read it.
+    pub(crate) fn served(&mut self, class: u32, now: Micros, rate_time: f64) {
+        self.standing.remove(&class);
+        self.carried.add(1.0, now, rate_time);
+    }
+
+    /// Classes have new numbers: what is known goes on under those of their heirs, and the rest is forgotten.
+    pub(crate) fn renumber(&mut self, heirs: &BTreeMap<u32, u32>, classes: &BTreeMap<u32, Class>) {
+        for (&new, old) in heirs {
+            let known = self.standing.get(old).cloned();
+            self.standing.extend(known.map(|known| (new, known)));
+        }
+        self.standing.retain(|class, _| classes.contains_key(class));
+    }
+}
+
 /// What this front has seen of a stage, whichever server.
 #[derive(Debug)]
 pub(crate) struct StageFigures {
@@ -134,4 +214,10 @@
         let (under_way, pressure) = (Rate::default(), Pace::default());
         Self { usual: pace, best: pace, typical, under_way, pressure, lately: VecDeque::new() }
     }
+
+    /// Takes down what an attempt queued that has just ended; so many are kept at most.
+    pub(crate) fn take_down(&mut self, now: Micros, queued: f64, most: usize) {
+        self.lately.push_front((now, queued));
+        self.lately.truncate(most);
+    }
 }
--- a/crates/router/src/tables.rs
+++ b/crates/router/src/tables.rs
@@ -7,7 +7,7 @@
 
 /// How long a sent prefix is believed to be kept (us), as the design page has it, and keys remembered for
 /// each reader; scales with sessions that one reader sees within that time.
-const PREFIX_EXPIRY: Micros = 60_000_000;
+pub(crate) const PREFIX_EXPIRY: Micros = 60_000_000;
 pub(crate) const PREFIX_KEYS: usize = 4_096;
 const STRIKES_TO_REST: u32 = 2; // in a row, of one class
 const LONGEST_REST: Micros = 3_200_000; // doubled up to this with each failed trial (us)
@@ -35,15 +35,18 @@
         known(call.session).max(known(call.shared)).filter(|&(tokens, _)| tokens > 0)
     }
 
-    pub(crate) fn record(&mut self, call: &Call, now: Micros) {
+    /// Takes down what a server is sent now; the keys that had to make room for it, or have run out.
+    pub(crate) fn record(&mut self, call: &Call, now: Micros) -> Vec<Key> {
         let shared = call.shared.map(|key| (key, call.shared_tokens.min(call.prompt_tokens)));
         for (key, tokens) in call.session.map(|key| (key, call.prompt_tokens)).into_iter().chain(shared) {
             self.sent.put(key, (tokens, now));
         }
         let over = now.saturating_sub(PREFIX_EXPIRY);
+        let mut dropped = Vec::new();
         while self.sent.len() > PREFIX_KEYS || self.sent.peek_lru().is_some_and(|(_, sent)| sent.1 <= over) {
-            self.sent.pop_lru();
+            dropped.extend(self.sent.pop_lru().map(|(key, _)| key));
         }
+        dropped
     }
 
     /// A broken promise: entries as old as that one are not believed any more (a server that drops its least
@@ -80,7 +83,7 @@
 
 /// This front's part of what a cold server can take. `debt` is what it was sent, less what has been earned
 /// since: a leaky bucket one window deep. It starts at a random level: fronts must not all send at once.
-#[derive(Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct ColdBudget {
     debt: f64,
     since: Micros,
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -130,7 +130,11 @@
 
 impl World {
     pub fn new(settings: Settings, list: Vec<Entry>) -> Self {
-        let router = Router::new(settings.clone(), 7, 1_000 * SECOND);
+        Self::with_seed(settings, list, 7)
+    }
+
+    pub fn with_seed(settings: Settings, list: Vec<Entry>, seed: u64) -> Self {
+        let router = Router::new(settings.clone(), seed, 1_000 * SECOND);
         let mut world = Self {
             settings,
             router,
--- a/crates/router/tests/failures.rs
+++ b/crates/router/tests/failures.rs
@@ -294,27 +294,31 @@
             list.extend((from..from + count).map(place));
         }
     }
-    let mut world = World::new(settings(), list);
-    for id in 1..=600 {
-        world.simple(id);
-        world.end(RequestId(id), Outcome::Read);
-        world.begin(RequestId(id));
-        world.end(RequestId(id), Outcome::Served);
-        world.pass(50_000);
+    // A share by chance: over sixteen seeds, as one seed alone gives 0.16 to 0.31.
+    let (mut first, mut all) = (0, 0);
+    for seed in 1..=16 {
+        let mut world = World::with_seed(settings(), list.clone(), seed);
+        for id in 1..=600 {
+            world.simple(id);
+            world.end(RequestId(id), Outcome::Read);
+            world.begin(RequestId(id));
+            world.end(RequestId(id), Outcome::Served);
+            world.pass(50_000);
+        }
+        let wrote = |from: u32, to: u32| world.sends.iter().filter(|s| (from..to).contains(&s.1 .0)).count();
+        (first, all) = (first + wrote(200, 220), all + wrote(200, 300));
     }
-    let wrote = |from: u32, to: u32| world.sends.iter().filter(|s| (from..to).contains(&s.1 .0)).count();
-    let (first, all) = (wrote(200, 220), wrote(200, 300));
-    assert!(all > 500, "{all}");
-    assert!(first * 100 < all * 38, "{first} of {all} states went to the cell with 0.3 of the writers");
-    assert!(first * 100 > all * 24, "{first} of {all} states went to the cell with 0.3 of the writers");
+    assert!(all > 16 * 500, "{all}");
+    assert!(first * 100 < all * 28, "{first} of {all} states went to the cell with 0.3 of the writers");
+    assert!(first * 100 > all * 20, "{first} of {all} states went to the cell with 0.3 of the writers");
 }
 
 /// States read in cell 0 of three equal cells, where first tokens take 600 ms in cells that `crowded` names
 /// and 20 ms elsewhere: how many of the last 60 were sent to cell 0, and to any.
-fn stayed(crowded: impl Fn(u32) -> bool) -> (usize, usize) {
+fn stayed(seed: u64, crowded: impl Fn(u32) -> bool) -> (usize, usize) {
     let place = |id: u32, kind| Entry { cell: CellId(id % 3), zone: ZoneId(0), ..entry(id, kind) };
     let list = (0..6).map(|id| place(id, 0)).chain((30..39).map(|id| place(id, 1))).collect();
-    let mut world = World::new(settings(), list);
+    let mut world = World::with_seed(settings(), list, seed);
     let mut to = Vec::new();
     for id in 1..400 {
         world.simple(id);
@@ -335,10 +339,16 @@
 
 #[test]
 fn a_cell_whose_writers_queue_keeps_fewer_of_its_states() {
-    let (kept, all) = stayed(|cell| cell == 0);
-    assert!(all > 40 && kept * 10 < all * 8, "{kept} of {all} stayed");
-    let (kept, all) = stayed(|_| false);
-    assert!(all > 40 && kept == all, "{kept} of {all} stayed where no cell queues");
+    // A share by chance: over eight seeds, as one seed alone gives 0.61 to 0.82.
+    let (mut kept, mut all) = (0, 0);
+    for seed in 7..15 {
+        let (of_seed, read) = stayed(seed, |cell| cell == 0);
+        assert!(read > 40, "{read}");
+        (kept, all) = (kept + of_seed, all + read);
+        let (kept, all) = stayed(seed, |_| false);
+        assert!(all > 40 && kept == all, "{kept} of {all} stayed where no cell queues");
+    }
+    assert!(kept * 100 < all * 76, "{kept} of {all} stayed");
 }
 
 #[test]
--- /dev/null
+++ b/crates/router/tests/full_scan.rs
@@ -0,0 +1,372 @@
+//! The router with its index against the same decisions by a full scan: the same events, every action compared, and the
+//! index held against a recount after each event.
+#![allow(dead_code)]
+
+#[path = "../src/asking.rs"]
+mod asking;
+#[path = "../src/figures.rs"]
+mod figures;
+#[allow(clippy::wrong_self_convention)] // public types of the crate, private here
+#[path = "../src/gossip.rs"]
+mod gossip;
+#[path = "../src/tables.rs"]
+mod tables;
+
+#[path = "full_scan/control.rs"]
+mod control;
+#[path = "full_scan/state.rs"]
+mod state;
+
+use std::collections::BTreeMap;
+
+use dewladder_router::{interface, Load, LoadUpdate};
+use interface::*;
+use proptest::prelude::*;
+
+const SECOND: Micros = 1_000_000;
+
+fn class(at: u32) -> Class {
+    let (effect, group) = [
+        (Effect::Idempotent, DedupGroup::All),
+        (Effect::AtMostOnce, DedupGroup::All),
+        (Effect::Deduplicated, DedupGroup::Zone),
+        (Effect::Deduplicated, DedupGroup::Cell),
+        (Effect::Deduplicated, DedupGroup::All),
+    ][at as usize % 5];
+    Class {
+        name: format!("class {at}"),
+        give_up: 5 * SECOND,
+        max_attempts: 6,
+        retired: false,
+        aim: SECOND / 2 + u64::from(at) * 90_000,
+        aim_per_1000_tokens: 40_000,
+        token_aim: 60_000,
+        effect,
+        group,
+        dedup_window: 2 * SECOND,
+        worth: 1.0 + f64::from(at),
+    }
+}
+
+fn settings(dispatchers: u32) -> Settings {
+    let kind = |role, memory_tokens| Kind { role, memory_tokens };
+    Settings {
+        balancers: dispatchers,
+        zone: ZoneId(1),
+        classes: (0..5).map(|at| (at, class(at))).collect(),
+        kinds: vec![kind(Role::Reader, 200_000), kind(Role::Writer, 60_000), kind(Role::Mixed, 200_000)],
+        must_subscribe: false,
+        must_ask_in: 10 * SECOND,
+        may_cancel: true,
+        peers: true,
+        peer_price: 0.001,
+        writers_read: true,
+        max_retry_after: SECOND,
+        release_within: SECOND / 2,
+        resolution: 4_000,
+        cold_from: 0.3,
+        cold_for: 6 * SECOND,
+        memory_field: Some(0),
+        fall_multiple: 2.5,
+        fall_window: SECOND,
+    }
+}
+
+fn entry(engine: u32, mixed: bool) -> Entry {
+    let kind = if mixed && engine.is_multiple_of(9) { 2 } else { u32::from(engine % 20 >= 9) };
+    Entry {
+        engine: EngineId(engine),
+        zone: ZoneId(engine / 8 % 3),
+        cell: CellId(engine / 8),
+        weight: 1.0,
+        started: None,
+        health: Health::Ready,
+        kind,
+    }
+}
+
+/// An attempt that is out.
+#[derive(Clone, Debug)]
+struct Out {
+    number: u32,
+    engine: EngineId,
+    sent: Micros,
+    until: Micros,
+    begun: bool,
+}
+
+/// Both routers, told the same.
+struct Pair {
+    indexed: dewladder_router::Router,
+    scanning: control::Router,
+    settings: Settings,
+    now: Micros,
+    list: BTreeMap<EngineId, Entry>,
+    out: BTreeMap<RequestId, Out>,
+    attempts: BTreeMap<RequestId, u32>,
+    due: Vec<(Micros, TimerToken)>,
+    next: u64,
+}
+
+impl Pair {
+    fn new(settings: Settings, entries: Vec<Entry>, seed: u64) -> Self {
+        let now = 1_000 * SECOND;
+        let mut pair = Self {
+            indexed: dewladder_router::Router::new(settings.clone(), seed, now),
+            scanning: control::Router::new(settings.clone(), seed, now),
+            settings,
+            now,
+            list: entries.iter().map(|entry| (entry.engine, entry.clone())).collect(),
+            out: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+            due: Vec::new(),
+            next: 0,
+        };
+        pair.tell(Event::Roster { how: ListKind::Whole, entries });
+        pair
+    }
+
+    /// Tells both, compares what they do and the index with a recount, and takes their actions down.
+    fn tell(&mut self, event: Event) {
+        let (mut actions, mut scanned) = (Vec::new(), Vec::new());
+        self.indexed.handle(self.now, event.clone(), &mut actions);
+        self.scanning.handle(self.now, event.clone(), &mut scanned);
+        assert_eq!(actions, scanned, "at {} after {event:?}", self.now);
+        assert_eq!(self.indexed.index_disagreement(), None, "at {} after {event:?}", self.now);
+        for action in actions {
+            match action {
+                Action::Assign { id, engine, patience } => {
+                    let number = self.attempts.entry(id).or_default();
+                    let out = Out {
+                        number: *number,
+                        engine,
+                        sent: self.now,
+                        until: self.now + patience,
+                        begun: false,
+                    };
+                    *number += 1;
+                    self.out.insert(id, out);
+                }
+                Action::Defer { delay, token } => self.due.push((self.now + delay, token)),
+                Action::Revoke { id, .. } => {
+                    let out = self.out.remove(&id);
+                    if let Some(out) = out {
+                        self.ends(id, &out, Outcome::Cancelled, 0, false);
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn ends(&mut self, id: RequestId, out: &Out, outcome: Outcome, kept_tokens: u64, full: bool) {
+        let mut report = Report::default();
+        report.set("x0", Some(if full { 0.97 } else { 0.4 }));
+        self.tell(Event::Ended(Ended {
+            id,
+            attempt: out.number,
+            engine: out.engine,
+            taken: self.now - out.sent,
+            outcome,
+            kept_tokens,
+            last: out.begun || outcome == Outcome::Served,
+            report: full.then_some(report),
+        }));
+    }
+
+    fn pass(&mut self, time: Micros) {
+        let end = self.now + time;
+        loop {
+            let due = self.due.iter().map(|&(at, _)| at).min().filter(|&at| at <= end);
+            let Some(at) = due else { break };
+            self.now = self.now.max(at);
+            let place = self.due.iter().position(|&(due, _)| due == at).expect("there");
+            let (_, token) = self.due.swap_remove(place);
+            self.tell(Event::Due(token));
+            let late = |(_, out): &(&RequestId, &Out)| !out.begun && out.until <= self.now;
+            let late: Vec<RequestId> = self.out.iter().filter(late).map(|(&id, _)| id).collect();
+            for id in late {
+                let out = self.out.remove(&id).expect("out");
+                self.ends(id, &out, Outcome::Timeout, 0, false);
+            }
+        }
+        self.now = end;
+    }
+
+    fn asks(&mut self, lot: u32) {
+        self.next += 1;
+        let session = u64::from(lot >> 4) % 23;
+        let shared = (!lot.is_multiple_of(3)).then(|| Key(500 + session % 5));
+        let call = Call {
+            id: RequestId(self.next),
+            class: lot % 5,
+            session: (!lot.is_multiple_of(7)).then_some(Key(session)),
+            shared,
+            shared_tokens: if shared.is_some() { 700 + u64::from(lot % 2) * 6_000 } else { 0 },
+            prompt_tokens: 800 + u64::from(lot >> 8) % 9_000,
+            max_tokens: 400,
+            hint: None,
+            not_after: self.now + SECOND + u64::from(lot >> 12) % (4 * SECOND),
+        };
+        self.tell(Event::Call(call));
+    }
+
+    fn change(&mut self, engine: EngineId, change: impl FnOnce(&mut Entry, Micros)) {
+        let Some(entry) = self.list.get_mut(&engine) else { return };
+        change(entry, self.now);
+        let entries = vec![entry.clone()];
+        self.tell(Event::Roster { how: ListKind::Patch, entries });
+    }
+
+    fn reads(&self, engine: EngineId) -> bool {
+        self.list.get(&engine).is_some_and(|entry| entry.kind == 0)
+    }
+
+    fn answers(&mut self, lot: u32) {
+        let waiting: Vec<RequestId> = self.out.keys().copied().collect();
+        let Some(&id) = waiting.get(lot as usize % waiting.len().max(1)) else { return };
+        let out = self.out[&id].clone();
+        let reads = self.reads(out.engine);
+        if !reads && !out.begun && !lot.is_multiple_of(5) {
+            self.out.get_mut(&id).expect("out").begun = true;
+            let taken = self.now - out.sent;
+            return self.tell(Event::Begun { id, attempt: out.number, taken });
+        }
+        self.out.remove(&id);
+        let outcome = if reads { Outcome::Read } else { Outcome::Served };
+        self.ends(id, &out, outcome, u64::from(lot >> 8) % 900, lot.is_multiple_of(11));
+    }
+
+    fn fails(&mut self, lot: u32) {
+        let waiting: Vec<RequestId> =
+            self.out.iter().filter(|(_, out)| !out.begun).map(|(&id, _)| id).collect();
+        let Some(&id) = waiting.get(lot as usize % waiting.len().max(1)) else { return };
+        let out = self.out.remove(&id).expect("out");
+        let outcome = [
+            Outcome::Full,
+            Outcome::Error,
+            Outcome::Reset,
+            Outcome::ConnectFailed,
+            Outcome::NoState,
+            Outcome::Timeout,
+            Outcome::Unacknowledged,
+            Outcome::Moot,
+        ][(lot >> 8) as usize % 8];
+        self.ends(id, &out, outcome, 0, false);
+    }
+
+    fn step(&mut self, what: u8, lot: u32) {
+        let any = self.list.keys().copied().nth(lot as usize % self.list.len().max(1));
+        match what {
+            0..=11 => self.asks(lot),
+            12..=24 => self.answers(lot),
+            25..=28 => self.fails(lot),
+            29..=35 => self.pass(u64::from(lot % 90) * 1_000),
+            36 => self.pass(u64::from(lot % 3_000) * 1_000),
+            37 => {
+                if let Some(&id) = self.out.keys().nth(lot as usize % self.out.len().max(1)) {
+                    self.tell(Event::Hangup(id));
+                }
+            }
+            38 | 39 => {
+                if let Some(engine) = any {
+                    self.change(engine, |entry, now| {
+                        (entry.started, entry.health) = (Some(now), Health::Ready);
+                    });
+                }
+            }
+            40 => {
+                if let Some(engine) = any {
+                    let health = [Health::Terminating, Health::Gone, Health::Ready][(lot >> 8) as usize % 3];
+                    self.change(engine, |entry, _| entry.health = health);
+                }
+            }
+            41 => {
+                let engine = EngineId(1_000 + lot % 40);
+                let mut new = entry(engine.0, true);
+                new.started = lot.is_multiple_of(2).then_some(self.now);
+                self.list.insert(engine, new);
+                self.change(engine, |_, _| {});
+            }
+            42 => {
+                let gone: Vec<EngineId> =
+                    self.list.keys().copied().filter(|id| (id.0 + lot).is_multiple_of(13)).collect();
+                self.list.retain(|id, _| !gone.contains(id));
+                let entries = self.list.values().cloned().collect();
+                self.tell(Event::Roster { how: ListKind::Whole, entries });
+            }
+            43 => {
+                let zone = ZoneId(lot % 3);
+                for entry in self.list.values_mut().filter(|entry| entry.zone == zone) {
+                    (entry.started, entry.health) = (Some(self.now), Health::Ready);
+                }
+                let entries = self.list.values().cloned().collect();
+                self.tell(Event::Roster { how: ListKind::Whole, entries });
+            }
+            44 => {
+                let mut settings = self.settings.clone();
+                settings.cold_for = SECOND * (1 + u64::from(lot % 9));
+                settings
+                    .classes
+                    .values_mut()
+                    .for_each(|class| class.aim = SECOND / 3 + u64::from(lot % 800_000));
+                settings.balancers = 1 + lot % 40;
+                self.settings = settings.clone();
+                let heirs = BTreeMap::from([(lot % 5, (lot >> 4) % 5)]);
+                self.tell(Event::Retuned { settings: Box::new(settings), heirs });
+            }
+            45 => self.tell(Event::Part(f64::from(1 + lot % 4) / 4.0)),
+            _ => {
+                let Some(engine) = any else { return };
+                let amount = u64::from(lot % 900_000);
+                let load = if lot.is_multiple_of(3) { Load::Sent(amount) } else { Load::Waits(amount) };
+                let update = LoadUpdate { server: dewladder_router::tag(engine), load, at: self.now };
+                self.tell(Event::Heard(update.to_bytes().to_vec()));
+            }
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 160,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(20_261_202),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Requests, failures, drains, restarts, servers in slow start, new settings and gossip, in every order.
+    #[test]
+    fn the_index_decides_as_a_full_scan_does(
+        servers in 4u32..60,
+        dispatchers in 1u32..30,
+        mixed in any::<bool>(),
+        seed in any::<u64>(),
+        steps in prop::collection::vec((0u8..50, any::<u32>()), 50..400),
+    ) {
+        let entries = (0..servers).map(|at| entry(at, mixed)).collect();
+        let mut pair = Pair::new(settings(dispatchers), entries, seed);
+        for (what, lot) in steps {
+            pair.step(what, lot);
+        }
+        pair.pass(8 * SECOND);
+    }
+}
+
+/// A larger fleet under load, for minutes: beliefs run out, rates fade, cold servers become warm.
+#[test]
+fn over_minutes_of_load_the_index_decides_as_a_full_scan_does() {
+    let entries = (0..300).map(|at| entry(at, false)).collect();
+    let mut pair = Pair::new(settings(12), entries, 77);
+    let mut lot = 1u32;
+    for step in 0..6_000u32 {
+        lot = lot.wrapping_mul(1_664_525).wrapping_add(1_013_904_223);
+        let what = match step % 1_000 {
+            300 => 43,
+            500 => 38,
+            700 => 42,
+            _ => [0, 13, 14, 5, 15, 32, 16, 17, 26][step as usize % 9],
+        };
+        pair.step(what, lot >> 3);
+    }
+}
--- a/crates/router/tests/rules.rs
+++ b/crates/router/tests/rules.rs
@@ -85,8 +85,9 @@
         let early = |at: Micros| at < now + 4 * SECOND;
         world.sends.iter().filter(|&&(at, engine, _)| engine == EngineId(to) && early(at)).count()
     };
-    let (cold, warm) = (sent(0), sent(1));
-    assert!(cold > 0 && cold * 3 < warm * 2, "{cold} sends to the cold one, {warm} to a peer");
+    // Its peer is the other reader of its zone; what those of the other zone get is chance, 7 to 14 by the seed.
+    let (cold, warm) = (sent(0), sent(2));
+    assert!(cold > 0 && cold * 8 < warm, "{cold} sends to the cold one, {warm} to its peer");
 }
 
 #[test]
