Set the acknowledgement time-out as a connection comes up: before a write it broke it

Change: the option is set once for each connection to a server as it comes up, beside TCP_NODELAY, to the connect time-out or half of the time that a state may be held; what an attempt carried for it is gone again.

--- a/src/edge/connections.rs
+++ b/src/edge/connections.rs
@@ -8,7 +8,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
@@ -43,6 +43,9 @@
 /// may come some milliseconds late (the standing test's word), and would be taken for the next request's.
 const QUIET: Duration = Duration::from_millis(50);
 
+/// No acknowledgement is given up sooner: a machine delays it by up to 40 ms.
+const LEAST_ACKNOWLEDGEMENT: Duration = Duration::from_millis(100);
+
 /// How long a connection to a server is kept idle by each of so many dispatchers.
 #[must_use]
 pub fn kept_idle(keepalive: Duration, dispatchers: u32) -> Duration {
@@ -50,6 +53,14 @@
     keepalive.mul_f64(share).max(LEAST_KEPT.min(keepalive.mul_f64(KEPT_SHARE)))
 }
 
+/// How long what is written to a server may stay unacknowledged: as long as the answer to a connect may take, as the same
+/// machine answers; and half of the time that a state may be held, as it is sent on until that time is over and the protocol
+/// page adds 300 ms.
+fn acknowledged_in(config: &Config) -> Duration {
+    let release = Duration::from_micros(config.settings.release_within);
+    config.connect_timeout.min(release / 2).max(LEAST_ACKNOWLEDGEMENT)
+}
+
 /// A client without any repeats of its own.
 pub type Plain<B> = Client<HttpConnector, B>;
 
@@ -80,25 +91,15 @@
 struct Stream {
     io: TokioIo<TcpStream>,
     written: Written,
-    transfer: Arc<Transfer>,
-    /// The acknowledgement time-out that the socket has now, in milliseconds; 0 for the system's own.
-    acknowledge_ms: u32,
-    _open: watch::Sender<()>,
-}
-
-/// What an attempt and its connection tell one another.
-#[derive(Debug, Default)]
-struct Transfer {
     /// A request's body has been taken in hand, and its last byte is not written yet.
-    carries: AtomicBool,
-    /// The acknowledgement time-out that the next request wants, in milliseconds; 0 for the system's own.
-    acknowledge_ms: AtomicU32,
+    carries: Arc<AtomicBool>,
+    _open: watch::Sender<()>,
 }
 
 /// A connection as seen by the attempt that goes over it.
 #[derive(Clone, Debug)]
 pub struct Handle {
-    transfer: Arc<Transfer>,
+    carries: Arc<AtomicBool>,
     open: watch::Receiver<()>,
     task: AbortHandle,
 }
@@ -106,20 +107,13 @@
 impl Handle {
     /// An attempt's last bytes are handed over to be written.
     pub fn carries(&self) {
-        self.transfer.carries.store(true, Ordering::Relaxed);
-    }
-
-    /// How long what is written next may stay unacknowledged before the connection counts as broken (RFC 5482); `None`
-    /// for as long as the system has it. A machine that is cut off says nothing, and the system takes in all bytes.
-    pub fn acknowledge_within(&self, time: Option<Duration>) {
-        let milliseconds = time.map_or(0, |time| time.as_millis().max(1) as u32);
-        self.transfer.acknowledge_ms.store(milliseconds, Ordering::Relaxed);
+        self.carries.store(true, Ordering::Relaxed);
     }
 
     /// Whether bytes that were handed over have not all been written.
     #[must_use]
     pub fn carrying(&self) -> bool {
-        self.transfer.carries.load(Ordering::Relaxed)
+        self.carries.load(Ordering::Relaxed)
     }
 
     /// Closes the connection, whatever is still to come on it, and waits until that is done.
@@ -158,6 +152,9 @@
     freed: Notify,
     next: AtomicU64,
     kept: Duration,
+    /// What stays unacknowledged for so long breaks its connection (RFC 5482): a machine that is cut off says nothing, and
+    /// the system goes on taking in all bytes for it.
+    acknowledged_in: Duration,
     most_idle: usize,
     written: Written,
 }
@@ -193,6 +190,7 @@
             freed: Notify::new(),
             next: AtomicU64::new(0),
             kept: kept_idle(config.keepalive, config.settings.balancers),
+            acknowledged_in: acknowledged_in(config),
             most_idle: config.most_idle(),
             written: Arc::new(written),
         }))
@@ -239,13 +237,16 @@
     async fn open(&self, address: &str) -> io::Result<Connection<B>> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
+        // Where the system can't, an attempt's own time-out ends it, later.
+        if let Err(error) = SockRef::from(&stream).set_tcp_user_timeout(Some(self.0.acknowledged_in)) {
+            debug!("server {address}: no time-out for acknowledgements: {error}");
+        }
         let (tell, open) = watch::channel(());
-        let transfer = Arc::<Transfer>::default();
+        let carries = Arc::new(AtomicBool::new(false));
         let stream = Stream {
             io: TokioIo::new(stream),
             written: self.0.written.clone(),
-            transfer: transfer.clone(),
-            acknowledge_ms: 0,
+            carries: carries.clone(),
             _open: tell,
         };
         let (sender, connection) = http1::Builder::new()
@@ -260,7 +261,7 @@
             // How it ends, its requests are told.
             let _ = connection.await;
         });
-        Ok(Connection { sender, handle: Handle { transfer, open, task: task.abort_handle() } })
+        Ok(Connection { sender, handle: Handle { carries, open, task: task.abort_handle() } })
     }
 
     /// Keeps a connection for the next request, once its answer has come to its end.
@@ -304,22 +305,6 @@
     }
 }
 
-impl Stream {
-    /// Sets the time-out that the next request wants, where it is another than before.
-    fn set_acknowledgement_timeout(&mut self) {
-        let wanted = self.transfer.acknowledge_ms.load(Ordering::Relaxed);
-        if wanted == self.acknowledge_ms {
-            return;
-        }
-        self.acknowledge_ms = wanted;
-        let timeout = Some(Duration::from_millis(wanted.into()));
-        // Where the system can't, the attempt's own time-out ends it, later.
-        if let Err(error) = SockRef::from(self.io.inner()).set_tcp_user_timeout(timeout) {
-            debug!("no time-out for acknowledgements: {error}");
-        }
-    }
-}
-
 impl Read for Stream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -336,14 +321,13 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.set_acknowledgement_timeout();
         Pin::new(&mut self.io).poll_write(context, bytes)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(Pin::new(&mut self.io).poll_flush(context))?;
         // Nothing is left to be written: hyper flushes once all that it has is out.
-        if self.transfer.carries.swap(false, Ordering::Relaxed) {
+        if self.carries.swap(false, Ordering::Relaxed) {
             (self.written)();
         }
         Poll::Ready(Ok(()))
@@ -362,7 +346,6 @@
         context: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.set_acknowledgement_timeout();
         Pin::new(&mut self.io).poll_write_vectored(context, parts)
     }
 }
--- a/src/edge/core.rs
+++ b/src/edge/core.rs
@@ -102,8 +102,6 @@
         until: Micros,
         /// Nothing of it may be written from then on.
         begin_by: Micros,
-        /// Where something is held for the request: by when the server's machine is to have acknowledged all of it.
-        acknowledge_by: Option<Micros>,
     },
     /// Call an attempt off if nothing of it has been written yet; only then `Stopped` is to follow.
     Withdraw {
@@ -525,9 +523,10 @@
         request.attempts += 1;
         let reads = self.servers.get(&engine).is_some_and(|&(role, _)| role == Role::Reader);
         let (sent, until) = (self.now, request.not_after.min(self.now + patience));
-        let release_by = request.held_since + self.release_within;
-        let acknowledge_by = (!request.held.is_empty()).then_some(release_by);
-        let mut begin_by = acknowledge_by.map_or(until, |by| until.min(by));
+        let mut begin_by = until;
+        if !request.held.is_empty() {
+            begin_by = begin_by.min(request.held_since + self.release_within);
+        }
         let class = self.classes.known().get(&request.class);
         let first = request.ran.filter(|_| !reads);
         if let (Some(first), Some(class)) = (first, class) {
@@ -546,7 +545,7 @@
         }
         request.out.insert(attempt, Out { engine, reads, sent, until, stopping: None });
         self.timers.insert((until, Timer::Attempt(id, attempt)));
-        self.effects.push(Effect::Send { id, attempt, engine, reads, until, begin_by, acknowledge_by });
+        self.effects.push(Effect::Send { id, attempt, engine, reads, until, begin_by });
     }
 
     fn let_go(&mut self, id: RequestId) {
--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -438,16 +438,14 @@
     fn carry_out(&mut self, effect: Effect) -> Option<Input> {
         debug!("{effect:?}");
         match effect {
-            Effect::Send { id, attempt, engine, reads, until, begin_by, acknowledge_by } => {
+            Effect::Send { id, attempt, engine, reads, until, begin_by } => {
                 let (Some((address, _)), Some(client)) = (self.addresses.get(&engine), self.clients.get(&id))
                 else {
                     return Some(Input::Finished { id, attempt, ending: Outcome::ConnectFailed.into() });
                 };
                 let (address, payload) = (address.clone(), client.payload.clone());
                 let (until, begin_by) = (self.clock.instant(until), self.clock.instant(begin_by));
-                let acknowledge_by = acknowledge_by.map(|by| self.clock.instant(by));
-                let sending = servers::Attempt { address, payload, reads, until, begin_by, acknowledge_by };
-                self.send(id, attempt, sending);
+                self.send(id, attempt, servers::Attempt { address, payload, reads, until, begin_by });
                 None
             }
             Effect::Withdraw { id, attempt } => {
--- a/src/edge/servers.rs
+++ b/src/edge/servers.rs
@@ -41,9 +41,6 @@
 const RELEASE_STEP: Duration = Duration::from_millis(40);
 const RELEASE_TRY: Duration = Duration::from_millis(160);
 const RELEASE_FOR: Duration = Duration::from_secs(3);
-/// No acknowledgement is given up sooner: a machine delays it by up to 40 ms, and a lost packet is sent again first.
-/// Within the 300 ms that the protocol page adds to the time of what is held.
-const LEAST_ACKNOWLEDGEMENT: Duration = Duration::from_millis(100);
 /// The end of a stream that tells of kept tokens and load.
 const TAIL: usize = 512;
 
@@ -164,8 +161,6 @@
     pub until: Instant,
     /// Nothing of it is written from then on.
     pub begin_by: Instant,
-    /// By when the server's machine is to have acknowledged all of it, where that has a bound of its own.
-    pub acknowledge_by: Option<Instant>,
 }
 
 /// The servers, as attempts reach them.
@@ -318,7 +313,7 @@
     }
 
     async fn send(&self, attempt: &Attempt, progress: &Arc<Progress>) -> Result {
-        let Attempt { address, payload, reads, until, begin_by, acknowledge_by } = attempt;
+        let Attempt { address, payload, reads, until, begin_by } = attempt;
         let never = |why: &dyn std::fmt::Display| {
             debug!("server {address}: {why}; never ran");
             Result::Ended(Outcome::ConnectFailed.into())
@@ -330,7 +325,6 @@
         };
         let handle = ready.handle.clone();
         let _ = progress.handle.set(handle.clone()); // an attempt has one
-        handle.acknowledge_within(acknowledge_by.map(|by| self.acknowledgement_timeout(by)));
         let body = Marked {
             body: Some(payload.body.clone()),
             begin_by: Some(*begin_by),
@@ -380,13 +374,6 @@
         }
     }
 
-    /// How long what is written may stay unacknowledged: as long as the answer to a connect may take, as it is the same
-    /// machine that answers, and not beyond `by`.
-    fn acknowledgement_timeout(&self, by: Instant) -> Duration {
-        let left = by.saturating_duration_since(Instant::now());
-        self.connect_timeout.min(left).max(LEAST_ACKNOWLEDGEMENT)
-    }
-
     /// Has everything that is held for a request let go: the holder is asked first, then, as any server takes
     /// the call, the others, until one has answered. It takes the connection on which the holder has just
     /// answered a read: where a server's places for connections are all taken, a new one would be refused.
