Measure decisions, membership, gossip, list and runs among hollow processes

Need: capacity at 510 dispatchers before 2,900 replicas has to be measured, and no machine here holds them.

Change: crates/scale (kind tool) has the recorded samples as typed JSON, options that are refused by name, the page's tables, and a run of real processes among one hollow process of all replicas and one of all other dispatchers; limits of the machine are looked at first, and all ends with it. benches/scale has a sub-command for each part. crates/lab counts messages.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -40,6 +40,7 @@
     /// Stands still, with what came meanwhile.
     paused: Option<Vec<Event>>,
     bytes_out: u64,
+    messages_out: u64,
     seen: Vec<(Micros, Change)>,
 }
 
@@ -92,7 +93,15 @@
             codec,
         };
         for at in 0..count {
-            lab.nodes.push(Node { membership: None, life: 0, paused: None, bytes_out: 0, seen: Vec::new() });
+            let seen = Vec::new();
+            lab.nodes.push(Node {
+                membership: None,
+                life: 0,
+                paused: None,
+                bytes_out: 0,
+                messages_out: 0,
+                seen,
+            });
             lab.start(at);
         }
         lab
@@ -244,6 +253,12 @@
         self.nodes[at].bytes_out
     }
 
+    /// Messages that an instance has sent.
+    #[must_use]
+    pub fn messages_out(&self, at: usize) -> u64 {
+        self.nodes[at].messages_out
+    }
+
     /// The state machine of an instance that runs.
     #[must_use]
     pub fn membership(&self, at: usize) -> Option<&Membership> {
@@ -268,6 +283,7 @@
                 Effect::Send { to, message } => {
                     let bytes = self.codec.seal(&message).expect("a message fits into a datagram");
                     self.nodes[at].bytes_out += bytes.len() as u64;
+                    self.nodes[at].messages_out += 1;
                     self.send(at, to, bytes);
                 }
                 Effect::Changed(change) => self.nodes[at].seen.push((self.now, change)),
--- /dev/null
+++ b/crates/scale/src/page/tables.rs
@@ -0,0 +1,157 @@
+//! A table for each part, of its samples as they were taken.
+
+use crate::results::{Decider, ListTold, MembershipEvent, Part, Results, RunEvent, RunSample};
+
+const NOT_MEASURED: &str = "Not measured.\n";
+
+fn part<T>(part: &Option<Part<T>>, header: &str, row: impl Fn(&T) -> String) -> String {
+    let Some(part) = part else { return NOT_MEASURED.to_owned() };
+    let columns = header.split('|').count();
+    let rows: String = part.samples.iter().map(|sample| format!("| {} |\n", row(sample))).collect();
+    format!(
+        "Commit {}, {} cores.\n\n| {header} |\n|{}\n{rows}",
+        part.commit,
+        part.cores,
+        " --- |".repeat(columns)
+    )
+}
+
+fn megabytes(bytes: u64) -> String {
+    format!("{:.1}", bytes as f64 / 1e6)
+}
+
+pub(super) fn decisions(results: &Results) -> String {
+    let header = "program | servers | in slow start | dispatchers | classes | request, mean (us) | p99 | worst | sweep (us) | whole list (us) | changed entry (us) | update heard (us) | memory (MB) | served of measured";
+    part(&results.decisions, header, |sample| {
+        let program = match sample.decider {
+            Decider::Indexed => "index",
+            Decider::FullScan => "full scan",
+        };
+        format!(
+            "{program} | {} | {}% | {} | {} | {:.1} | {:.1} | {:.1} | {:.1} | {:.0} | {:.1} | {:.2} | {} | {} of {}",
+            sample.servers,
+            sample.cold_percent,
+            sample.dispatchers,
+            sample.classes,
+            sample.request_mean,
+            sample.request_p99,
+            sample.request_worst,
+            sample.sweep_mean,
+            sample.whole_list,
+            sample.changed_entry,
+            sample.update_heard,
+            megabytes(sample.memory),
+            sample.served,
+            sample.requests
+        )
+    })
+}
+
+pub(super) fn membership(results: &Results) -> String {
+    let header = "members | event | bytes (member, s) | datagrams (member, s) | processor (us a member and s) | known to all after (s) | played (s)";
+    part(&results.membership, header, |sample| {
+        let event = match sample.event {
+            MembershipEvent::Death => "one dies",
+            MembershipEvent::Cut => "cut into two regions, then healed",
+        };
+        let known =
+            sample.known_after.map_or("not in the time played".to_owned(), |time| format!("{time:.1}"));
+        format!(
+            "{} | {event} | {:.0} | {:.1} | {:.1} | {known} | {:.0}",
+            sample.members, sample.bytes, sample.messages, sample.processor, sample.played
+        )
+    })
+}
+
+pub(super) fn gossip(results: &Results) -> String {
+    let header = "`prices.peer` | dispatchers | requests a second of each | updates a request | sent a second | heard a second | heard with headers (KB/s) | without (KB/s)";
+    part(&results.gossip, header, |sample| {
+        format!(
+            "{} | {} | {} | {:.3} | {:.2} | {:.0} | {:.1} | {:.1}",
+            sample.price,
+            sample.dispatchers,
+            sample.requests,
+            sample.told_for_each_request,
+            sample.sent,
+            sample.heard,
+            sample.bytes_heard / 1e3,
+            sample.payload_heard / 1e3
+        )
+    })
+}
+
+pub(super) fn list(results: &Results) -> String {
+    let header = "servers | told | bytes | processor (us) | memory beyond before (MB)";
+    part(&results.list, header, |sample| {
+        let told = match sample.told {
+            ListTold::Whole => "all of them, after a start",
+            ListTold::Replaced => "one replaced",
+            ListTold::Zone => "a zone gone, and back at once",
+        };
+        format!(
+            "{} | {told} | {} | {:.0} | {}",
+            sample.servers,
+            sample.bytes,
+            sample.processor,
+            megabytes(sample.memory)
+        )
+    })
+}
+
+pub(super) fn data_path(results: &Results) -> String {
+    let header = "requests a second | streams open | events a second | processor (% of a core) | memory (MB) | descriptors";
+    part(&results.data_path, header, |sample| {
+        format!(
+            "{:.0} | {:.0} | {:.0} | {:.1} | {} | {}",
+            sample.requests,
+            sample.streams,
+            sample.events,
+            sample.processor * 100.0,
+            megabytes(sample.memory),
+            sample.descriptors
+        )
+    })
+}
+
+pub(super) fn configuration(results: &Results) -> String {
+    let header = "servers in its list | classes | bytes | read and checked (us) | taken over (us)";
+    part(&results.configuration, header, |sample| {
+        format!(
+            "{} | {} | {} | {:.0} | {:.0}",
+            sample.servers, sample.classes, sample.bytes, sample.read, sample.taken_over
+        )
+    })
+}
+
+pub(super) fn run(results: &Results) -> String {
+    let header = "servers | dispatchers (real) | event | load (s) | processor (% of a core) | memory (MB) | descriptors | datagrams out, in (a second) | first attempt p50, p99 (ms) | served, refused, failed, cut, unanswered | over budget | ran twice";
+    part(&results.run, header, |sample: &RunSample| {
+        let event = match sample.event {
+            RunEvent::None => "none",
+            RunEvent::Zone => "a zone lost, back cold",
+        };
+        let ends = &sample.ends;
+        format!(
+            "{} | {} ({}), number {} | {event} | {} | {:.1} | {} | {} | {:.1}, {:.0} | {:.2}, {:.2} | {}, {}, {}, {}, {} | {} | {}",
+            sample.servers,
+            sample.dispatchers,
+            sample.real,
+            sample.number,
+            sample.seconds,
+            sample.processor * 100.0,
+            megabytes(sample.memory),
+            sample.descriptors,
+            sample.datagrams_out,
+            sample.datagrams_in,
+            sample.first_attempt_p50,
+            sample.first_attempt_p99,
+            ends.served,
+            ends.refused,
+            ends.failed,
+            ends.cut,
+            ends.unanswered,
+            sample.over_budget,
+            sample.ran_twice
+        )
+    })
+}
--- /dev/null
+++ b/crates/scale/src/run.rs
@@ -0,0 +1,323 @@
+//! A run of real dispatchers among hollow ones, before hollow replicas: starts all, sends each real one its share of
+//! requests, and reports what each used. Whatever it has started ends with it.
+
+mod client;
+mod limits;
+mod platform;
+mod process;
+
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+use dewladder_stand_in::Agent;
+use hdrhistogram::Histogram;
+use thiserror::Error;
+use tokio::task::JoinSet;
+use tokio::time::{interval, sleep, Instant};
+
+use crate::hollow::{
+    DispatcherOptions, DispatchersHandle, GossipLedger, HollowError, ReplicaLedger, ReplicaOptions,
+    ReplicasHandle,
+};
+use crate::results::{RunEvent, RunSample};
+use client::{Clients, Tally};
+pub use limits::LimitError;
+use process::{Real, Usage};
+
+/// The zone that is lost in [`RunEvent::Zone`], and for how long.
+const LOST_ZONE: u32 = 1;
+const LOST_FOR: Duration = Duration::from_secs(5);
+/// Figures of processes are looked at so often; progress is said after so many looks.
+const LOOK: Duration = Duration::from_millis(500);
+const LOOKS_TO_SAY: u32 = 10;
+/// Load at the target's peak, as a part of what servers bear.
+const PEAK_LOAD: f64 = 0.7;
+/// Clients are waited for so long beyond the longest answer.
+const GRACE: Duration = Duration::from_secs(8);
+
+/// What is run.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RunOptions {
+    /// Replicas.
+    pub servers: u32,
+    /// Dispatchers in all.
+    pub dispatchers: u32,
+    /// Those of them that are real.
+    pub real: u32,
+    /// How long load lasts (s).
+    pub seconds: u64,
+    /// Requests a second to each real one.
+    pub requests: u32,
+    /// Classes of requests.
+    pub classes: u32,
+    /// Events of an answer.
+    pub events: u32,
+    /// Time between two events (ms).
+    pub event_ms: u64,
+    /// Descriptors of each real one.
+    pub descriptors: u32,
+    /// Memory of each real one (MB).
+    pub memory_mb: u64,
+    /// What happens.
+    pub event: RunEvent,
+}
+
+/// The programs that are started.
+#[derive(Clone, Debug)]
+pub struct Programs {
+    /// The real dispatcher, as a line for the shell, as `run` of the deploy file has it.
+    pub dispatcher: String,
+    /// Where that line is run.
+    pub folder: PathBuf,
+    /// The program with the sub-commands `hollow-replicas` and `hollow-dispatchers`.
+    pub hollow: PathBuf,
+    /// Where configurations are written.
+    pub scratch: PathBuf,
+}
+
+/// Why a run came to nothing.
+#[derive(Debug, Error)]
+pub enum RunError {
+    /// The machine is too small for it.
+    #[error(transparent)]
+    Limit(#[from] LimitError),
+    /// A hollow process failed.
+    #[error(transparent)]
+    Hollow(#[from] HollowError),
+    /// The system failed.
+    #[error("{what}: {error}")]
+    Io {
+        /// At what.
+        what: String,
+        /// What it says.
+        error: std::io::Error,
+    },
+    /// A real dispatcher did not come up, or ended.
+    #[error("dispatcher {number}: {what}")]
+    Dispatcher {
+        /// Which.
+        number: u32,
+        /// What happened.
+        what: String,
+    },
+    /// It was told to end.
+    #[error("ended by a signal")]
+    Interrupted,
+}
+
+/// What a run gives.
+#[derive(Clone, Debug)]
+pub struct Report {
+    /// A sample of each real dispatcher.
+    pub samples: Vec<RunSample>,
+    /// What the replicas have seen.
+    pub replicas: ReplicaLedger,
+    /// What went between dispatchers.
+    pub gossip: GossipLedger,
+    /// Events relayed a second by each real one, as its clients got them.
+    pub events: f64,
+    /// Streams open at each real one, on average.
+    pub streams: f64,
+}
+
+impl RunOptions {
+    /// How long an answer streams.
+    fn stream(&self) -> Duration {
+        Duration::from_millis(u64::from(self.events.saturating_sub(1)) * self.event_ms)
+    }
+
+    fn replicas(&self) -> ReplicaOptions {
+        let readers = f64::from(self.servers) * f64::from(crate::shape::READERS_OF_CELL)
+            / f64::from(crate::shape::CELL);
+        let all = f64::from(self.dispatchers) * f64::from(self.requests);
+        ReplicaOptions {
+            servers: self.servers,
+            read_ms: 150,
+            first_token_ms: 60,
+            events: self.events,
+            event_ms: self.event_ms,
+            capacity: all / readers.max(1.0) / PEAK_LOAD,
+            part: f64::from(self.real) / f64::from(self.dispatchers),
+            cold_from: platform::COLD_FROM,
+            cold_ms: platform::COLD_S * 1_000,
+            fall_multiple: platform::FALL_MULTIPLE,
+            fall_window_ms: platform::FALL_WINDOW_S * 1_000,
+        }
+    }
+}
+
+/// Runs it; `say` is told how it goes.
+///
+/// # Errors
+/// See [`RunError`]. Whatever was started has ended then.
+pub async fn run(options: RunOptions, programs: &Programs, say: impl Fn(&str)) -> Result<Report, RunError> {
+    limits::check(&options)?;
+    tokio::select! {
+        report = play(options, programs, &say) => report,
+        _ = tokio::signal::ctrl_c() => Err(RunError::Interrupted),
+    }
+}
+
+fn failed(what: impl Into<String>) -> impl FnOnce(std::io::Error) -> RunError {
+    let what = what.into();
+    move |error| RunError::Io { what, error }
+}
+
+async fn play(options: RunOptions, programs: &Programs, say: &impl Fn(&str)) -> Result<Report, RunError> {
+    let mut replicas = ReplicasHandle::start(&programs.hollow, &options.replicas()).await?;
+    say(&format!("{} hollow replicas listen", replicas.addresses.len()));
+    let mut list = platform::List::new(replicas.addresses.clone());
+    let agent = Agent::start(list.whole()).await;
+    let places = process::places(options.real).map_err(failed("ports"))?;
+    let hollow = DispatcherOptions {
+        dispatchers: options.dispatchers - options.real,
+        real: places.iter().map(|place| place.peers).collect(),
+        servers: (0..options.servers).map(platform::server_id).collect(),
+    };
+    let mut dispatchers = DispatchersHandle::start(&programs.hollow, &hollow).await?;
+    let mut real = Vec::new();
+    for (number, place) in (0..).zip(places) {
+        let config = platform::config(&options, number, &place, agent.address, dispatchers.address, &list);
+        real.push(Real::start(programs, number, place, &config).await?);
+    }
+    say(&format!("{} real dispatchers are ready among {} hollow ones", real.len(), hollow.dispatchers));
+    let clients: Vec<Arc<Clients>> =
+        real.iter().map(|real| Arc::new(Clients::new(options, real.number, real.place.listen))).collect();
+    let mut load = JoinSet::new();
+    for clients in &clients {
+        load.spawn(clients.clone().load());
+    }
+    let gossip_before = dispatchers.ledger().await?;
+    let start = Instant::now();
+    let steady = start + options.stream().min(Duration::from_secs(options.seconds / 2));
+    let end = start + Duration::from_secs(options.seconds);
+    let (lost, back) = (start + Duration::from_secs(options.seconds) / 3, LOST_FOR);
+    let mut event = (options.event == RunEvent::Zone).then_some(false);
+    let mut used: Vec<Option<Usage>> = vec![None; real.len()];
+    let mut looks = 0;
+    let mut ticks = interval(LOOK);
+    while Instant::now() < end {
+        ticks.tick().await;
+        let now = Instant::now();
+        if event == Some(false) && now >= lost {
+            event = Some(true);
+            agent.tells(Some(list.without(LOST_ZONE)));
+            replicas.lose(LOST_ZONE).await?;
+            say("a zone is lost");
+        } else if event == Some(true) && now >= lost + back {
+            event = None;
+            replicas.return_cold(LOST_ZONE).await?;
+            agent.tells(Some(list.restarted(LOST_ZONE)));
+            say("the zone is back, in slow start");
+        }
+        for (real, used) in real.iter_mut().zip(&mut used) {
+            real.look()?;
+            if now >= steady && used.is_none() {
+                *used = Some(real.usage()?);
+            }
+        }
+        looks += 1;
+        if looks % LOOKS_TO_SAY == 0 {
+            let open: u64 = clients.iter().map(|clients| clients.open()).sum();
+            say(&format!("{} s: {open} requests open", (now - start).as_secs()));
+        }
+    }
+    let mut at_end = Vec::new();
+    for real in &real {
+        at_end.push(real.usage()?);
+    }
+    let gossip = dispatchers.ledger().await?;
+    let grace = options.stream() + GRACE;
+    tokio::select! {
+        () = async { while load.join_next().await.is_some() {} } => {}
+        () = sleep(grace) => say("some requests had no end in time"),
+    }
+    let ledger = replicas.ledger().await?;
+    let tallies: Vec<Tally> = clients.iter().map(|clients| clients.tally()).collect();
+    let seconds = options.seconds as f64;
+    let samples = (real.iter().zip(&tallies).zip(used.iter().zip(&at_end)))
+        .map(|((real, tally), (before, after))| {
+            let times = first_attempts(tally, &ledger);
+            let number = real.number as usize;
+            let sent = gossip.sent_by_real[number] - gossip_before.sent_by_real[number];
+            let others: u64 = gossip.sent_by_real.iter().sum::<u64>() - gossip.sent_by_real[number];
+            let heard = gossip.sent_to_each - gossip_before.sent_to_each + others;
+            RunSample {
+                servers: options.servers,
+                dispatchers: options.dispatchers,
+                real: options.real,
+                event: options.event,
+                seconds: options.seconds,
+                number: real.number,
+                ends: tally.ends,
+                processor: before.map_or(0.0, |before| after.share_since(&before)),
+                memory: real.most_memory,
+                descriptors: real.most_descriptors,
+                datagrams_out: sent as f64 / seconds,
+                datagrams_in: heard as f64 / seconds,
+                first_attempt_p50: times.value_at_quantile(0.5) as f64 / 1_000.0,
+                first_attempt_p99: times.value_at_quantile(0.99) as f64 / 1_000.0,
+                over_budget: ledger.over_budget,
+                ran_twice: ledger.ran_twice,
+            }
+        })
+        .collect();
+    let events: u64 = tallies.iter().map(|tally| tally.events_steady).sum();
+    let open: f64 = tallies.iter().map(|tally| tally.mean_open).sum();
+    let steady_for = (end - steady).as_secs_f64().max(1e-3) * f64::from(options.real);
+    Ok(Report {
+        samples,
+        replicas: ledger,
+        gossip,
+        events: events as f64 / steady_for,
+        streams: open / f64::from(options.real),
+    })
+}
+
+/// From each request's last byte to its first attempt's (us).
+fn first_attempts(tally: &Tally, ledger: &ReplicaLedger) -> Histogram<u64> {
+    let mut times = Histogram::new(3).expect("three digits");
+    for (id, sent) in &tally.sent {
+        if let Some(came) = ledger.first_came.get(id) {
+            times.record(came.saturating_sub(*sent)).expect("it grows");
+        }
+    }
+    times
+}
+
+/// The line by which a deploy file starts a dispatcher.
+///
+/// # Errors
+/// A file that can't be read or has none.
+pub fn run_line(deploy: &Path) -> Result<String, RunError> {
+    let text = std::fs::read_to_string(deploy).map_err(failed(deploy.display().to_string()))?;
+    let line = text.lines().find_map(|line| line.strip_prefix("run = \""));
+    let line = line.and_then(|rest| rest.split('"').next()).map(str::to_owned);
+    line.ok_or_else(|| failed(deploy.display().to_string())(std::io::ErrorKind::InvalidData.into()))
+}
+
+/// The text of a configuration for a dispatcher of a fleet of this size, with the list in it.
+#[must_use]
+pub fn configuration_text(servers: u32, dispatchers: u32, classes: u32) -> String {
+    let address = |server: u32| {
+        let ip = std::net::Ipv4Addr::new(10, 77, (server / 250) as u8, (1 + server % 250) as u8);
+        std::net::SocketAddr::from((ip, 8_080))
+    };
+    let list = platform::List::new((0..servers).map(address).collect());
+    let options = RunOptions {
+        servers,
+        dispatchers,
+        real: 1,
+        seconds: 60,
+        requests: 43,
+        classes,
+        events: 250,
+        event_ms: 32,
+        descriptors: 2_048,
+        memory_mb: 256,
+        event: RunEvent::None,
+    };
+    let place = process::Place { listen: address(0), peers: address(1) };
+    platform::config(&options, 0, &place, address(2), address(3), &list).to_string()
+}
--- /dev/null
+++ b/crates/scale/src/shape.rs
@@ -0,0 +1,82 @@
+//! The shape of a fleet: servers by cells and zones, and the settings of its dispatchers.
+
+use std::collections::BTreeMap;
+
+use dewladder_router::interface::{
+    CellId, Class, DedupGroup, Effect, EngineId, Entry, Health, Kind, Micros, Role, Settings, ZoneId,
+};
+
+/// Servers of a cell, and how many of them read prompts (45%).
+pub const CELL: u32 = 20;
+/// See [`CELL`].
+pub const READERS_OF_CELL: u32 = 9;
+/// Zones of the fleet.
+pub const ZONES: u32 = 5;
+
+/// Whether the server with this number reads prompts.
+#[must_use]
+pub fn reads(server: u32) -> bool {
+    server % CELL < READERS_OF_CELL
+}
+
+/// The zone of a server: cells lie in one zone each, in turn.
+#[must_use]
+pub fn zone(server: u32) -> u32 {
+    server / CELL % ZONES
+}
+
+/// A server's entry in the list; `started` is when it last started (us), `None` for long ago.
+#[must_use]
+pub fn entry(server: u32, started: Option<Micros>) -> Entry {
+    Entry {
+        engine: EngineId(server),
+        zone: ZoneId(zone(server)),
+        cell: CellId(server / CELL),
+        weight: 1.0,
+        started,
+        health: Health::Ready,
+        kind: u32::from(!reads(server)),
+    }
+}
+
+fn class(number: u32) -> Class {
+    Class {
+        name: format!("class {number}"),
+        give_up: 5_000_000,
+        max_attempts: 5,
+        retired: false,
+        aim: 610_000,
+        aim_per_1000_tokens: 40_000,
+        token_aim: 32_000,
+        effect: if number.is_multiple_of(4) { Effect::AtMostOnce } else { Effect::Idempotent },
+        group: DedupGroup::All,
+        dedup_window: 5_000_000,
+        worth: 2.0,
+    }
+}
+
+/// Settings of one of so many dispatchers with so many classes; servers are cold for `cold_for` (us).
+#[must_use]
+pub fn settings(dispatchers: u32, classes: u32, cold_for: Micros) -> Settings {
+    let kind = |role| Kind { role, memory_tokens: 2_000_000 };
+    Settings {
+        balancers: dispatchers,
+        zone: ZoneId(0),
+        classes: (0..classes).map(|number| (number, class(number))).collect::<BTreeMap<_, _>>(),
+        kinds: vec![kind(Role::Reader), kind(Role::Writer)],
+        must_subscribe: false,
+        must_ask_in: 10_000_000,
+        may_cancel: true,
+        peers: true,
+        peer_price: 0.0025,
+        writers_read: false,
+        max_retry_after: 1_000_000,
+        release_within: 500_000,
+        resolution: 2_000,
+        cold_from: 0.26,
+        cold_for,
+        memory_field: Some(0),
+        fall_multiple: 2.5,
+        fall_window: 1_000_000,
+    }
+}
--- a/crates/stand-in/src/lib.rs
+++ b/crates/stand-in/src/lib.rs
@@ -18,5 +18,5 @@
 pub use net::Net;
 pub use peer::{LatePeer, Line, Message, Peer};
 pub use scripted::{event, Does, Server, LAST_EVENTS};
-pub use wire::{chunk, field, plain};
+pub use wire::{chunk, field, message, plain};
 pub use wrong::{wrong_front, Wrong};
