Name the decisions' functions and the list's backoff in the field's terms

Need: well, jammed, homes, roster, list, crowds, press and Asking have to be explained to a newcomer.

Change: is_healthy, is_overloaded, rank_by_rendezvous, apply_list, apply_entry, record_cell_queueing, record_queueing and ListBackoff; names only. The wire's and the settings' own words stay.

--- a/benches/scale/main.rs
+++ b/benches/scale/main.rs
@@ -4,13 +4,13 @@
 //! other parts take samples into `docs/capacity.json` (`--out`); `-- page` renders `docs/CAPACITY.md` from it.
 #![allow(dead_code)] // of the full scan, which is compared with here and not changed
 
-#[path = "../../crates/router/src/asking.rs"]
-mod asking;
 #[path = "../../crates/router/src/figures.rs"]
 mod figures;
 #[allow(clippy::wrong_self_convention)] // public types of the crate, private here
 #[path = "../../crates/router/src/gossip.rs"]
 mod gossip;
+#[path = "../../crates/router/src/list_backoff.rs"]
+mod list_backoff;
 #[path = "../../crates/router/src/tables.rs"]
 mod tables;
 
--- a/crates/router/src/admission.rs
+++ b/crates/router/src/admission.rs
@@ -35,9 +35,9 @@
     pub(crate) fn route(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id) else { return };
         if request.call.not_after <= self.now
-            || self.spent(request)
+            || self.attempts_spent(request)
             || self.fleet.is_empty()
-            || self.reach(request) == Reach::Nowhere
+            || self.reach_without_repeat(request) == Reach::Nowhere
         {
             return self.answer(id, out);
         }
@@ -55,8 +55,10 @@
             }
         }
         let lot = unit(self.rng.next_u64());
-        let jammed = self.jammed(class, Stage::Read, lot) || self.jammed(class, Stage::Write, lot);
-        if (jammed || self.takes_mixed_share(class, session)) && !self.jammed(class, Stage::Whole, lot) {
+        let jammed =
+            self.is_overloaded(class, Stage::Read, lot) || self.is_overloaded(class, Stage::Write, lot);
+        if (jammed || self.takes_mixed_share(class, session)) && !self.is_overloaded(class, Stage::Whole, lot)
+        {
             if let Some(mixed) = self.pick_by_match(id, Role::Mixed, true) {
                 return self.send(id, mixed, Stage::Whole, out);
             }
@@ -83,7 +85,7 @@
 
     /// Mixed servers take their share of sessions: by count of machines, each session always alike.
     pub(crate) fn takes_mixed_share(&mut self, class: u32, session: Option<Key>) -> bool {
-        let resting = |role| self.fleet.struck(role).filter(|e| !self.well(e, class)).count();
+        let resting = |role| self.fleet.struck(role).filter(|e| !self.is_healthy(e, class)).count();
         let count = |role| (self.fleet.ready_count(role) - resting(role)) as f64;
         let mixed = count(Role::Mixed);
         let share = mixed / (mixed + count(Role::Reader) + count(Role::Writer)).max(1.0);
--- a/crates/router/src/attempts.rs
+++ b/crates/router/src/attempts.rs
@@ -22,17 +22,17 @@
     pub(crate) fn allowed(&self, request: &Request, engine: &Engine) -> bool {
         let open = !request.over && request.out.is_none() && request.call.not_after > self.now;
         open && engine.entry.health == Health::Ready
-            && self.reach(request).has(engine)
+            && self.reach_without_repeat(request).has(engine)
             && self.cold_allows(engine.role, engine.entry.started, &engine.cold)
     }
 
-    pub(crate) fn spent(&self, request: &Request) -> bool {
+    pub(crate) fn attempts_spent(&self, request: &Request) -> bool {
         let class = self.settings.classes.get(&request.call.class);
         class.is_some_and(|class| request.attempts >= class.max_attempts)
     }
 
     /// Where the request may be sent to without a second effect.
-    pub(crate) fn reach(&self, request: &Request) -> Reach {
+    pub(crate) fn reach_without_repeat(&self, request: &Request) -> Reach {
         let Some((first, sent)) = request.ran else { return Reach::Everywhere };
         let class = self.settings.classes.get(&request.call.class);
         let first = self.fleet.get(first).map(|first| &first.entry);
@@ -49,7 +49,7 @@
 
     pub(crate) fn send(&mut self, id: RequestId, to: EngineId, stage: Stage, out: &mut Vec<Action>) {
         let (Some(request), Some(engine)) = (self.requests.get(&id), self.fleet.get(to)) else { return };
-        if !self.allowed(request, engine) || self.spent(request) {
+        if !self.allowed(request, engine) || self.attempts_spent(request) {
             return self.answer(id, out);
         }
         let call = &request.call;
@@ -125,8 +125,8 @@
         attempt.begun = true;
         request.state = None;
         let attempt = attempt.clone();
-        self.off_waiting(id, &attempt);
-        self.did_well(&attempt, taken);
+        self.stop_waiting(id, &attempt);
+        self.record_success(&attempt, taken);
     }
 
     pub(crate) fn ended(&mut self, ended: Ended, out: &mut Vec<Action>) {
@@ -159,14 +159,14 @@
             }
         });
         if !attempt.begun {
-            self.off_waiting(id, &attempt);
+            self.stop_waiting(id, &attempt);
             if outcome == Outcome::Read {
                 attempt.effort = prompt.saturating_sub(ended.kept_tokens) as f64 + READ_OVERHEAD;
             }
             if worked {
-                self.did_well(&attempt, ended.taken);
+                self.record_success(&attempt, ended.taken);
             } else {
-                self.did_badly(&attempt, outcome);
+                self.record_failure(&attempt, outcome);
             }
         }
         if self.requests.get(&id).is_some_and(|request| request.over) {
@@ -176,7 +176,7 @@
         }
     }
 
-    pub(crate) fn off_waiting(&mut self, id: RequestId, attempt: &Attempt) {
+    pub(crate) fn stop_waiting(&mut self, id: RequestId, attempt: &Attempt) {
         let at = attempt.stage as usize;
         let waited = self.fleet.change(attempt.engine, |engine| engine.stops_waiting(id, attempt));
         if waited == Some(true) {
--- a/crates/router/src/health.rs
+++ b/crates/router/src/health.rs
@@ -22,14 +22,14 @@
 pub(crate) const RATE_TIME: f64 = 60_000_000.0; // of rates (us): thirty calls of a front that sees one in two seconds
 
 impl Router {
-    pub(crate) fn well(&self, engine: &Engine, class: u32) -> bool {
+    pub(crate) fn is_healthy(&self, engine: &Engine, class: u32) -> bool {
         let idle = engine.waiting.is_empty();
         let standing = engine.seen.standing.get(&class);
         engine.entry.health == Health::Ready
             && standing.is_none_or(|standing| standing.takes_work(self.now, idle))
     }
 
-    pub(crate) fn did_well(&mut self, attempt: &Attempt, taken: Micros) {
+    pub(crate) fn record_success(&mut self, attempt: &Attempt, taken: Micros) {
         let at = attempt.stage as usize;
         let pace = taken as f64 / attempt.effort;
         let (now, usual) = (self.now, self.stages[at].usual);
@@ -48,14 +48,14 @@
         if attempt.stage != Stage::Write {
             self.gossip.saw(attempt.engine, queued, attempt.expected);
         }
-        self.crowds(attempt, queued, false);
-        self.press(at, queued.min(MOST_QUEUED * self.shortest_aim));
+        self.record_cell_queueing(attempt, queued, false);
+        self.record_queueing(at, queued.min(MOST_QUEUED * self.shortest_aim));
         self.stages[at].take_down(now, queued, ENDS_TAKEN_DOWN);
     }
 
     /// What a state queued at a writer of its reader's cell, taken down for the cell. One that was lost there
     /// counts as twice what came back at most: where others are prompt, its writer is silent, not crowded.
-    pub(crate) fn crowds(&mut self, attempt: &Attempt, queued: f64, lost: bool) {
+    pub(crate) fn record_cell_queueing(&mut self, attempt: &Attempt, queued: f64, lost: bool) {
         let near = attempt.stage == Stage::Write && !attempt.far;
         let writer = self.fleet.get(attempt.engine).filter(|_| near);
         let Some(cell) = writer.and_then(|writer| self.cells.get_mut(&writer.entry.cell)) else { return };
@@ -63,19 +63,19 @@
         cell.queued.follow(queued.min(most), self.now, PACE_HALF_LIFE, PACE_WEIGHT);
     }
 
-    pub(crate) fn did_badly(&mut self, attempt: &Attempt, outcome: Outcome) {
+    pub(crate) fn record_failure(&mut self, attempt: &Attempt, outcome: Outcome) {
         let Some(role) = self.fleet.get(attempt.engine).map(|engine| engine.role) else { return };
         let now = self.now;
         match outcome {
             Outcome::Full => {
                 self.fleet.change(attempt.engine, |engine| engine.seen.full_until = now + FULL_REST);
-                return self.press(attempt.stage as usize, self.shortest_aim);
+                return self.record_queueing(attempt.stage as usize, self.shortest_aim);
             }
             Outcome::NoState | Outcome::Cancelled | Outcome::Moot => return,
             _ => {}
         }
         if outcome == Outcome::Timeout {
-            self.crowds(attempt, (now - attempt.sent) as f64, true);
+            self.record_cell_queueing(attempt, (now - attempt.sent) as f64, true);
             let most = MOST_QUEUED * self.shortest_aim;
             self.stages[attempt.stage as usize].take_down(now, most, ENDS_TAKEN_DOWN);
         }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -5,7 +5,6 @@
 #![warn(missing_docs)]
 
 mod admission;
-mod asking;
 mod attempts;
 mod classes;
 mod figures;
@@ -15,6 +14,7 @@
 mod health;
 mod holders;
 pub mod interface;
+mod list_backoff;
 mod load;
 mod observed;
 mod overload;
@@ -29,9 +29,9 @@
 mod tables;
 mod writers;
 
-pub use asking::Asking;
 pub use classes::Classes;
 pub use figures::mix;
 pub use gossip::{tag, GossipCounts, Load, LoadUpdate};
 pub use handover::Handover;
+pub use list_backoff::ListBackoff;
 pub use router::Router;
--- a/crates/router/src/asking.rs
+++ b/crates/router/src/list_backoff.rs
@@ -20,18 +20,18 @@
 
 /// Spaces out the calls of one front.
 #[derive(Clone, Debug)]
-pub struct Asking {
+pub struct ListBackoff {
     failures: u32,
     longest: Micros,
 }
 
-impl Default for Asking {
+impl Default for ListBackoff {
     fn default() -> Self {
         Self::within(Micros::MAX)
     }
 }
 
-impl Asking {
+impl ListBackoff {
     /// One whose waits are never longer, however many fronts there are and however seldom each has to ask.
     #[must_use]
     pub fn within(longest: Micros) -> Self {
--- a/crates/router/src/overload.rs
+++ b/crates/router/src/overload.rs
@@ -28,10 +28,10 @@
     /// burst, lost, slow or cold servers, forgotten text. Told by own work at the middle server (many own
     /// samples), else by what the whole stage queued (`pressure`): then refusals grow with it. Servers that
     /// are late on their own do not count. Harm: a front that met only buried servers refuses too much.
-    pub(crate) fn jammed(&self, class: u32, stage: Stage, lot: f64) -> bool {
+    pub(crate) fn is_overloaded(&self, class: u32, stage: Stage, lot: f64) -> bool {
         let at = stage as usize;
         let limit = WAIT_SHARE_OF_AIM[at] * self.aim_by_worth(class);
-        let prompt = |e: &Engine| self.well(e, class) && !self.is_late(e, stage);
+        let prompt = |e: &Engine| self.is_healthy(e, class) && !self.is_late(e, stage);
         let (serving, ready) = self.fleet.serving(at);
         let ready_but = |e: &&Engine| e.serves(at) && e.entry.health == Health::Ready && !prompt(e);
         let passing = ready - self.fleet.busy_or_struck().filter(ready_but).count();
@@ -76,7 +76,7 @@
     }
 
     /// What comebacks of a stage queued, over the last second or the last few samples, whichever is longer.
-    pub(crate) fn press(&mut self, at: usize, queued: f64) {
+    pub(crate) fn record_queueing(&mut self, at: usize, queued: f64) {
         let pressure = &mut self.stages[at].pressure;
         let weight = (1.0 - (-pressure.age(self.now) / PRESSURE_TIME).exp()).min(PACE_WEIGHT);
         let falls = queued < pressure.now(0.0, self.now, PACE_HALF_LIFE);
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -38,7 +38,7 @@
         let request = self.requests.get(&id)?;
         let pool = self.pool(role, request)?;
         let call = &request.call;
-        let mut order = self.homes(role, call);
+        let mut order = self.rank_by_rendezvous(role, call);
         let home = order.get(0)?;
         let believed = |e: &Engine| e.prefixes.longest(call, self.now).map_or(0, |(tokens, _)| tokens);
         let at_home = |e: &Engine| if e.entry.engine == home { call.shared_tokens } else { 0 };
@@ -92,7 +92,7 @@
     /// and a change of the list moves only what lay there. A zone's own servers come first, for as many
     /// keys as they can take. Of several homes of a beginning the session picks one, and it counts as kept
     /// there: turns must find it, so nothing here may depend on how long the prompt has grown.
-    pub(crate) fn homes(&self, role: Role, call: &Call) -> Ranking {
+    pub(crate) fn rank_by_rendezvous(&self, role: Role, call: &Call) -> Ranking {
         let key = call.shared.or(call.session).unwrap_or(Key(0));
         let moves = role == Role::Reader && call.shared.is_some();
         let (zones, ready) = (self.fleet.zones(role), self.fleet.ready_count(role));
@@ -132,13 +132,13 @@
     pub(crate) fn pool(&self, role: Role, request: &Request) -> Option<Pool> {
         let class = request.call.class;
         let allowed = |e: &&Engine| self.allowed(request, e);
-        let allowed_count = if self.reach(request) == Reach::Everywhere {
+        let allowed_count = if self.reach_without_repeat(request) == Reach::Everywhere {
             let allows = |cold: &&Cold| self.cold_allows(role, cold.started, &cold.budget);
             self.fleet.ready_count(role) - self.fleet.cold(role).iter().filter(|cold| !allows(cold)).count()
         } else {
             self.fleet.ready(role).filter(allowed).count()
         };
-        let resting = self.fleet.struck(role).filter(allowed).filter(|e| !self.well(e, class)).count();
+        let resting = self.fleet.struck(role).filter(allowed).filter(|e| !self.is_healthy(e, class)).count();
         let all = too_few(allowed_count - resting, allowed_count);
         let size = if all { allowed_count } else { allowed_count - resting };
         let pool = Pool { role, all, again: true };
@@ -149,7 +149,7 @@
     pub(crate) fn in_pool(&self, pool: &Pool, request: &Request, engine: &Engine) -> bool {
         engine.role == pool.role
             && self.allowed(request, engine)
-            && (pool.all || self.well(engine, request.call.class))
+            && (pool.all || self.is_healthy(engine, request.call.class))
             && (pool.again || !request.failed.contains(&engine.entry.engine))
     }
 }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -13,13 +13,13 @@
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
-use crate::asking::Asking;
 use crate::attempts::WRITE_OVERHEAD;
 use crate::figures::{Pace, Rate};
 use crate::fleet::{Fleet, FleetTimes};
 use crate::gossip::LoadGossip;
 use crate::health::{PACE_HALF_LIFE, RATE_TIME};
 use crate::interface::{Action, CellId, Event, Key, Micros, RequestId, Settings};
+use crate::list_backoff::ListBackoff;
 use crate::placement::FIRST_GUESS_TOKENS;
 use crate::server_list::SWEEP;
 use crate::state::{Cell, Request, StageFigures};
@@ -40,7 +40,7 @@
     pub(crate) calls_lately: Rate, // over the time that beginnings are judged by
     pub(crate) beginnings: LruCache<Key, Rate>, // calls a second with each shared beginning
     pub(crate) cells: BTreeMap<CellId, Cell>,
-    pub(crate) asking: Asking,
+    pub(crate) list_backoff: ListBackoff,
     pub(crate) ask_at: Option<Micros>,
     pub(crate) sweeping: bool,
     pub(crate) gossip: LoadGossip,
@@ -67,7 +67,7 @@
             calls_lately: Rate::default(),
             beginnings: LruCache::unbounded(),
             cells: BTreeMap::new(),
-            asking: Asking::default(),
+            list_backoff: ListBackoff::default(),
             ask_at: settings.must_subscribe.then_some(now),
             sweeping: false,
             gossip: LoadGossip::new(&settings),
@@ -85,7 +85,7 @@
             self.sweep(out);
         }
         match event {
-            Event::Roster { how, entries } => self.roster(how, entries),
+            Event::Roster { how, entries } => self.apply_list(how, entries),
             Event::Call(call) => self.call(call, out),
             Event::Begun { id, attempt, taken } => self.begun(id, attempt, taken),
             Event::Ended(ended) => self.ended(ended, out),
--- a/crates/router/src/server_list.rs
+++ b/crates/router/src/server_list.rs
@@ -17,18 +17,18 @@
 pub(crate) const SWEEP: TimerToken = TimerToken(1);
 
 impl Router {
-    pub(crate) fn roster(&mut self, how: ListKind, entries: Vec<Entry>) {
+    pub(crate) fn apply_list(&mut self, how: ListKind, entries: Vec<Entry>) {
         if how == ListKind::Broken {
             let lot = self.rng.next_u64();
-            let wait = self.asking.failed(self.settings.balancers, self.settings.must_ask_in, lot);
+            let wait = self.list_backoff.failed(self.settings.balancers, self.settings.must_ask_in, lot);
             self.ask_at = self.settings.must_subscribe.then_some(self.now + wait);
             return;
         }
-        self.asking.answered();
+        self.list_backoff.answered();
         if how != ListKind::Patch {
             self.fleet.take_away_all_but(entries.iter().map(|entry| entry.engine).collect());
         }
-        entries.into_iter().for_each(|entry| self.list(entry));
+        entries.into_iter().for_each(|entry| self.apply_entry(entry));
         self.fleet.forget_gone();
         if self.fleet.has_other_servers() {
             self.gossip.list(self.fleet.ids());
@@ -59,7 +59,7 @@
     }
 
     /// Takes an entry; a new start time is a new, cold and empty server under an old number.
-    pub(crate) fn list(&mut self, entry: Entry) {
+    pub(crate) fn apply_entry(&mut self, entry: Entry) {
         let kind = self.settings.kinds.get(entry.kind as usize);
         let (role, memory) = kind.map_or((Role::Mixed, 0), |kind| (kind.role, kind.memory_tokens));
         let cold = ColdBudget::owing(unit(self.rng.next_u64()), self.now);
--- a/crates/router/src/writers.rs
+++ b/crates/router/src/writers.rs
@@ -35,7 +35,7 @@
             self.fleet.ready(role).any(|e| usable(&pool, mean, e)).then_some((pool, mean))
         });
         let Some((pool, mean)) = found else { return Vec::new() };
-        let crowded = self.crowded(unit(mix(!spare)));
+        let crowded = self.crowded_cells(unit(mix(!spare)));
         let prompt = |e: &Engine| !crowded.contains(&e.entry.cell);
         let all_crowded =
             !crowded.is_empty() && !self.fleet.ready(pool.role).any(|e| prompt(e) && usable(&pool, mean, e));
@@ -68,7 +68,7 @@
     /// Cells to pass: their writers lately queued or timed out over what is permitted and twice the middle
     /// cell, in proportion, unless links are slow: a front meets the cell often, each writer seldom. Also
     /// catches a cell of slow writers. Harm: one slow writer sends its neighbours' states off.
-    pub(crate) fn crowded(&self, lot: f64) -> Vec<CellId> {
+    pub(crate) fn crowded_cells(&self, lot: f64) -> Vec<CellId> {
         if self.slow_links() {
             return Vec::new();
         }
@@ -82,7 +82,7 @@
 
     /// Over slow links a reader without a writer in its cell is passed like one at its cap.
     pub(crate) fn stranded(&self, reader: &Engine, class: u32) -> bool {
-        let beside = |role| self.fleet.ready_in(reader.entry.cell, role).any(|e| self.well(e, class));
+        let beside = |role| self.fleet.ready_in(reader.entry.cell, role).any(|e| self.is_healthy(e, class));
         reader.role == Role::Reader && self.slow_links() && !beside(Role::Writer) && !beside(Role::Mixed)
     }
 
--- a/crates/router/tests/fleet.rs
+++ b/crates/router/tests/fleet.rs
@@ -6,7 +6,7 @@
 
 use common::SECOND as S;
 use dewladder_router::interface::*;
-use dewladder_router::{tag, Asking, Load, LoadUpdate, Router};
+use dewladder_router::{tag, ListBackoff, Load, LoadUpdate, Router};
 use rand_core::{RngCore as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
 
@@ -38,11 +38,11 @@
 }
 
 /// Restarts so many fronts at once: when each has its list, and when calls were made.
-fn restart(fronts: u32, again: impl Fn(&mut Asking, u64) -> Micros) -> (Vec<Micros>, Vec<Micros>) {
+fn restart(fronts: u32, again: impl Fn(&mut ListBackoff, u64) -> Micros) -> (Vec<Micros>, Vec<Micros>) {
     let mut service = Service { call_takes: 140_000, most_waiting: 60, free_at: 0, waiting: VecDeque::new() };
     let mut calls: BTreeSet<(Micros, u32)> = (0..fronts).map(|front| (u64::from(front), front)).collect();
     let mut state: Vec<_> = (0..fronts)
-        .map(|front| (Asking::default(), Pcg64Mcg::seed_from_u64(7_000 + u64::from(front))))
+        .map(|front| (ListBackoff::default(), Pcg64Mcg::seed_from_u64(7_000 + u64::from(front))))
         .collect();
     let (mut told, mut made) = (Vec::new(), Vec::new());
     while let Some((now, front)) = calls.pop_first().filter(|&(now, _)| now < 300 * S) {
@@ -84,7 +84,7 @@
 #[test]
 fn waits_grow_with_fronts_and_failures_up_to_what_the_rule_on_asking_allows() {
     let longest = |fronts, must_ask_in, failures| {
-        let mut asking = Asking::default();
+        let mut asking = ListBackoff::default();
         (0..failures).map(|_| asking.failed(fronts, must_ask_in, u64::MAX)).last().unwrap_or(0)
     };
     assert_eq!(longest(1, 10 * S, 1), 300_000);
@@ -92,7 +92,7 @@
     assert_eq!(longest(100, 10 * S, 9), 40 * S, "four times the time in which it must ask");
     assert_eq!(longest(100, 0, 9), 10_100_000);
     assert_eq!(longest(u32::MAX, Micros::MAX, 40), longest(u32::MAX, Micros::MAX, 41), "no overflow");
-    let mut asking = Asking::default();
+    let mut asking = ListBackoff::default();
     let first = asking.failed(100, 10 * S, u64::MAX);
     asking.failed(100, 10 * S, 0);
     asking.answered();
--- a/crates/router/tests/full_scan.rs
+++ b/crates/router/tests/full_scan.rs
@@ -2,13 +2,13 @@
 //! index held against a recount after each event.
 #![allow(dead_code)]
 
-#[path = "../src/asking.rs"]
-mod asking;
 #[path = "../src/figures.rs"]
 mod figures;
 #[allow(clippy::wrong_self_convention)] // public types of the crate, private here
 #[path = "../src/gossip.rs"]
 mod gossip;
+#[path = "../src/list_backoff.rs"]
+mod list_backoff;
 #[path = "../src/tables.rs"]
 mod tables;
 
--- a/crates/router/tests/full_scan/control.rs
+++ b/crates/router/tests/full_scan/control.rs
@@ -10,13 +10,13 @@
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::asking::Asking;
 use crate::figures::{against_mean, lower_median, mix, quantile, surely, unit, Pace, Rate};
 use crate::gossip::LoadGossip;
 use crate::interface::{
     Action, Call, CellId, DedupGroup, Effect, Ended, EngineId, Entry, Event, Health, Key, ListKind, Micros,
     Outcome, RequestId, Role, Settings, TimerToken, ZoneId,
 };
+use crate::list_backoff::ListBackoff;
 use crate::state::{Attempt, Cell, Engine, Request, Seen, Stage, StageFigures};
 use crate::tables::{ColdBudget, PrefixTable, PREFIX_KEYS};
 
@@ -105,7 +105,7 @@
     pub(crate) calls_lately: Rate, // over the time that beginnings are judged by
     pub(crate) beginnings: LruCache<Key, Rate>, // calls a second with each shared beginning
     cells: BTreeMap<CellId, Cell>,
-    asking: Asking,
+    list_backoff: ListBackoff,
     ask_at: Option<Micros>,
     sweeping: bool,
     pub(crate) gossip: LoadGossip,
@@ -129,7 +129,7 @@
             calls_lately: Rate::default(),
             beginnings: LruCache::unbounded(),
             cells: BTreeMap::new(),
-            asking: Asking::default(),
+            list_backoff: ListBackoff::default(),
             ask_at: settings.must_subscribe.then_some(now),
             sweeping: false,
             gossip: LoadGossip::new(&settings),
@@ -879,11 +879,11 @@
     fn roster(&mut self, how: ListKind, entries: Vec<Entry>) {
         if how == ListKind::Broken {
             let lot = self.rng.next_u64();
-            let wait = self.asking.failed(self.settings.balancers, self.settings.must_ask_in, lot);
+            let wait = self.list_backoff.failed(self.settings.balancers, self.settings.must_ask_in, lot);
             self.ask_at = self.settings.must_subscribe.then_some(self.now + wait);
             return;
         }
-        self.asking.answered();
+        self.list_backoff.answered();
         if how != ListKind::Patch {
             let named: BTreeSet<EngineId> = entries.iter().map(|entry| entry.engine).collect();
             for (id, engine) in &mut self.engines {
--- a/crates/router/tests/list_orders.rs
+++ b/crates/router/tests/list_orders.rs
@@ -4,7 +4,7 @@
 
 use common::{entry, fleet, settings, SECOND};
 use dewladder_router::interface::*;
-use dewladder_router::{Asking, Router};
+use dewladder_router::{ListBackoff, Router};
 use rand_core::{RngCore as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
 
@@ -18,7 +18,7 @@
     for fronts in [1, 4, 40, 100, 300, 100_000] {
         for must_ask_in in [0, SECOND / 10, SECOND, 2 * SECOND, 10 * SECOND, 1_000 * SECOND] {
             // As the watch of the list has it (`LONGEST_WAIT`); the simulator's wire has a rule of its own.
-            let mut asking = Asking::within(2_400_000);
+            let mut asking = ListBackoff::within(2_400_000);
             let waits = (0..200).map(|_| asking.failed(fronts, must_ask_in, lots.next_u64()));
             let longest = waits.max().unwrap_or(0);
             if longest > 2_400_000 {
@@ -32,7 +32,7 @@
 /// An answer ends what was learnt of failures: the next wait is drawn from the first time again.
 #[test]
 fn after_an_answer_the_first_wait_is_drawn_anew() {
-    let mut asking = Asking::default();
+    let mut asking = ListBackoff::default();
     let first = asking.failed(4, 0, u64::MAX / 2);
     for _ in 0..9 {
         asking.failed(4, 0, u64::MAX / 2);
--- a/src/edge/list.rs
+++ b/src/edge/list.rs
@@ -17,7 +17,7 @@
 use crate::edge::listing::{entries, Answer, Listing};
 use crate::edge::settings::Config;
 use crate::interface::{ListKind, Micros};
-use dewladder_router::Asking;
+use dewladder_router::ListBackoff;
 
 /// The agent is asked to answer after this at the latest. What it has to tell counts as told 6 s after the watch fell
 /// silent, or 2 s after that wait is over, so a short one bounds how long a silent agent goes unnoticed.
@@ -64,7 +64,7 @@
     let (dispatchers, must_ask_in) = (config.settings.balancers, config.settings.must_ask_in);
     let shared = config.settings.must_subscribe;
     let (hold, still) = if shared { (HOLD_SHARED, SILENT_STILL_SHARED) } else { (HOLD, SILENT_STILL) };
-    let mut asking = Asking::within(LONGEST_WAIT);
+    let mut asking = ListBackoff::within(LONGEST_WAIT);
     let mut lots = Pcg64Mcg::seed_from_u64(config.seed ^ SALT);
     let client: Plain<Empty<Bytes>> = plain_client(config, 1);
     let base = format!("http://{address}/registry/instances");
