Show the scan before the index and a real process's control on the capacity page

Need: the page has to show why the index came first, and what control costs a real process at the target, not only the decisions alone.

Change: a row for the full scan of the same run, and one for the difference between a real process at the target and the same load before 100 replicas alone. What was before the index is not listed as missing.

--- a/crates/scale/src/page/needs.rs
+++ b/crates/scale/src/page/needs.rs
@@ -25,6 +25,15 @@
     Reckoned,
 }
 
+/// Whether `run` of the deploy file has what makes a need.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Standing {
+    On,
+    Off,
+    /// The program had it before the index.
+    Before,
+}
+
 /// One need of one role.
 #[derive(Clone, Debug)]
 struct Need {
@@ -37,8 +46,7 @@
     known: Known,
     arithmetic: String,
     mechanism: &'static str,
-    /// Whether `run` of the deploy file has it turned on.
-    on: bool,
+    standing: Standing,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -75,9 +83,13 @@
             Known::Extrapolated => "extrapolated",
             Known::Reckoned => "reckoned",
         };
-        let off = if self.on { "" } else { " (off in `run`)" };
+        let standing = match self.standing {
+            Standing::On => "",
+            Standing::Off => " (off in `run`)",
+            Standing::Before => " (before the index)",
+        };
         format!(
-            "| {} | {}{off} | {} | {budget} | {ratio} | {known}: {} | {} |\n",
+            "| {} | {}{standing} | {} | {budget} | {ratio} | {known}: {} | {} |\n",
             self.role,
             self.what,
             self.unit.text(self.need),
@@ -97,10 +109,10 @@
     (points.len() > 1 && along > 0.0).then(|| (across / along, y - across / along * x))
 }
 
-fn decisions(results: &Results) -> Option<&DecisionSample> {
+fn decisions(results: &Results, decider: Decider) -> Option<&DecisionSample> {
     let samples = &results.decisions.as_ref()?.samples;
     samples.iter().find(|sample| {
-        sample.decider == Decider::Indexed
+        sample.decider == decider
             && f64::from(sample.servers) == target::REPLICAS
             && sample.cold_percent == COLD_PERCENT
     })
@@ -134,6 +146,10 @@
     samples.iter().find(at_target)
 }
 
+fn last_data_path(results: &Results) -> Option<&DataPathSample> {
+    results.data_path.as_ref()?.samples.last()
+}
+
 fn control_processor(results: &Results, needs: &mut Vec<Need>) {
     let role = "dispatcher, control";
     let core = |what, need, arithmetic, mechanism| Need {
@@ -145,21 +161,45 @@
         known: Known::Measured,
         arithmetic,
         mechanism,
-        on: true,
+        standing: Standing::On,
     };
-    let Some(sample) = decisions(results) else { return };
+    let Some(sample) = decisions(results, Decider::Indexed) else { return };
     let requests = target::requests_of_one();
-    let request = sample.request_mean * requests / 1e6;
-    let sweep = sample.sweep_mean * SWEEPS / 1e6;
-    needs.push(core(
-        "processor, choosing servers",
-        request + sweep,
+    let choosing =
+        |sample: &DecisionSample| (sample.request_mean * requests + sample.sweep_mean * SWEEPS) / 1e6;
+    let arithmetic = |sample: &DecisionSample| {
         format!(
             "{:.1} us a request x {requests:.1} + {:.1} us a sweep x {SWEEPS:.0} ({COLD_PERCENT}% in slow start)",
             sample.request_mean, sample.sweep_mean
-        ),
+        )
+    };
+    needs.push(core(
+        "processor, choosing servers",
+        choosing(sample),
+        arithmetic(sample),
         "incremental index over the server set, rendezvous hashing: `crates/router/src/fleet.rs`, `ranking.rs`",
     ));
+    if let Some(before) = decisions(results, Decider::FullScan) {
+        let need = core(
+            "processor, choosing servers",
+            choosing(before),
+            arithmetic(before),
+            "a scan of all servers for each rule",
+        );
+        needs.push(Need { standing: Standing::Before, ..need });
+    }
+    if let Some((run, alone)) = target_run(results).zip(last_data_path(results)) {
+        needs.push(core(
+            "processor, a real process at the target beyond the same load before 100 replicas alone",
+            (run.processor - alone.processor).max(0.0),
+            format!(
+                "{:.1}% of a core - {:.1}%, both with 43 requests a second",
+                run.processor * 100.0,
+                alone.processor * 100.0
+            ),
+            "all of the above, with datagrams taken in and connections opened",
+        ));
+    }
     if let Some(told) = gossip(results) {
         needs.push(core(
             "processor, load updates heard (decisions alone)",
@@ -196,12 +236,15 @@
             format!("{:.1} us a member and second", sample.processor),
             "SWIM with Lifeguard: `crates/membership`",
         );
-        needs.push(Need { on: false, ..need });
+        needs.push(Need { standing: Standing::Off, ..need });
     }
 }
 
 fn control_memory(results: &Results, needs: &mut Vec<Need>) {
-    let (Some(sample), Some(whole)) = (decisions(results), list(results, ListTold::Whole)) else { return };
+    let (Some(sample), Some(whole)) = (decisions(results, Decider::Indexed), list(results, ListTold::Whole))
+    else {
+        return;
+    };
     needs.push(Need {
         role: "dispatcher, control",
         what: "memory, servers and beliefs",
@@ -215,12 +258,12 @@
             whole.memory as f64 / 1e6
         ),
         mechanism: "bounded LRU tables, expiry after 60 s: `crates/router/src/tables.rs`, `holders.rs`",
-        on: true,
+        standing: Standing::On,
     });
 }
 
 fn control_bytes(results: &Results, needs: &mut Vec<Need>) {
-    let bytes = |what, need, known, arithmetic, mechanism, on| Need {
+    let bytes = |what, need, known, arithmetic, mechanism, standing| Need {
         role: "dispatcher, control",
         what,
         need,
@@ -229,7 +272,7 @@
         known,
         arithmetic,
         mechanism,
-        on,
+        standing,
     };
     if let Some(told) = gossip(results) {
         needs.push(bytes(
@@ -244,7 +287,7 @@
                 UPDATE + HEADERS
             ),
             "gossip by broadcast, one update a datagram, bounded by price alone: `crates/router/src/gossip.rs`",
-            true,
+            Standing::On,
         ));
     }
     if let Some(run) = target_run(results) {
@@ -254,7 +297,7 @@
             Known::Measured,
             format!("{:.0} datagrams a second x {:.0} bytes", run.datagrams_in, UPDATE + HEADERS),
             "the same, as real processes told",
-            true,
+            Standing::On,
         ));
     }
     if let Some(sample) = membership(results) {
@@ -264,7 +307,7 @@
             Known::Measured,
             format!("{:.1} datagrams a second, headers counted", sample.messages),
             "SWIM with Lifeguard: `crates/membership`",
-            false,
+            Standing::Off,
         ));
     }
     if let Some(replaced) = list(results, ListTold::Replaced) {
@@ -274,7 +317,7 @@
             Known::Reckoned,
             format!("{} bytes x 1.5 (a drain first) x {:.0} a day", replaced.bytes, target::RESTARTS),
             "watch with deltas: `src/edge/list.rs`",
-            true,
+            Standing::On,
         ));
     }
 }
@@ -301,7 +344,7 @@
                 slope * 1e6
             ),
             mechanism: "one event loop on one thread: `src/edge/servers.rs` (`Relay`), hyper",
-            on: true,
+            standing: Standing::On,
         });
     }
     if let Some((slope, start)) = line(&points(&|s| s.memory as f64, &|s| s.streams)) {
@@ -319,7 +362,7 @@
                 target::STREAMS
             ),
             mechanism: "bounded buffers: `src/edge/clients/listener.rs`",
-            on: true,
+            standing: Standing::On,
         });
     }
     if let Some((slope, start)) = line(&points(&|s| s.descriptors as f64, &|s| s.streams)) {
@@ -336,7 +379,7 @@
                 target::STREAMS
             ),
             mechanism: "a third of the descriptors for open requests: `src/edge/settings.rs`",
-            on: true,
+            standing: Standing::On,
         });
     }
 }
@@ -351,7 +394,7 @@
         known: Known::Reckoned,
         arithmetic,
         mechanism,
-        on: true,
+        standing: Standing::On,
     };
     let readers = target::REPLICAS * target::READERS;
     let writers = target::REPLICAS - readers;
@@ -415,7 +458,7 @@
         known: Known::Reckoned,
         arithmetic: format!("{} bytes x {times:.0} {per}", sample.bytes),
         mechanism: "an agent on each dispatcher's machine, watched: `src/edge/list.rs`",
-        on: true,
+        standing: Standing::On,
     };
     if let Some(whole) = list(results, ListTold::Whole) {
         needs.push(all("all dispatchers start at once", whole, target::DISPATCHERS, "dispatchers"));
@@ -439,7 +482,7 @@
         known: Known::Reckoned,
         arithmetic: "nothing of this program runs there".to_owned(),
         mechanism: "None",
-        on: true,
+        standing: Standing::On,
     });
 }
 
@@ -466,8 +509,9 @@
 
 /// The needs that are turned on and over half of their budget, the highest ratio first.
 pub(super) fn missing(results: &Results) -> String {
-    let mut over: Vec<Need> =
-        all(results).into_iter().filter(|need| need.ratio().is_some_and(|ratio| ratio > 0.5)).collect();
+    let weighs =
+        |need: &Need| need.standing != Standing::Before && need.ratio().is_some_and(|ratio| ratio > 0.5);
+    let mut over: Vec<Need> = all(results).into_iter().filter(weighs).collect();
     over.sort_by(|a, b| b.ratio().unwrap_or(0.0).total_cmp(&a.ratio().unwrap_or(0.0)));
     if over.is_empty() {
         return "No need is over half of its budget.\n".to_owned();
