--- a/crates/scale/src/page/tables.rs
+++ b/crates/scale/src/page/tables.rs
@@ -1,6 +1,8 @@
 //! A table for each part, of its samples as they were taken.
 
-use crate::results::{Decider, ListTold, MembershipEvent, Part, Results, RunEvent, RunSample};
+use crate::results::{
+    Decider, DecisionSample, ListTold, MembershipEvent, Part, Results, RunEvent, RunSample,
+};
 
 const NOT_MEASURED: &str = "Not measured.\n";
 
@@ -20,7 +22,39 @@
     format!("{:.1}", bytes as f64 / 1e6)
 }
 
+/// The mean time of a request at a size, where that was measured at the first number of dispatchers and classes.
+fn request_at(samples: &[DecisionSample], decider: Decider, servers: u32, cold: u32) -> Option<f64> {
+    let found = samples
+        .iter()
+        .find(|sample| (sample.decider, sample.servers, sample.cold_percent) == (decider, servers, cold));
+    found.map(|sample| sample.request_mean)
+}
+
+/// How a request's cost grows from the fewest servers to the most, and with a fifth of them in slow start.
+fn growth(results: &Results) -> String {
+    let Some(samples) = results.decisions.as_ref().map(|part| &part.samples) else { return String::new() };
+    let servers = samples.iter().map(|sample| sample.servers);
+    let Some((fewest, most)) = servers.clone().min().zip(servers.max()) else { return String::new() };
+    let line = |name: &str, decider| {
+        let at = |servers, cold| request_at(samples, decider, servers, cold);
+        let (few, many, cold) = (at(fewest, 0)?, at(most, 0)?, at(most, 20)?);
+        Some(format!(
+            "- {name}: a request at {most} servers costs {:.1} times one at {fewest}; at {most} with 20% in slow start, {:.2} times \
+             one with none.\n",
+            many / few,
+            cold / many
+        ))
+    };
+    let lines = [line("index", Decider::Indexed), line("full scan", Decider::FullScan)];
+    let lines: String = lines.into_iter().flatten().collect();
+    format!("{lines}\n")
+}
+
 pub(super) fn decisions(results: &Results) -> String {
+    growth(results) + &decision_table(results)
+}
+
+fn decision_table(results: &Results) -> String {
     let header = "program | servers | in slow start | dispatchers | classes | request, mean (us) | p99 | worst | sweep (us) | whole list (us) | changed entry (us) | update heard (us) | memory (MB) | served of measured";
     part(&results.decisions, header, |sample| {
         let program = match sample.decider {
