--- a/crates/router/src/attempts.rs
+++ b/crates/router/src/attempts.rs
@@ -11,10 +11,11 @@
 /// Tokens' worth of fixed effort in each read and in each fetch. Scales with the servers' time for a step.
 pub(crate) const READ_OVERHEAD: f64 = 512.0;
 pub(crate) const WRITE_OVERHEAD: f64 = 2_048.0;
-/// An attempt's first time-out: so many times what its like usually takes, and the shortest aim at the least, so
-/// that a short pause does not set off repeats.
+/// An attempt's first time-out: so many times what its like usually takes, and the shortest aim at the least,
+/// so that a short pause does not set off repeats.
 pub(crate) const PATIENCE_MULTIPLE: f64 = 4.0;
-pub(crate) const FAR_PATIENCE: Micros = 3; // times the patience for a state that leaves its cell: repeats move it anew
+/// Times the patience for a state that leaves its cell: repeats move it anew.
+pub(crate) const FAR_PATIENCE: Micros = 3;
 
 impl Router {
     /// Whether the rules allow this send now: (1) the request is not over; (2) nothing else is out and no
--- a/crates/router/src/health.rs
+++ b/crates/router/src/health.rs
@@ -17,9 +17,12 @@
 pub(crate) const PACE_HALF_LIFE: f64 = 4_000_000.0;
 /// The first rest (us), doubled with each failed trial. Scales with how long stalls last.
 pub(crate) const FIRST_REST: Micros = 400_000;
-pub(crate) const FULL_REST: Micros = 150_000; // after `Full` (us); scales with the time in which a slot comes free
-pub(crate) const LEAST_WELL_SHARE: f64 = 0.34; // of a pool; where fewer look well, the yardstick is wrong: all serve
-pub(crate) const RATE_TIME: f64 = 60_000_000.0; // of rates (us): thirty calls of a front that sees one in two seconds
+/// After `Full` (us); scales with the time in which a slot comes free.
+pub(crate) const FULL_REST: Micros = 150_000;
+/// Of a pool; where fewer look well, the yardstick is wrong: all serve.
+pub(crate) const LEAST_WELL_SHARE: f64 = 0.34;
+/// Of rates (us): thirty calls of a front that sees one in two seconds.
+pub(crate) const RATE_TIME: f64 = 60_000_000.0;
 
 impl Router {
     pub(crate) fn is_healthy(&self, engine: &Engine, class: u32) -> bool {
--- a/crates/router/src/overload.rs
+++ b/crates/router/src/overload.rs
@@ -7,9 +7,12 @@
 use crate::router::Router;
 use crate::state::{Engine, Stage};
 
-pub(crate) const MOST_QUEUED: f64 = 3.0; // shortest aims that a comeback counts at most: one that hung says no more
-pub(crate) const PRESSURE_TIME: f64 = 1_000_000.0; // what comebacks queued is averaged over so long at the least (us)
-pub(crate) const PRESSURE_FALLS: f64 = 2.0; // times as fast as it rises: a few buried servers are not taken for all
+/// Shortest aims that a comeback counts at most: one that hung says no more.
+pub(crate) const MOST_QUEUED: f64 = 3.0;
+/// What comebacks queued is averaged over so long at the least (us).
+pub(crate) const PRESSURE_TIME: f64 = 1_000_000.0;
+/// Times as fast as it rises: a few buried servers are not taken for all.
+pub(crate) const PRESSURE_FALLS: f64 = 2.0;
 /// Ends of attempts that tell of a jam behind time-outs: the most of them, and the share that silent servers
 /// may lose without one. Scales with how fast a jam grows.
 pub(crate) const ENDS_TAKEN_DOWN: usize = 32;
--- a/crates/router/src/server_list.rs
+++ b/crates/router/src/server_list.rs
@@ -11,7 +11,8 @@
 use crate::state::{Cell, Engine, Stage};
 use crate::tables::{ColdBudget, PrefixTable};
 
-pub(crate) const READER_PULL: [f64; 2] = [0.2, 1.5]; // even shares that a cell's readers get, to suit its writers
+/// Even shares that a cell's readers get, to suit its writers.
+pub(crate) const READER_PULL: [f64; 2] = [0.2, 1.5];
 /// Time between two sweeps (us). Scales with the shortest time in which a held state must be let go.
 pub(crate) const SWEEP_EVERY: Micros = 40_000;
 pub(crate) const SWEEP: TimerToken = TimerToken(1);
--- a/crates/router/src/slow_start.rs
+++ b/crates/router/src/slow_start.rs
@@ -5,9 +5,11 @@
 use crate::router::Router;
 use crate::tables::ColdBudget;
 
-pub(crate) const COLD_MARGIN: f64 = 0.75; // share of a cold budget that is used; the rest is for chance, crowded peers
+/// Share of a cold budget that is used; the rest is for chance, crowded peers.
+pub(crate) const COLD_MARGIN: f64 = 0.75;
 pub(crate) const COLD_ROLE_SHARE: f64 = 0.5; // of an even share of the calls, where no peer is warm
-pub(crate) const COLD_GAIN: f64 = 1.5; // by the end of the cold time, a server can surely do so many times more
+/// By the end of the cold time, a server can surely do so many times more.
+pub(crate) const COLD_GAIN: f64 = 1.5;
 
 impl Router {
     pub(crate) fn cold_allows(&self, role: Role, started: Option<Micros>, budget: &ColdBudget) -> bool {
@@ -15,8 +17,8 @@
         self.cold_permit(role, started).is_none_or(|permit| budget.allows(permit, self.now, window))
     }
 
-    /// Sends that a window permits to a cold server: the part of its capacity that it surely has by now, by what
-    /// a warm server of its role carries for this front; `None` if it is warm.
+    /// Sends that a window permits to a cold server: the part of its capacity that it surely has by now, by
+    /// what a warm server of its role carries for this front; `None` if it is warm.
     pub(crate) fn cold_permit(&self, role: Role, started: Option<Micros>) -> Option<f64> {
         let (from, set) = (started?, &self.settings);
         let age = self.now.saturating_sub(from) as f64 / set.cold_for.max(1) as f64;
--- a/crates/router/src/writers.rs
+++ b/crates/router/src/writers.rs
@@ -10,7 +10,8 @@
 use crate::router::Router;
 use crate::state::{Cell, Engine, Pool, Request, Stage};
 
-pub(crate) const SLOW_LINKS: f64 = 3.0; // times the usual that first tokens take after a far move, where links are slow
+/// Times the usual that first tokens take after a far move, where links are slow.
+pub(crate) const SLOW_LINKS: f64 = 3.0;
 
 impl Router {
     /// The writer for a state: of two ready ones drawn in the reader's cell, else its zone, else any, the
