Add a fault soak with real processes, and a shim that has system calls fail

Change: crates/soak draws a plan from a seed, plays it with processes of the program, stand-in servers, agents and clients of its own, and judges by their ledgers on one monotonic clock. crates/fault-shim is loaded into the processes alone: errnos, short transfers (with the event that follows on Linux), steps of the wall clock, holds. A false dispatcher for each rule shows that the oracle sees it.

--- /dev/null
+++ b/crates/soak/src/ledger.rs
@@ -0,0 +1,210 @@
+//! What clients, servers and agents saw, on one monotonic clock.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+/// Microseconds since the play began.
+pub type Micros = u64;
+
+/// One entry of the ledger.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// When it was seen.
+    pub at: Micros,
+    /// The request that it is about; 0 for none.
+    pub id: u64,
+    /// What was seen.
+    pub seen: Seen,
+}
+
+/// How a client's exchange ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Final {
+    /// A 200, and its stream came to its last chunk.
+    Served,
+    /// A 429 or 503.
+    Refused,
+    /// Any other status.
+    Failed,
+    /// A 200 whose stream was cut.
+    Cut,
+    /// The connection ended without an answer.
+    Closed,
+}
+
+/// What a peer saw.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Seen {
+    /// A client has written the last byte of a request.
+    Asked {
+        /// The dispatcher that it asked.
+        dispatcher: usize,
+        /// What may happen to it.
+        class: Class,
+        /// How long the client waits for the first token (us).
+        waits: Micros,
+        /// It is the first request on its connection.
+        fresh: bool,
+    },
+    /// The client has its final answer.
+    Ended(Final),
+    /// The client closed its connection before that.
+    Left,
+    /// An event reached the client.
+    EventCame(usize),
+    /// The first byte of an attempt reached a server.
+    AttemptBegan {
+        /// The server.
+        server: usize,
+    },
+    /// The last byte of an attempt reached a server that runs.
+    AttemptArrived {
+        /// The server.
+        server: usize,
+        /// Whether the server reads only.
+        reads: bool,
+        /// What `X-Remaining` said (us), if it said something.
+        told: Option<Micros>,
+    },
+    /// A server turned an attempt away: it never ran.
+    TurnedAway {
+        /// The server.
+        server: usize,
+    },
+    /// A read ended well: its state is held from now on.
+    ReadEnded {
+        /// The server.
+        server: usize,
+    },
+    /// A writer took the state and began to answer.
+    WriteBegan {
+        /// The server.
+        server: usize,
+    },
+    /// A writer wrote an event.
+    EventWritten(usize),
+    /// A writer wrote its last chunk.
+    StreamEnded {
+        /// The server.
+        server: usize,
+    },
+    /// The attempt is not out any more: it was answered whole, or its connection has ended.
+    AttemptOver {
+        /// The server.
+        server: usize,
+    },
+    /// A server was asked to let go of everything that is held.
+    Released,
+    /// An agent had told a dispatcher that a server takes no work.
+    ToldDrain {
+        /// The dispatcher.
+        dispatcher: usize,
+        /// The server.
+        server: usize,
+    },
+    /// A process was started.
+    Started {
+        /// The dispatcher that it belongs to.
+        dispatcher: usize,
+    },
+    /// A process was ready.
+    Ready {
+        /// The dispatcher that it belongs to.
+        dispatcher: usize,
+    },
+    /// A process was killed or stopped as the plan says: time rules do not bind it until `until`.
+    Excused {
+        /// The dispatcher.
+        dispatcher: usize,
+        /// Until when.
+        until: Micros,
+        /// Whether what it had taken is excused too.
+        killed: bool,
+    },
+    /// A process ended although nobody had told it to, or did not end when told.
+    BadExit {
+        /// The dispatcher.
+        dispatcher: usize,
+        /// What was seen.
+        what: String,
+    },
+    /// A process held more of something after the play than it should.
+    Leak {
+        /// The dispatcher.
+        dispatcher: usize,
+        /// What was seen.
+        what: String,
+    },
+}
+
+/// What may happen to a class's requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Class {
+    /// They may run any number of times.
+    Ask,
+    /// They may run once.
+    Book,
+    /// Servers know a repeat for a while.
+    Note,
+}
+
+impl Class {
+    /// All of them.
+    pub const ALL: [Self; 3] = [Self::Ask, Self::Book, Self::Note];
+
+    /// The name that the settings have for it.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Ask => "ask",
+            Self::Book => "book",
+            Self::Note => "note",
+        }
+    }
+}
+
+/// The ledger of a play.
+#[derive(Clone, Debug)]
+pub struct Ledger {
+    start: Instant,
+    entries: Arc<Mutex<Vec<Entry>>>,
+}
+
+impl Default for Ledger {
+    fn default() -> Self {
+        Self { start: Instant::now(), entries: Arc::default() }
+    }
+}
+
+impl Ledger {
+    /// Microseconds since the play began.
+    #[must_use]
+    pub fn now(&self) -> Micros {
+        u64::try_from(self.start.elapsed().as_micros()).unwrap_or(u64::MAX)
+    }
+
+    /// The instant that is so many milliseconds after the play began.
+    #[must_use]
+    pub fn instant(&self, milliseconds: u64) -> tokio::time::Instant {
+        (self.start + Duration::from_millis(milliseconds)).into()
+    }
+
+    /// Writes an entry, now.
+    pub fn write(&self, id: u64, seen: Seen) {
+        self.write_at(self.now(), id, seen);
+    }
+
+    /// Writes an entry that was seen at another time.
+    pub fn write_at(&self, at: Micros, id: u64, seen: Seen) {
+        let mut entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
+        entries.push(Entry { at, id, seen });
+    }
+
+    /// All entries, by time.
+    #[must_use]
+    pub fn entries(&self) -> Vec<Entry> {
+        let mut entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        entries.sort_by_key(|entry| entry.at);
+        entries
+    }
+}
--- /dev/null
+++ b/crates/soak/src/process.rs
@@ -0,0 +1,171 @@
+//! Processes of a dispatcher: their start, signals, and what they hold.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::time::Duration;
+
+use dewladder_stand_in::until_close;
+use tokio::io::{AsyncBufReadExt as _, AsyncWriteExt as _, BufReader};
+use tokio::process::{Child, Command};
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+/// A process is ready by then, or it counts as one that never was.
+pub const READY_BY: Duration = Duration::from_secs(10);
+const LOOK: Duration = Duration::from_millis(20);
+const CALL: Duration = Duration::from_secs(1);
+
+/// How a process is started.
+#[derive(Clone, Debug)]
+pub struct Launch {
+    /// The program, as `run` of the deploy file starts it.
+    pub program: PathBuf,
+    /// The fault shim, where one is loaded.
+    pub shim: Option<PathBuf>,
+    /// Its configuration.
+    pub config: PathBuf,
+    /// `$TMPDIR`, which lasts.
+    pub folder: PathBuf,
+    /// What is added to its environment.
+    pub environment: Vec<(String, String)>,
+}
+
+/// What a process holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Held {
+    /// Open descriptors.
+    pub descriptors: usize,
+    /// Threads.
+    pub threads: usize,
+    /// The most memory so far (KiB).
+    pub peak_kib: u64,
+}
+
+/// A running process.
+#[derive(Debug)]
+pub struct Process {
+    /// Its system id.
+    pub id: u32,
+    child: Child,
+    admin: watch::Receiver<Option<SocketAddr>>,
+}
+
+impl Launch {
+    /// Starts a process; `plan` is for the fault shim, and its log goes to `log`.
+    ///
+    /// # Errors
+    /// What the system says.
+    pub fn start(&self, plan: &str, log: &Path) -> std::io::Result<Process> {
+        let mut command = Command::new(&self.program);
+        command.arg("serve").arg("--config").arg(&self.config).env_clear();
+        command.env("TMPDIR", &self.folder).envs(self.environment.iter().cloned());
+        command.current_dir(&self.folder).stdin(Stdio::null()).stderr(Stdio::piped()).kill_on_drop(true);
+        if let Some(shim) = self.shim.as_ref().filter(|_| !plan.is_empty()) {
+            command.env("LD_PRELOAD", shim).env("FAULT_SHIM_PLAN", plan);
+            command.env("FAULT_SHIM_TRACE", log.with_extension("faults"));
+        }
+        let mut child = command.spawn()?;
+        let (told, admin) = watch::channel(None);
+        let id = child.id().unwrap_or(0);
+        let lines = child.stderr.take().map(|lines| BufReader::new(lines).lines());
+        let log = log.to_owned();
+        tokio::spawn(async move {
+            let (Some(mut lines), Ok(mut file)) = (lines, tokio::fs::File::create(&log).await) else {
+                return;
+            };
+            while let Ok(Some(line)) = lines.next_line().await {
+                if let Some((_, address)) = line.split_once("second address: ") {
+                    told.send_replace(address.parse().ok());
+                }
+                if file.write_all(format!("{line}\n").as_bytes()).await.is_err() {
+                    return;
+                }
+            }
+            // A log that is lost at its end makes no verdict.
+            drop(file.flush().await);
+        });
+        Ok(Process { id, child, admin })
+    }
+}
+
+impl Process {
+    /// Waits until it is ready; whether it is in time.
+    pub async fn ready(&mut self) -> bool {
+        let ready = async {
+            let mut admin = self.admin.clone();
+            let Ok(Some(address)) = admin.wait_for(Option::is_some).await.map(|address| *address) else {
+                return std::future::pending().await;
+            };
+            loop {
+                if call(address, "READY\n").await.is_some_and(|said| said.starts_with("OK")) {
+                    return;
+                }
+                sleep(LOOK).await;
+            }
+        };
+        tokio::select! {
+            ready = timeout(READY_BY, ready) => ready.is_ok(),
+            _ = self.child.wait() => false,
+        }
+    }
+
+    /// What its second address says to `STATS`.
+    pub async fn stats(&self) -> Option<String> {
+        let address = *self.admin.borrow();
+        call(address?, "STATS\n").await
+    }
+
+    /// Sends a signal by the `kill` command; one that has ended gets none.
+    pub fn signal(&self, signal: &str) {
+        signal_to(self.id, signal);
+    }
+
+    /// How it has ended, if it has.
+    pub fn ended(&mut self) -> Option<String> {
+        self.child.try_wait().ok().flatten().map(|status| status.to_string())
+    }
+
+    /// Waits for its end for so long; whether it ended in good order.
+    pub async fn ends_within(&mut self, time: Duration) -> Result<(), String> {
+        match timeout(time, self.child.wait()).await {
+            Ok(Ok(status)) if status.success() => Ok(()),
+            Ok(Ok(status)) => Err(format!("told to end, it ended with {status}")),
+            Ok(Err(error)) => Err(error.to_string()),
+            Err(_) => Err(format!("told to end, it ran on for {time:?}")),
+        }
+    }
+
+    /// Kills it and waits for its end.
+    pub async fn kill(&mut self) {
+        // One that has ended by itself needs no kill.
+        drop(self.child.kill().await);
+    }
+
+    /// What it holds now.
+    #[must_use]
+    pub fn held(&self) -> Option<Held> {
+        let of = Path::new("/proc").join(self.id.to_string());
+        let descriptors = std::fs::read_dir(of.join("fd")).ok()?.count();
+        let status = std::fs::read_to_string(of.join("status")).ok()?;
+        let number = |name: &str| {
+            let line = status.lines().find_map(|line| line.strip_prefix(name))?;
+            line.trim().split(' ').next()?.parse::<u64>().ok()
+        };
+        let threads = usize::try_from(number("Threads:")?).ok()?;
+        Some(Held { descriptors, threads, peak_kib: number("VmHWM:")? })
+    }
+}
+
+/// Sends a signal to a process by its id.
+pub fn signal_to(id: u32, signal: &str) {
+    let told =
+        std::process::Command::new("kill").args([signal, &id.to_string()]).stderr(Stdio::null()).status();
+    drop(told); // one that has ended gets none
+}
+
+async fn call(address: SocketAddr, line: &str) -> Option<String> {
+    let connected = timeout(CALL, tokio::net::TcpStream::connect(address)).await;
+    drop(connected.ok()?.ok()?);
+    timeout(CALL, until_close(address, line)).await.ok()
+}
--- /dev/null
+++ b/crates/soak/tests/sees_each_rule.rs
@@ -0,0 +1,84 @@
+//! The oracle is shown to see: for each rule a false dispatcher that breaks just that one, and one that breaks none.
+
+use std::collections::BTreeSet;
+use std::path::PathBuf;
+
+use dewladder_soak::bed::{play, Options};
+use dewladder_soak::oracle::{judge, Rule, LIMITS};
+use dewladder_soak::plan::{Kind, Plan, Trouble};
+
+fn plan(seed: u64, troubles: Vec<Trouble>) -> Plan {
+    Plan { seed, processes: 1, length_ms: 4_500, servers_of_a_role: 2, rate: 20, troubles }
+}
+
+async fn rules_broken_by(rule: &str, seed: u64, troubles: Vec<Trouble>) -> BTreeSet<Rule> {
+    let options = Options {
+        program: PathBuf::from(env!("CARGO_BIN_EXE_false-dispatcher")),
+        shim: None,
+        folder: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("false-{rule}")),
+        environment: vec![("FALSE_RULE".to_owned(), rule.to_owned())],
+    };
+    let plan = plan(seed, troubles);
+    let entries = play(&plan, &options).await.unwrap();
+    let breaks = judge(&plan, &entries, &LIMITS);
+    breaks.iter().for_each(|broken| println!("{broken:?}"));
+    breaks.into_iter().map(|broken| broken.rule).collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_dispatcher_that_keeps_the_rules_breaks_none() {
+    assert_eq!(rules_broken_by("none", 1, Vec::new()).await, BTreeSet::new());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_without_an_answer_is_seen() {
+    assert_eq!(rules_broken_by("dropped", 2, Vec::new()).await, BTreeSet::from([Rule::Dropped]));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_second_run_is_seen() {
+    assert!(rules_broken_by("run_twice", 3, Vec::new()).await.contains(&Rule::RunTwice));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn work_for_a_draining_server_is_seen() {
+    let kind = Kind::Drain { server: 3 };
+    let drain = vec![Trouble { from_ms: 1_000, to_ms: 4_000, kind }];
+    assert_eq!(rules_broken_by("sent_to_draining", 4, drain).await, BTreeSet::from([Rule::SentToDraining]));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_attempt_for_a_client_that_has_left_is_seen() {
+    let broken = rules_broken_by("sent_after_client_left", 5, Vec::new()).await;
+    assert!(broken.contains(&Rule::SentAfterClientLeft), "{broken:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_state_that_is_held_is_seen() {
+    assert!(rules_broken_by("held", 6, Vec::new()).await.contains(&Rule::Held));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_longer_deadline_is_seen() {
+    assert_eq!(rules_broken_by("deadline_told", 7, Vec::new()).await, BTreeSet::from([Rule::DeadlineTold]));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_is_held_back_is_seen() {
+    assert!(rules_broken_by("stream", 8, Vec::new()).await.contains(&Rule::Stream));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_process_that_is_never_ready_is_seen() {
+    assert_eq!(rules_broken_by("not_ready", 9, Vec::new()).await, BTreeSet::from([Rule::NotReady]));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_process_that_ends_by_itself_is_seen() {
+    assert!(rules_broken_by("exit", 10, Vec::new()).await.contains(&Rule::Exit));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn descriptors_that_stay_open_are_seen() {
+    assert!(rules_broken_by("leak", 11, Vec::new()).await.contains(&Rule::Leak));
+}
