Show three faults by failing tests: a held state, interrupted calls, a start that gives up

EINTR on recv or send closes the client's connection, 7 requests of a plan dropped and 2 streams cut. ENFILE at a start ends the process with status 1.

Ruled out: lost connects (begin_by bounds those), the acknowledgement time-out (the system has acknowledged the bytes, so that it never runs out), short transfers with a further event (no loss).

--- a/tests/crossings_handover.rs
+++ b/tests/crossings_handover.rs
@@ -214,6 +214,36 @@
     released(&mut bed, "01", Instant::now()).await;
 }
 
+/// A writer's machine is cut off while a connection to it is open: the connection stays silent with no error, though the
+/// system has taken all bytes and acknowledged them, and a new one does not come up. What was sent has not arrived.
+#[tokio::test]
+async fn what_is_sent_over_an_open_connection_to_a_machine_that_is_cut_off_is_let_go_in_time() {
+    for lane in ["ask", "book"] {
+        let mut bed = Bed::start(&[READER, WRITER], patient).await;
+        let first = bed.asks("01", lane, "2.9");
+        bed.expect("POST 01").await.says(&read()).await;
+        bed.expect("POST 01").await.says(&stream(1)).await;
+        assert_eq!(status(&answer(first).await), 200);
+        sleep(SOON).await; // its connections can be used again
+        bed.shuts(1).await;
+        let _asked = bed.asks("02", lane, "2.9");
+        let reading = bed.expect("POST 02").await;
+        reading.says(&read()).await;
+        let since = Instant::now();
+        loop {
+            let left = (since + HELD_AT_MOST).saturating_duration_since(Instant::now());
+            let Some(came) = bed.within(left).await else { panic!("{lane}: held for over {HELD_AT_MOST:?}") };
+            if came.what == "DELETE 02" {
+                break;
+            }
+            assert_eq!(
+                came.server, 1,
+                "{lane}: sent to the writer over the open connection, and never answered"
+            );
+        }
+    }
+}
+
 /// Sends that no machine acknowledges have not reached a server: the time that a state may be held goes on from the
 /// read's end, however many writers are tried, and what was read is let go when it is over.
 #[test]
--- /dev/null
+++ b/tests/faults.rs
@@ -0,0 +1,92 @@
+//! The program as it is started, under faults of the network and of system calls: plans of the soak, judged by what
+//! its clients, servers and agents saw.
+
+use std::path::PathBuf;
+
+use dewladder_soak::bed::{play, Options};
+use dewladder_soak::ledger::{Entry, Seen};
+use dewladder_soak::oracle::{counts, judge, LIMITS};
+use dewladder_soak::plan::{Kind, Plan, Trouble};
+
+/// The fault shim lies beside the tests' own programs.
+fn shim() -> PathBuf {
+    let tests = std::env::current_exe().unwrap();
+    let shim = tests.with_file_name("libdewladder_fault_shim.so");
+    assert!(shim.exists(), "{} is built as a dependency of the tests", shim.display());
+    shim
+}
+
+fn trouble(from_ms: u64, to_ms: u64, kind: Kind) -> Trouble {
+    Trouble { from_ms, to_ms, kind }
+}
+
+/// Plays the plan; no rule is broken, and most requests are served. What was seen.
+async fn keeps_the_rules(name: &str, plan: &Plan) -> Vec<Entry> {
+    let options = Options {
+        program: PathBuf::from(env!("CARGO_BIN_EXE_dewladder")),
+        shim: Some(shim()),
+        folder: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("faults-{name}")),
+        environment: Vec::new(),
+    };
+    let entries = play(plan, &options).await.unwrap();
+    let breaks = judge(plan, &entries, &LIMITS);
+    assert!(breaks.is_empty(), "{breaks:#?}");
+    let counts = counts(&entries);
+    assert!(counts.served * 2 > counts.asked, "{counts:?}");
+    entries
+}
+
+fn plan(seed: u64, length_ms: u64, rate: u32, troubles: Vec<Trouble>) -> Plan {
+    Plan { seed, processes: 2, length_ms, servers_of_a_role: 2, rate, troubles }
+}
+
+/// The writers' machines are cut off: what is written into connections that were open stays unanswered, and new ones do
+/// not come up. The time of what is held goes on from the read's end.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_is_sent_to_machines_that_are_cut_off_is_let_go_in_time() {
+    let cut = |server| trouble(2_000, 4_500, Kind::Cut { server });
+    keeps_the_rules("cut", &plan(912, 8_500, 40, vec![cut(2), cut(3)])).await;
+}
+
+/// Calls on streams that are interrupted, or do a part of their work, lose nothing (`recv(2)`, `send(2)`: EINTR).
+#[tokio::test(flavor = "multi_thread")]
+async fn interrupted_and_short_calls_lose_no_request() {
+    let rules = [
+        "recv:EINTR@0-60000%100",
+        "send:EINTR@0-60000%100",
+        "recv:short@0-60000%200",
+        "send:short@0-60000%200",
+    ];
+    let shim = |(at, rule): (usize, &&str)| {
+        trouble(0, 60_000, Kind::Shim { dispatcher: at % 2, rule: (*rule).to_owned() })
+    };
+    let troubles = rules.iter().enumerate().map(shim).collect();
+    keeps_the_rules("interrupted", &plan(913, 3_000, 20, troubles)).await;
+}
+
+/// What a start needs of the system may be lacking for a moment (`socket(2)`, `bind(2)`, `listen(2)`, `open(2)`): it is
+/// asked for again, and the process is ready in time.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_start_outlasts_calls_that_fail_for_a_moment() {
+    for (at, rule) in [
+        "socket:ENFILE@0-1200%1000",
+        "bind:EADDRINUSE@0-1200%1000",
+        "bind:EADDRNOTAVAIL@0-1200%500",
+        "listen:EADDRINUSE@0-1200%1000",
+        "open:ENFILE@0-1200%1000",
+        "accept:ENOBUFS@0-1200%1000",
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        let starts = [
+            trouble(0, 3_000, Kind::ShimLater { dispatcher: 0, rule: rule.to_owned() }),
+            trouble(0, 3_000, Kind::ShimLater { dispatcher: 1, rule: rule.to_owned() }),
+            trouble(300, 400, Kind::Restart { dispatcher: 0 }),
+            trouble(300, 400, Kind::Upgrade { dispatcher: 1 }),
+        ];
+        let seen = keeps_the_rules("start", &plan(914 + at as u64, 4_500, 10, starts.into())).await;
+        let started = seen.iter().filter(|entry| matches!(entry.seen, Seen::Ready { .. })).count();
+        assert_eq!(started, 4, "{rule}");
+    }
+}
