Give up hand-overs to machines that are cut off; repeat interrupted and failed calls

Cause: a hand-over over an open connection that is silent was given up by the attempt's time-out, and that restarted the time of what is held (stopped and finished in core.rs), though nothing shows that it arrived. EINTR on a stream went through tokio to hyper as a broken connection. A start, and the listener's close, gave up at the first call that failed; what had waited at a failing accept was given its whole time again.

Change: liveness.rs knows whether a server has been heard from over connections open at the time of the send; where it has not by half of the time, a new connection is tried, and one that does not come up ends the attempt as not acknowledged, which lets the time go on. EHOSTUNREACH, ENETUNREACH and others in place of ETIMEDOUT count alike. tcp.rs repeats interrupted calls; transient.rs names errnos that pass; start, SIGHUP and the listener's close try again; time spent at a failing accept is taken off.

--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -24,6 +24,7 @@
   --failed FILE       seeds that failed once, one a line: played first, and added to
   --shrink            drop troubles of a plan that breaks a rule, one at a time, while the break stays
   --program FILE      the dispatcher (target/release/dewladder)
+  --log LEVEL         RUST_LOG of the processes (info)
   --shim FILE         the fault shim (target/release/libdewladder_fault_shim.so); \"none\" plays without it
   --folder DIR        logs, traces and plans (target/soak)";
 
@@ -65,7 +66,7 @@
     let mut path = |name: &'static str| -> Result<Option<PathBuf>, String> {
         arguments.opt_value_from_str(name).map_err(|error| error.to_string())
     };
-    let (plan, failed) = (path("--plan")?, path("--failed")?);
+    let (plan, failed, log) = (path("--plan")?, path("--failed")?, path("--log")?);
     let program = path("--program")?.unwrap_or_else(|| "target/release/dewladder".into());
     let shim = path("--shim")?.unwrap_or_else(|| "target/release/libdewladder_fault_shim.so".into());
     let folder = path("--folder")?.unwrap_or_else(|| "target/soak".into());
@@ -79,9 +80,10 @@
         true => absolute(path),
         false => Err(format!("{} is not there; build it first", path.display())),
     };
+    let log = log.map(|level| ("RUST_LOG".to_owned(), level.to_string_lossy().into_owned()));
+    let environment = log.into_iter().collect();
     let shim = (shim.as_os_str() != "none").then(|| existing(shim)).transpose()?;
-    let options =
-        Options { program: existing(program)?, shim, folder: absolute(folder)?, environment: Vec::new() };
+    let options = Options { program: existing(program)?, shim, folder: absolute(folder)?, environment };
     let seeds = seeds.as_deref().map_or(Ok(1..=10), range)?;
     let parallel = parallel.max(1) as usize;
     Ok(Settings {
--- a/src/edge/admin.rs
+++ b/src/edge/admin.rs
@@ -17,6 +17,7 @@
 
 use crate::edge::balancers::Health;
 use crate::edge::cluster::View;
+use crate::edge::tcp::Uninterrupted;
 
 /// Callers at once. The oldest that has not sent its line yet makes room for a new one.
 const CALLERS: usize = 16;
@@ -101,7 +102,8 @@
     }
 }
 
-async fn answer(mut stream: TcpStream, health: Health, cluster: Option<View>, by: Instant) {
+async fn answer(stream: TcpStream, health: Health, cluster: Option<View>, by: Instant) {
+    let mut stream = Uninterrupted(stream);
     let said = match timeout_at(by, line(&mut stream)).await {
         Ok(Ok(line)) => said(&line, &health, cluster.as_ref()),
         Ok(Err(what)) => format!("ERR {what}\n"),
--- a/src/edge/balancers.rs
+++ b/src/edge/balancers.rs
@@ -15,6 +15,7 @@
 
 use crate::edge::clients::listener::Phase;
 use crate::edge::stats::Figures;
+use crate::edge::tcp::Uninterrupted;
 
 /// A balancer that does not read its line by then is not waited for.
 const WRITE: Duration = Duration::from_secs(1);
@@ -101,7 +102,8 @@
     }
 }
 
-async fn tell(mut stream: TcpStream, line: &str) {
+async fn tell(stream: TcpStream, line: &str) {
+    let mut stream = Uninterrupted(stream);
     let write = async {
         stream.write_all(line.as_bytes()).await?;
         stream.shutdown().await
--- a/src/edge/clients/listener.rs
+++ b/src/edge/clients/listener.rs
@@ -30,6 +30,7 @@
 use crate::edge::clients::room::{Place, Room, Seat};
 use crate::edge::servers::header;
 use crate::edge::stats::{End, Figures};
+use crate::edge::tcp::Uninterrupted;
 
 /// A client that takes in nothing of what is sent for so long is cut.
 const DEAF: Duration = Duration::from_secs(30);
@@ -44,6 +45,8 @@
 const PIECE: usize = 8 << 10;
 /// After an accept that failed, for want of descriptors say.
 const PAUSE: Duration = Duration::from_millis(20);
+/// At the close of a listener, accepts that fail are made again for so long.
+const LAST_ACCEPTS: Duration = Duration::from_millis(400);
 const BACKLOG: u32 = 1_024;
 /// A connection that has just been accepted is not closed as idle: its request is on the way.
 const JUST_NOW: Duration = Duration::from_millis(60);
@@ -67,6 +70,10 @@
 #[derive(Clone, Copy, Debug)]
 pub struct WholeBy(pub Instant);
 
+/// How long a request may have waited for its connection to be accepted: its client's time has run since.
+#[derive(Clone, Copy, Debug)]
+pub struct Waited(pub Duration);
+
 /// Listens on this address only; where it is `shared`, another process may do so beside this one.
 ///
 /// # Errors
@@ -93,49 +100,105 @@
     // Every connection holds a clone: once all are dropped, all connections have ended.
     let (running, mut ended) = mpsc::channel::<()>(1);
     let phase_of = phase.clone();
-    let admit = |stream: TcpStream| {
+    let admit = |stream: TcpStream, waited: Duration| {
         let Some(place) = room.enter(Instant::now()) else {
             debug!("listener: no room even to say so");
             return;
         };
         let seat = place.seat.clone();
+        seat.has_waited(waited);
         let ahead = ReadAhead { bytes: BytesMut::new(), overflowed: false, of_all: place.room.ahead.clone() };
-        let wire = Wire { stream: Some(stream), place: Some(place), ahead, running: running.clone() };
+        let wire =
+            Wire { stream: Some(Uninterrupted(stream)), place: Some(place), ahead, running: running.clone() };
         let task = connection(wire, front.clone(), seat.clone(), figures.clone(), phase_of.clone());
         seat.served_by(tokio::spawn(task).abort_handle());
     };
+    let mut failing = FailingAccepts::default();
     loop {
         let accepted = tokio::select! {
             _ = phase.wait_for(|phase| *phase >= Phase::Yielding) => break,
-            accepted = listener.accept() => accepted,
+            accepted = failing.accept(&listener) => accepted,
         };
         match accepted {
-            Ok((stream, _)) => admit(stream),
+            Ok(stream) => admit(stream, failing.waited()),
             Err(error) => {
                 warn!("listener: can't accept: {error}");
                 tokio::time::sleep(PAUSE).await;
             }
         }
     }
-    last_ones(listener).into_iter().for_each(admit);
+    for stream in last_ones(listener).await {
+        admit(stream, failing.waited());
+    }
     drop(running);
     let _ = ended.recv().await;
 }
 
+/// Accepts that fail in a row: what is accepted after them may have waited as long.
+#[derive(Default)]
+struct FailingAccepts {
+    since: Option<Instant>,
+}
+
+impl FailingAccepts {
+    async fn accept(&mut self, listener: &TcpListener) -> io::Result<TcpStream> {
+        let at_once = poll_fn(|context| Poll::Ready(listener.poll_accept(context))).await;
+        let accepted = match at_once {
+            Poll::Ready(accepted) => accepted,
+            Poll::Pending => {
+                self.since = None; // the queue is empty
+                listener.accept().await
+            }
+        };
+        if accepted.is_err() {
+            self.since.get_or_insert_with(Instant::now);
+        }
+        accepted.map(|(stream, _)| stream)
+    }
+
+    fn waited(&self) -> Duration {
+        self.since.map_or(Duration::ZERO, |since| since.elapsed())
+    }
+}
+
 /// Closes a listener, with nobody left in its queue: a connection that waits there would be reset by the close, and
-/// its request would have to be asked again.
-fn last_ones(listener: TcpListener) -> Vec<TcpStream> {
+/// its request would have to be asked again. An accept that fails for a moment is made again: of one that failed with
+/// ECONNABORTED others wait behind it, and descriptors may come free.
+async fn last_ones(listener: TcpListener) -> Vec<TcpStream> {
     let mut streams: Vec<std::net::TcpStream> = Vec::new();
-    let Ok(listener) = listener.into_std() else { return Vec::new() };
-    while let Ok((stream, _)) = listener.accept() {
-        streams.push(stream);
+    let listener = match listener.into_std() {
+        Ok(listener) => listener,
+        Err(error) => {
+            warn!("listener: its queue can't be emptied: {error}");
+            return Vec::new();
+        }
+    };
+    let until = Instant::now() + LAST_ACCEPTS;
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => streams.push(stream),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+            Err(error) if Instant::now() >= until => {
+                warn!("listener: can't accept those that wait at its close: {error}");
+                break;
+            }
+            Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
+            Err(_) => tokio::time::sleep(PAUSE).await,
+        }
     }
     drop(listener); // in the same breath: what comes between the last accept and this is lost
     let ready = |stream: std::net::TcpStream| {
         stream.set_nonblocking(true)?;
         TcpStream::from_std(stream)
     };
-    streams.into_iter().filter_map(|stream| ready(stream).ok()).collect()
+    let usable = streams.into_iter().filter_map(|stream| match ready(stream) {
+        Ok(stream) => Some(stream),
+        Err(error) => {
+            warn!("listener: a connection is lost at its close: {error}");
+            None
+        }
+    });
+    usable.collect()
 }
 
 async fn connection(
@@ -145,7 +208,7 @@
     figures: Figures,
     mut phase: watch::Receiver<Phase>,
 ) {
-    if let Some(stream) = &wire.stream {
+    if let Some(Uninterrupted(stream)) = &wire.stream {
         // Events are passed on as they come: none may wait for more to fill a segment.
         let _ = stream.set_nodelay(true);
         // A client that vanished on a poor link, or reads no more, would hold its stream and its server for ever.
@@ -155,6 +218,7 @@
     let service = service_fn(move |mut request: hyper::Request<hyper::body::Incoming>| {
         let (mut front, at) = (front.clone(), at.clone());
         let (verdict, whole_by) = serving.taken(Instant::now());
+        let waited = serving.waited();
         let (open, figures) = (Open(serving.clone()), figures.clone());
         async move {
             let mut response = if verdict == Verdict::Odd {
@@ -166,6 +230,7 @@
                 crowded()
             } else {
                 request.extensions_mut().insert(WholeBy(whole_by));
+                request.extensions_mut().insert(Waited(waited));
                 tower_service::Service::call(&mut front, request).await?
             };
             if verdict != Verdict::Plain || open.0.crowded || *at.borrow() > Phase::Serving {
@@ -242,7 +307,7 @@
 
 /// A client's connection as hyper reads and writes it: what is read is followed for its place's sake.
 struct Wire {
-    stream: Option<TcpStream>,
+    stream: Option<Uninterrupted>,
     place: Option<Place>,
     ahead: ReadAhead,
     running: mpsc::Sender<()>,
@@ -284,7 +349,7 @@
 }
 
 impl Wire {
-    fn stream(&mut self) -> io::Result<Pin<&mut TcpStream>> {
+    fn stream(&mut self) -> io::Result<Pin<&mut Uninterrupted>> {
         self.stream.as_mut().map(Pin::new).ok_or_else(|| io::ErrorKind::NotConnected.into())
     }
 
@@ -328,7 +393,7 @@
     }
 }
 
-async fn drain(mut stream: TcpStream) -> io::Result<()> {
+async fn drain(mut stream: Uninterrupted) -> io::Result<()> {
     stream.shutdown().await?;
     tokio::io::copy(&mut stream.take(LINGER_BYTES), &mut tokio::io::sink()).await.map(drop)
 }
--- a/src/edge/clients/platform.rs
+++ b/src/edge/clients/platform.rs
@@ -15,7 +15,7 @@
 use serde::de::IgnoredAny;
 use tokio::time::{timeout_at, Instant};
 
-use crate::edge::clients::listener::{short, WholeBy};
+use crate::edge::clients::listener::{short, Waited, WholeBy};
 use crate::edge::clock::{micros, Clock};
 use crate::edge::driver::{Reply, Sender};
 use crate::edge::servers::{header, Payload, IDEMPOTENCY_KEY};
@@ -65,8 +65,9 @@
         return short(StatusCode::BAD_REQUEST, "the body is no JSON");
     }
     let target = head.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
-    // A request's time counts from its last byte.
-    let call = asked.call(body.len(), front.clock.now());
+    // A request's time counts from its last byte, which may have come while nobody accepted its connection.
+    let waited = head.extensions.get::<Waited>().map_or(0, |waited| micros(waited.0));
+    let call = asked.call(body.len(), front.clock.now(), waited);
     let key = head.headers.get(IDEMPOTENCY_KEY).cloned();
     let payload = Arc::new(Payload { txn: asked.txn, target, key, body });
     match front.driver.ask(call, payload).await {
@@ -170,7 +171,7 @@
         Ok(asked)
     }
 
-    fn call(&self, body_bytes: usize, now: Micros) -> Call {
+    fn call(&self, body_bytes: usize, now: Micros, waited: Micros) -> Call {
         Call {
             id: request_id(&self.txn),
             class: self.class,
@@ -180,7 +181,7 @@
             prompt_tokens: self.prompt_tokens.unwrap_or((body_bytes / CHARACTERS_A_TOKEN) as u64),
             max_tokens: self.max_tokens,
             hint: None,
-            not_after: now + self.waits,
+            not_after: now + self.waits.saturating_sub(waited),
         }
     }
 }
--- a/src/edge/clients/room.rs
+++ b/src/edge/clients/room.rs
@@ -53,6 +53,8 @@
     ended: bool,
     /// It leaves to make room for another.
     evicted: bool,
+    /// How long it may have waited to be accepted, until its first request is taken.
+    waited: Duration,
     /// Woken once the open request has been answered: more has come behind it.
     waker: Option<Waker>,
 }
@@ -84,6 +86,7 @@
             closing: false,
             ended: false,
             evicted: false,
+            waited: Duration::ZERO,
             waker: None,
         };
         Self { stage: Mutex::new(stage), task: Mutex::new(None), crowded }
@@ -115,6 +118,17 @@
         }
     }
 
+    /// It may have waited so long to be accepted.
+    pub fn has_waited(&self, time: Duration) {
+        lock(&self.stage).waited = time;
+    }
+
+    /// How long the request that is taken now may have waited for that: its first one only.
+    #[must_use]
+    pub fn waited(&self) -> Duration {
+        std::mem::take(&mut lock(&self.stage).waited)
+    }
+
     /// A front takes the next request: what its head says, and by when it must be whole.
     pub fn taken(&self, now: Instant) -> (Verdict, Instant) {
         let mut stage = lock(&self.stage);
--- a/src/edge/connections.rs
+++ b/src/edge/connections.rs
@@ -26,7 +26,9 @@
 use tokio::task::AbortHandle;
 use tokio::time::{sleep_until, timeout_at, Instant};
 
+use crate::edge::liveness::{Liveness, OpenConnection};
 use crate::edge::settings::Config;
+use crate::edge::tcp::Uninterrupted;
 
 /// A server's head, and what is read of its answer at once, hold this many bytes at most.
 const MOST_HEAD: usize = 32 << 10;
@@ -89,10 +91,11 @@
 
 /// A connection's bytes; `open` is dropped once it has been closed, so the fields must stay in this order.
 struct Stream {
-    io: TokioIo<TcpStream>,
+    io: TokioIo<Uninterrupted>,
     written: Written,
     /// A request's body has been taken in hand, and its last byte is not written yet.
     carries: Arc<AtomicBool>,
+    liveness: OpenConnection,
     _open: watch::Sender<()>,
 }
 
@@ -134,6 +137,8 @@
     pub sender: SendRequest<B>,
     /// What is known of it.
     pub handle: Handle,
+    /// Whether it has carried a request before: then it may have fallen silent since.
+    pub reused: bool,
 }
 
 struct Idle<B> {
@@ -157,6 +162,7 @@
     acknowledged_in: Duration,
     most_idle: usize,
     written: Written,
+    liveness: Liveness,
 }
 
 /// Connections to all servers; each carries one request at a time.
@@ -193,9 +199,16 @@
             acknowledged_in: acknowledged_in(config),
             most_idle: config.most_idle(),
             written: Arc::new(written),
+            liveness: Liveness::default(),
         }))
     }
 
+    /// Which servers have been heard from.
+    #[must_use]
+    pub fn liveness(&self) -> &Liveness {
+        &self.0.liveness
+    }
+
     fn idle(&self) -> MutexGuard<'_, HashMap<String, Vec<Idle<B>>>> {
         self.0.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -209,20 +222,28 @@
         if let Some(ready) = self.take(address, which) {
             return Ok(ready);
         }
-        let late = |_| io::Error::from(io::ErrorKind::TimedOut);
         tokio::select! {
-            opened = timeout_at(until, self.open(address)) => opened.map_err(late)?,
+            opened = self.new_connection(address, until) => opened,
             ready = self.freed(address, which) => Ok(ready),
         }
     }
 
+    /// A new connection to a server. None comes up after `until`.
+    ///
+    /// # Errors
+    /// What the system says; `TimedOut` where nobody answers.
+    pub async fn new_connection(&self, address: &str, until: Instant) -> io::Result<Connection<B>> {
+        let late = |_| io::Error::from(io::ErrorKind::TimedOut);
+        timeout_at(until, self.open(address)).await.map_err(late)?
+    }
+
     /// The connection that was used last: the others may expire.
     fn take(&self, address: &str, which: Which) -> Option<Connection<B>> {
         let (mut all, now) = (self.idle(), Instant::now());
         let idle = all.get_mut(address)?;
         idle.retain(|idle| !idle.ready.sender.is_closed());
         let at = idle.iter().rposition(|idle| which == Which::Any || idle.quiet_at <= now)?;
-        Some(idle.remove(at).ready)
+        Some(Connection { reused: true, ..idle.remove(at).ready })
     }
 
     async fn freed(&self, address: &str, which: Which) -> Connection<B> {
@@ -244,9 +265,10 @@
         let (tell, open) = watch::channel(());
         let carries = Arc::new(AtomicBool::new(false));
         let stream = Stream {
-            io: TokioIo::new(stream),
+            io: TokioIo::new(Uninterrupted(stream)),
             written: self.0.written.clone(),
             carries: carries.clone(),
+            liveness: self.0.liveness.opened(address),
             _open: tell,
         };
         let (sender, connection) = http1::Builder::new()
@@ -261,7 +283,8 @@
             // How it ends, its requests are told.
             let _ = connection.await;
         });
-        Ok(Connection { sender, handle: Handle { carries, open, task: task.abort_handle() } })
+        let handle = Handle { carries, open, task: task.abort_handle() };
+        Ok(Connection { sender, handle, reused: false })
     }
 
     /// Keeps a connection for the next request, once its answer has come to its end.
@@ -311,7 +334,11 @@
         context: &mut Context<'_>,
         into: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_read(context, into)
+        let read = Pin::new(&mut self.io).poll_read(context, into);
+        if let Poll::Ready(Ok(())) = read {
+            self.liveness.hears();
+        }
+        read
     }
 }
 
--- a/src/edge/core.rs
+++ b/src/edge/core.rs
@@ -48,6 +48,8 @@
         attempt: u32,
         /// Whether its last byte may have been written.
         written: bool,
+        /// Whether what was written can be taken to have reached the server.
+        arrived: bool,
     },
     /// The client has left.
     ClientGone(RequestId),
@@ -102,6 +104,8 @@
         until: Micros,
         /// Nothing of it may be written from then on.
         begin_by: Micros,
+        /// Where something is held: by then it is to be known whether the server's machine can be reached.
+        confirm_by: Option<Micros>,
     },
     /// Call an attempt off if nothing of it has been written yet; only then `Stopped` is to follow.
     Withdraw {
@@ -249,7 +253,7 @@
             Input::Arrived(call) => self.arrived(call),
             Input::Began { id, attempt } => self.began(id, attempt),
             Input::Finished { id, attempt, ending } => self.finished(id, attempt, ending),
-            Input::Stopped { id, attempt, written } => self.stopped(id, attempt, written),
+            Input::Stopped { id, attempt, written, arrived } => self.stopped(id, attempt, written, arrived),
             Input::ClientGone(id) => self.client_gone(id),
             Input::Retuned(settings) => self.retuned(*settings),
             Input::TakenOver(learnt) => self.events.push_back(Event::TakenOver(learnt)),
@@ -427,9 +431,11 @@
     }
 
     /// A stop that came before the last byte was written proves that the attempt never ran.
-    fn stopped(&mut self, id: RequestId, number: u32, written: bool) {
+    fn stopped(&mut self, id: RequestId, number: u32, written: bool, arrived: bool) {
         let Some(out) = self.requests.get(&id).and_then(|request| request.out.get(&number)) else { return };
         let outcome = match out.stopping {
+            // What has not arrived is not out: the time of what is held goes on.
+            Some(Outcome::Timeout) if written && !arrived && !out.reads => Outcome::Unacknowledged,
             Some(outcome) if written => outcome,
             Some(Outcome::Timeout) => Outcome::ConnectFailed,
             _ if !written => Outcome::Moot,
@@ -524,8 +530,11 @@
         let reads = self.servers.get(&engine).is_some_and(|&(role, _)| role == Role::Reader);
         let (sent, until) = (self.now, request.not_after.min(self.now + patience));
         let mut begin_by = until;
+        let mut confirm_by = None;
         if !request.held.is_empty() {
-            begin_by = begin_by.min(request.held_since + self.release_within);
+            let release_by = request.held_since + self.release_within;
+            begin_by = begin_by.min(release_by);
+            confirm_by = Some(release_by);
         }
         let class = self.classes.known().get(&request.class);
         let first = request.ran.filter(|_| !reads);
@@ -545,7 +554,7 @@
         }
         request.out.insert(attempt, Out { engine, reads, sent, until, stopping: None });
         self.timers.insert((until, Timer::Attempt(id, attempt)));
-        self.effects.push(Effect::Send { id, attempt, engine, reads, until, begin_by });
+        self.effects.push(Effect::Send { id, attempt, engine, reads, until, begin_by, confirm_by });
     }
 
     fn let_go(&mut self, id: RequestId) {
--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -6,6 +6,7 @@
 use log::{error, info, warn};
 use tokio::net::TcpListener;
 use tokio::sync::{oneshot, watch};
+use tokio::time::Instant;
 
 use crate::edge::admin::Admin;
 use crate::edge::balancers::{self, Health};
@@ -17,8 +18,9 @@
 use crate::edge::driver::{Driver, Message, Sender};
 use crate::edge::kin::{Companion, Seen};
 use crate::edge::peers::Peers;
-use crate::edge::settings::{Config, Fronts};
+use crate::edge::settings::{Config, ConfigError, Fronts, Retuned};
 use crate::edge::stats::Figures;
+use crate::edge::transient::{self, is_transient, outlast};
 use crate::edge::{list, listing};
 use crate::interface::ListKind;
 use dewladder_kin::{replaced, Stage};
@@ -26,6 +28,10 @@
 /// After SIGTERM new connections go on coming for up to 0.4 s; only then are idle ones closed.
 const LEAVE: Duration = Duration::from_millis(600);
 const LOOK: Duration = Duration::from_millis(20);
+/// A configuration that can't be read is read again for so long.
+const REREAD: Duration = Duration::from_secs(1);
+/// What is a help and not a need is waited for at a start for so long.
+const HELP: Duration = Duration::from_millis(500);
 
 /// Takes over new settings while the dispatcher runs.
 pub struct Retuning {
@@ -38,7 +44,25 @@
 impl Retuning {
     /// Reads the file at `path` again and takes it over in one step; one that is broken changes nothing.
     pub fn read_again(&mut self, path: &str, environment: impl Fn(&str) -> Option<String>) {
-        match self.config.read_again(path, environment) {
+        let read = self.config.read_again(path, environment);
+        self.take(read);
+    }
+
+    /// The same, and a file that the system can't read just now is asked for again for a second: clients go by it soon.
+    pub async fn read_again_soon(&mut self, path: &str, environment: impl Fn(&str) -> Option<String>) {
+        let until = Instant::now() + REREAD;
+        loop {
+            match self.config.read_again(path, &environment) {
+                Err(error) if error.is_transient() && Instant::now() < until => {
+                    tokio::time::sleep(transient::PAUSE).await;
+                }
+                read => return self.take(read),
+            }
+        }
+    }
+
+    fn take(&mut self, read: Result<Retuned, ConfigError>) {
+        match read {
             Ok(retuned) => {
                 let classes: Vec<&str> =
                     retuned.settings.current().map(|class| class.name.as_str()).collect();
@@ -90,7 +114,7 @@
         // Where there is a second address, another process may take over while this one serves.
         let shared = config.admin.is_some();
         let (mut driver, to_driver) = Driver::new(&config, clock);
-        let peers = config.peers.and_then(|(at, all)| match Peers::bind(at, all, shared) {
+        let peers = config.peers.and_then(|(at, all)| match bind_peers(at, all, shared) {
             Ok(peers) => Some(peers),
             // What others know is a help, not a need: without it, each learns by itself.
             Err(error) => {
@@ -133,7 +157,8 @@
         let agent = agent.map(|agent| crate::edge::dispatcher::listen(agent.listen, shared)).transpose()?;
         let admin = config.admin.map(|at| {
             let cluster = cluster.as_ref().map(Cluster::view);
-            Admin::start(at, health.clone(), cluster)
+            let start = || Admin::start(at, health.clone(), cluster.clone());
+            outlast("second address", transient::START, is_transient, start)
                 .map_err(|error| format!("can't listen on {at}: {error}"))
         });
         let admin = admin.transpose()?;
@@ -234,7 +259,13 @@
         }
         let mut serving = Vec::new();
         for (address, listener, front) in fronts {
-            let listener = listener.map_or_else(|| listen(address, true), Ok)?;
+            let listener = match listener {
+                Some(listener) => listener,
+                None => tokio::select! {
+                    () = &mut end => return Ok(()),
+                    listener = listen_soon(address) => listener?,
+                },
+            };
             let phases = phase.subscribe();
             let front = listener::serve(listener, front, room.clone(), figures.clone(), phases);
             serving.push(tokio::spawn(front));
@@ -242,7 +273,7 @@
         phase.send_replace(Phase::Serving);
         info!("{}: serving on {}, {} servers known", config.name, config.listen, known.len());
         tokio::select! {
-            () = end => {}
+            () = &mut end => {}
             ended = &mut driver => return Err(format!("the driver ended: {ended:?}")),
             ended = &mut watching => return Err(format!("the watch of the list ended: {ended:?}")),
         }
@@ -289,6 +320,25 @@
     }
 }
 
+fn bind_peers(at: SocketAddr, all: SocketAddr, shared: bool) -> std::io::Result<Peers> {
+    outlast("peers", HELP, is_transient, || Peers::bind(at, all, shared))
+}
+
 fn listen(address: SocketAddr, shared: bool) -> Result<TcpListener, String> {
-    listener::listen(address, shared).map_err(|error| format!("can't listen on {address}: {error}"))
+    let listen = || listener::listen(address, shared);
+    let listening = outlast("listener", transient::START, is_transient, listen);
+    listening.map_err(|error| format!("can't listen on {address}: {error}"))
+}
+
+/// The same while the program does other things already.
+async fn listen_soon(address: SocketAddr) -> Result<TcpListener, String> {
+    let until = Instant::now() + transient::START;
+    loop {
+        match listener::listen(address, true) {
+            Err(error) if is_transient(&error) && Instant::now() < until => {
+                tokio::time::sleep(transient::PAUSE).await;
+            }
+            listening => return listening.map_err(|error| format!("can't listen on {address}: {error}")),
+        }
+    }
 }
--- a/src/edge/servers.rs
+++ b/src/edge/servers.rs
@@ -4,7 +4,7 @@
 use std::future::Future as _;
 use std::io;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
@@ -22,6 +22,7 @@
 
 use crate::edge::connections::{Handle, Pool, Which};
 use crate::edge::core::Ending;
+use crate::edge::liveness::Liveness;
 use crate::edge::settings::Config;
 use crate::edge::stats::Figures;
 use crate::interface::{Outcome, Report, RequestId};
@@ -72,6 +73,25 @@
     stage: AtomicU8,
     /// The connection that it goes over, once it has one.
     handle: OnceLock<Handle>,
+    /// Where it was sent over a connection that had been open for a while.
+    reuse: OnceLock<Reuse>,
+}
+
+/// An attempt's sending over a connection that had carried others before.
+#[derive(Debug)]
+struct Reuse {
+    address: String,
+    sent: Instant,
+    liveness: Liveness,
+    /// A new connection has come up there since.
+    reached: AtomicBool,
+}
+
+impl Reuse {
+    /// Whether the server has been reached since: heard from over a connection that was open then, or by a new one.
+    fn proven(&self) -> bool {
+        self.reached.load(Ordering::Relaxed) || self.liveness.heard_since(&self.address, self.sent)
+    }
 }
 
 const UNTOUCHED: u8 = 0;
@@ -90,6 +110,12 @@
         self.stage.load(Ordering::Relaxed) == WRITTEN && !unfinished
     }
 
+    /// Whether what was written can be taken to have reached the server: a new connection has just come up there; of one
+    /// that was open before that is known once the server has been heard from.
+    fn arrived(&self) -> bool {
+        self.reuse.get().is_none_or(Reuse::proven)
+    }
+
     /// Closes the connection that the attempt goes over, if it has one. Only then has the server been told that the
     /// attempt is given up: an answer to the client, or another attempt, that overtook it would count as a repeat of
     /// what is still out.
@@ -161,6 +187,8 @@
     pub until: Instant,
     /// Nothing of it is written from then on.
     pub begin_by: Instant,
+    /// By then it is to be known whether the server's machine can be reached; `None` where nothing hangs on it.
+    pub confirm_by: Option<Instant>,
 }
 
 /// The servers, as attempts reach them.
@@ -180,6 +208,9 @@
     /// The server's machine did not acknowledge all of it in time.
     #[error("what was written is not acknowledged")]
     Unacknowledged,
+    /// Nothing has come from the server since, and no new connection to it comes up.
+    #[error("its machine can't be reached any more")]
+    Silent,
     /// The connection broke.
     #[error("{0}")]
     Broken(hyper::Error),
@@ -189,17 +220,26 @@
     fn from(error: hyper::Error) -> Self {
         let cause = error.source().and_then(|cause| cause.downcast_ref::<io::Error>());
         match cause.map(io::Error::kind) {
-            Some(io::ErrorKind::TimedOut) => Self::Unacknowledged,
-            _ => Self::Broken(error),
+            // A peer's own word, or this side's close.
+            Some(
+                io::ErrorKind::ConnectionReset
+                | io::ErrorKind::ConnectionAborted
+                | io::ErrorKind::BrokenPipe
+                | io::ErrorKind::NotConnected,
+            )
+            | None => Self::Broken(error),
+            // ETIMEDOUT, or in its place what routers have said meanwhile (tcp(7)): EHOSTUNREACH, ENETUNREACH and others.
+            Some(_) => Self::Unacknowledged,
         }
     }
 }
 
 impl SendError {
-    /// What becomes of an attempt whose last byte had been written.
-    fn outcome(&self) -> Outcome {
+    /// What becomes of an attempt whose last byte had been written; `arrived`: as far as is known, to the server.
+    fn outcome(&self, arrived: bool) -> Outcome {
         match self {
-            Self::Unacknowledged => Outcome::Unacknowledged,
+            Self::Unacknowledged | Self::Silent => Outcome::Unacknowledged,
+            Self::Stuck | Self::Broken(_) if !arrived => Outcome::Unacknowledged,
             Self::Stuck | Self::Broken(_) => Outcome::Reset,
         }
     }
@@ -273,6 +313,8 @@
     Stopped {
         /// Whether its last byte may have been written.
         written: bool,
+        /// Whether what was written can be taken to have reached the server.
+        arrived: bool,
     },
     /// It was called off before anything was written, as who called it off knows.
     CalledOff,
@@ -306,14 +348,14 @@
             Some(result) => result,
             None if progress.call_off() => {
                 progress.close().await;
-                Result::Stopped { written: progress.written() }
+                Result::Stopped { written: progress.written(), arrived: progress.arrived() }
             }
             None => Result::CalledOff,
         }
     }
 
     async fn send(&self, attempt: &Attempt, progress: &Arc<Progress>) -> Result {
-        let Attempt { address, payload, reads, until, begin_by } = attempt;
+        let Attempt { address, payload, reads, until, begin_by, confirm_by } = attempt;
         let never = |why: &dyn std::fmt::Display| {
             debug!("server {address}: {why}; never ran");
             Result::Ended(Outcome::ConnectFailed.into())
@@ -353,9 +395,20 @@
                 std::future::pending().await
             }
         };
+        if ready.reused {
+            let reuse = Reuse {
+                address: address.clone(),
+                sent: Instant::now(),
+                liveness: self.pool.liveness().clone(),
+                reached: AtomicBool::new(false),
+            };
+            let _ = progress.reuse.set(reuse); // an attempt is sent once
+        }
+        let silent = self.unreachable(progress, *confirm_by);
         let sent = tokio::select! {
             sent = ready.sender.try_send_request(request) => sent.map_err(|error| SendError::from(error.into_error())),
             () = stuck => Err(SendError::Stuck),
+            () = silent => Err(SendError::Silent),
         };
         match sent {
             Ok(response) => {
@@ -369,9 +422,31 @@
                     return never(&error);
                 }
                 debug!("server {address}: {error}; it may have run");
-                Result::Ended(error.outcome().into())
+                // A read's own end is what its state is held from.
+                Result::Ended(error.outcome(*reads || progress.arrived()).into())
+            }
+        }
+    }
+
+    /// Ends where the machine that an attempt was sent to can't be reached any more. A cut says nothing over connections
+    /// that are open; so where something hangs on it and the server is silent for half of the time, a new connection is
+    /// tried, which the pool keeps if it comes up.
+    async fn unreachable(&self, progress: &Progress, confirm_by: Option<Instant>) {
+        let (Some(reuse), Some(by)) = (progress.reuse.get(), confirm_by) else {
+            return std::future::pending().await;
+        };
+        sleep_until(reuse.sent + by.saturating_duration_since(reuse.sent) / 2).await;
+        if !reuse.proven() {
+            let up_by = by.min(Instant::now() + self.connect_timeout);
+            match self.pool.new_connection(&reuse.address, up_by).await {
+                Ok(ready) => self.pool.keep(reuse.address.clone(), ready),
+                Err(error) if says_unreachable(&error) && !reuse.proven() => return,
+                // Refused, the machine is there; or this one could not try.
+                Err(error) => debug!("server {}: not tried: {error}", reuse.address),
             }
+            reuse.reached.store(true, Ordering::Relaxed);
         }
+        std::future::pending().await
     }
 
     /// Has everything that is held for a request let go: the holder is asked first, then, as any server takes
@@ -423,6 +498,12 @@
     }
 }
 
+/// Whether a failed connect says that no machine answers there (`connect(2)`, `ip(7)`).
+fn says_unreachable(error: &io::Error) -> bool {
+    use io::ErrorKind::{HostUnreachable, NetworkUnreachable, TimedOut};
+    matches!(error.kind(), TimedOut | HostUnreachable | NetworkUnreachable)
+}
+
 /// Asks one server to let go of what is held; whether it says that it has.
 async fn release_at(pool: Pool<Marked>, txn: String, address: String, until: Instant) -> bool {
     let request = Request::builder()
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -12,6 +12,7 @@
 
 use crate::edge::admin::DESCRIPTORS;
 use crate::edge::listing::{Listing, Names};
+use crate::edge::transient::is_transient;
 use crate::interface::{Key, Micros, Settings};
 use dewladder_router::pairs::from_pairs;
 
@@ -45,6 +46,14 @@
     Missing(&'static str),
 }
 
+impl ConfigError {
+    /// Whether the file may be readable a moment later.
+    #[must_use]
+    pub fn is_transient(&self) -> bool {
+        matches!(self, Self::File { error, .. } if is_transient(error))
+    }
+}
+
 #[derive(Deserialize)]
 struct File {
     name: Option<String>,
--- a/src/main.rs
+++ b/src/main.rs
@@ -9,7 +9,8 @@
 
 use dewladder::edge::clients::chat;
 use dewladder::edge::dispatcher::Dispatcher;
-use dewladder::edge::settings::{Config, Fronts};
+use dewladder::edge::settings::{Config, ConfigError, Fronts};
+use dewladder::edge::transient::{self, is_transient, outlast};
 use pico_args::Arguments;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
@@ -81,7 +82,8 @@
 }
 
 fn runtime() -> Result<tokio::runtime::Runtime, String> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let build = || tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = outlast("runtime", transient::START, is_transient, build);
     runtime.map_err(|error| format!("can't start the runtime: {error}"))
 }
 
@@ -100,8 +102,12 @@
     }
     let path = path.or_else(|| environment("ROUTER_CONFIG"));
     let path = path.ok_or("no configuration: give --config or set ROUTER_CONFIG")?;
-    let config = Config::read(&path, environment).map_err(|error| error.to_string())?;
-    let fronts = Fronts::read(fronts.as_deref().unwrap_or(FRONTS), fronts.is_some());
+    let passes = ConfigError::is_transient;
+    let read = || Config::read(&path, environment);
+    let config =
+        outlast("configuration", transient::START, passes, read).map_err(|error| error.to_string())?;
+    let read = || Fronts::read(fronts.as_deref().unwrap_or(FRONTS), fronts.is_some());
+    let fronts = outlast("fronts", transient::START, passes, read);
     Ok((path, config, fronts.map_err(|error| error.to_string())?))
 }
 
@@ -115,7 +121,7 @@
     let mut retuning = dispatcher.retuning(tell);
     tokio::spawn(async move {
         while hangup.recv().await.is_some() {
-            retuning.read_again(&path, environment);
+            retuning.read_again_soon(&path, environment).await;
         }
     });
     dispatcher
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -68,25 +68,26 @@
 /// asked for again, and the process is ready in time.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_start_outlasts_calls_that_fail_for_a_moment() {
-    for (at, rule) in [
+    let rules = [
         "socket:ENFILE@0-1200%1000",
         "bind:EADDRINUSE@0-1200%1000",
         "bind:EADDRNOTAVAIL@0-1200%500",
         "listen:EADDRINUSE@0-1200%1000",
         "open:ENFILE@0-1200%1000",
         "accept:ENOBUFS@0-1200%1000",
-    ]
-    .into_iter()
-    .enumerate()
-    {
-        let starts = [
-            trouble(0, 3_000, Kind::ShimLater { dispatcher: 0, rule: rule.to_owned() }),
-            trouble(0, 3_000, Kind::ShimLater { dispatcher: 1, rule: rule.to_owned() }),
-            trouble(300, 400, Kind::Restart { dispatcher: 0 }),
-            trouble(300, 400, Kind::Upgrade { dispatcher: 1 }),
-        ];
-        let seen = keeps_the_rules("start", &plan(914 + at as u64, 4_500, 10, starts.into())).await;
-        let started = seen.iter().filter(|entry| matches!(entry.seen, Seen::Ready { .. })).count();
-        assert_eq!(started, 4, "{rule}");
+    ];
+    // Each at a restart, and at an upgrade.
+    let processes = 2 * rules.len();
+    let mut troubles = Vec::new();
+    for dispatcher in 0..processes {
+        let rule = rules[dispatcher / 2].to_owned();
+        troubles.push(trouble(0, 3_000, Kind::ShimLater { dispatcher, rule }));
+        let starts =
+            if dispatcher % 2 == 0 { Kind::Restart { dispatcher } } else { Kind::Upgrade { dispatcher } };
+        troubles.push(trouble(300, 400, starts));
     }
+    let plan = Plan { processes, ..plan(914, 4_500, 10, troubles) };
+    let seen = keeps_the_rules("start", &plan).await;
+    let ready = seen.iter().filter(|entry| matches!(entry.seen, Seen::Ready { .. })).count();
+    assert_eq!(ready, 2 * processes);
 }
--- a/tests/held_in_bounds.rs
+++ b/tests/held_in_bounds.rs
@@ -65,9 +65,10 @@
                         then.extend(core.step(now, input));
                     }
                     Effect::Stop { id, attempt } => {
-                        then.extend(
-                            core.step(now, Input::Stopped { id, attempt, written: id.0.is_multiple_of(2) }),
-                        );
+                        then.extend(core.step(
+                            now,
+                            Input::Stopped { id, attempt, written: id.0.is_multiple_of(2), arrived: true },
+                        ));
                     }
                     Effect::Forget { .. } => forgotten += 1,
                     _ => {}
@@ -89,9 +90,8 @@
         let mut effects = core.step(now, Input::Tick);
         while let Some(effect) = effects.pop() {
             match effect {
-                Effect::Stop { id, attempt } => {
-                    effects.extend(core.step(now, Input::Stopped { id, attempt, written: true }))
-                }
+                Effect::Stop { id, attempt } => effects
+                    .extend(core.step(now, Input::Stopped { id, attempt, written: true, arrived: true })),
                 Effect::Send { id, attempt, .. } => {
                     effects.extend(
                         core.step(now, Input::Finished { id, attempt, ending: Outcome::Full.into() }),
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -150,7 +150,7 @@
     };
     // Joined, not spawned: nothing else runs between the end of the attempt and the look at the peer.
     let (result, ()) = tokio::join!(attempt(&listener, stopped), reading);
-    assert!(matches!(result, servers::Result::Stopped { written: true }));
+    assert!(matches!(result, servers::Result::Stopped { written: true, arrived: true }));
     assert_eq!(peer.unwrap().read(&mut [0; 8]).ok(), Some(0), "the end has come, without any wait");
 }
 
@@ -210,7 +210,14 @@
     let payload = Payload { txn: ID.to_owned(), target: "/".to_owned(), key: None, body: "{}".into() };
     let until = tokio::time::Instant::now() + Duration::from_secs(1);
     let address = listener.local_addr().unwrap().to_string();
-    let attempt = servers::Attempt { address, payload: payload.into(), reads: true, until, begin_by: until };
+    let attempt = servers::Attempt {
+        address,
+        payload: payload.into(),
+        reads: true,
+        until,
+        begin_by: until,
+        confirm_by: None,
+    };
     servers.attempt(attempt, Arc::default(), stop)
 }
 
