Tell the order of two processes by a number; write again what could not be written

Cause: Kin.born was Unix time, so a process started with the wall clock an hour back took itself for the first: the old one stayed at 960 of 1,024, took over what the new one had learnt, and the new one was ready after 3 s. What a process could not write (ENOSPC, EIO) was written again only when something else changed; a start that could not use the folder never looked again.

Change: a generation above all numbers found in the two seats (crates/kin); times of a hand-over are put on the taker's clock where the two differ; failed writes, seats and hand-overs are tried again; a folder that can't be used is no other process: whether anybody listens at the address tells that.

--- a/crates/kin/src/lib.rs
+++ b/crates/kin/src/lib.rs
@@ -9,8 +9,10 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-/// Microseconds, on a clock that both processes read alike.
+/// Microseconds, on a clock of the process's own that only goes forward.
 pub type Micros = u64;
+/// The order of starts, as a number that grows. No clock tells it: the machine's may be stepped between two starts.
+pub type Generation = u64;
 /// A part of the limits, in units of which [`WHOLE`] are all.
 pub type Part = u16;
 
@@ -40,14 +42,14 @@
 /// What a process says of itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Said {
-    /// When it started: tells who was first.
-    pub born: Micros,
+    /// Tells who was first: each takes a number above all that it finds.
+    pub born: Generation,
     /// How far it has come.
     pub stage: Stage,
     /// The part of the limits that it holds at most.
     pub part: Part,
-    /// When the other one started that it knows of; 0 for none. Only who is known may count on what was given up.
-    pub knows: Micros,
+    /// The number of the other one that it knows of; 0 for none. Only who is known may count on what was given up.
+    pub knows: Generation,
 }
 
 impl Said {
@@ -94,14 +96,22 @@
 #[derive(Clone, Debug)]
 pub struct Kin {
     me: Said,
+    /// When it started, on its own clock.
+    started: Micros,
     other: Option<Said>,
 }
 
 impl Kin {
-    /// One that starts; it serves nobody yet. No two start at the same time.
+    /// One that starts; it serves nobody yet. No two have the same number.
     #[must_use]
-    pub fn start(now: Micros) -> Self {
-        Self { me: Said { born: now, stage: Stage::Joining, part: RESERVE, knows: 0 }, other: None }
+    pub fn start(born: Generation, now: Micros) -> Self {
+        let me = Said { born, stage: Stage::Joining, part: RESERVE, knows: 0 };
+        Self { me, started: now, other: None }
+    }
+
+    /// The same process under a number: it had none while it could take no seat.
+    pub fn takes_seat(&mut self, born: Generation) {
+        self.me.born = born;
     }
 
     /// What it says of itself: to be said before it is gone by.
@@ -149,7 +159,7 @@
             Some(_) => {}
         }
         self.me.knows = self.other.map_or(0, |other| other.born);
-        if self.me.stage == Stage::Joining && (self.me.part >= ENOUGH || now >= self.me.born + PATIENCE) {
+        if self.me.stage == Stage::Joining && (self.me.part >= ENOUGH || now >= self.started + PATIENCE) {
             self.me.stage = Stage::Serving;
         }
         self.me != before
@@ -161,6 +171,20 @@
     }
 }
 
+/// Steps between two numbers: the last bit tells the seats of two apart that start at the same moment.
+const SEATS: Generation = 2;
+/// Above all numbers that a seat which can't be read may hold: earlier versions took microseconds of Unix time.
+const SURELY_LATER: Generation = 1 << 56;
+
+/// The number of a process that takes this seat (0 or 1): above those last said in its own and in the other one.
+/// `unclear`: somebody has the other seat and can't be read; it was there first.
+#[must_use]
+pub fn next_generation(seat: u64, said: [Option<Said>; 2], unclear: bool) -> Generation {
+    let last = said.iter().flatten().map(|said| said.born.max(said.knows)).max().unwrap_or(0);
+    let last = if unclear { last.max(SURELY_LATER) } else { last };
+    (last / SEATS + 1) * SEATS + seat % SEATS
+}
+
 /// Whether the other process serves in the place of this one, so that new clients need not be taken here.
 #[must_use]
 pub fn replaced(me: Said, other: Option<Said>) -> bool {
--- a/crates/router/src/figures.rs
+++ b/crates/router/src/figures.rs
@@ -11,6 +11,11 @@
 }
 
 impl Pace {
+    /// As told by a clock that is ahead by so much.
+    pub(crate) fn shift(&mut self, ahead: i64) {
+        self.known = self.known.map(|(pace, at)| (pace, at.saturating_add_signed(ahead)));
+    }
+
     pub(crate) fn now(&self, usual: f64, now: Micros, half_life: f64) -> f64 {
         let Some((pace, _)) = self.known else { return usual };
         usual + (pace - usual) * (-self.age(now) / half_life).exp2()
@@ -42,6 +47,12 @@
 }
 
 impl Rate {
+    /// As told by a clock that is ahead by so much.
+    pub(crate) fn shift(&mut self, ahead: i64) {
+        self.at = self.at.saturating_add_signed(ahead);
+        self.since = self.since.map(|since| since.saturating_add_signed(ahead));
+    }
+
     /// Nothing has been added yet.
     pub(crate) fn is_new(&self) -> bool {
         self.since.is_none()
--- a/crates/router/src/handover.rs
+++ b/crates/router/src/handover.rs
@@ -46,6 +46,27 @@
     prefixes: Vec<(u64, u64, Micros)>,
 }
 
+impl Handover {
+    /// The same as told by a clock that is ahead by so much (us).
+    #[must_use]
+    pub fn shifted(mut self, ahead: i64) -> Self {
+        let shift = |at: &mut Micros| *at = at.saturating_add_signed(ahead);
+        shift(&mut self.at);
+        let rates = [&mut self.call_rate, &mut self.calls_lately].into_iter();
+        let stages = self.stages.iter_mut().map(|stage| &mut stage.under_way);
+        let beginnings = self.beginnings.iter_mut().map(|(_, rate)| rate);
+        rates.chain(stages).chain(beginnings).for_each(|rate| rate.shift(ahead));
+        for server in &mut self.servers {
+            server.started.iter_mut().for_each(shift);
+            server.pace.iter_mut().for_each(|pace| pace.shift(ahead));
+            server.carried.shift(ahead);
+            shift(&mut server.distrusted);
+            server.prefixes.iter_mut().for_each(|(.., made)| shift(made));
+        }
+        self
+    }
+}
+
 impl Router {
     /// What is learnt by now.
     #[must_use]
--- a/crates/router/tests/handover.rs
+++ b/crates/router/tests/handover.rs
@@ -84,6 +84,12 @@
     };
     assert!(take(old.now, &|_| (), fleet(false)).1 >= 39);
     assert_eq!(take(old.now - SECOND, &|_| (), fleet(false)).1, 0, "of the future");
+    for ahead in [3_600 * SECOND as i64, -(SECOND as i64)] {
+        let shifted = handover.clone().shifted(ahead);
+        let other = old.now.checked_add_signed(ahead).unwrap();
+        let on_that_clock = |text: &mut serde_json::Value| *text = serde_json::to_value(&shifted).unwrap();
+        assert!(take(other, &on_that_clock, fleet(false)).1 >= 39, "by a clock that is {ahead} us ahead");
+    }
     let restarted =
         fleet(false).into_iter().map(|entry| Entry { started: Some(old.now - 10), ..entry }).collect();
     assert_eq!(take(old.now, &|_| (), restarted).1, 0, "another life");
--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -126,13 +126,7 @@
         let figures = driver.figures();
         // Only where there is a second address can another process be told to take over.
         let folder = std::env::var("TMPDIR").ok().filter(|_| shared);
-        let companion = folder.and_then(|folder| match Companion::start(&config, &folder, clock) {
-            Ok(companion) => Some(companion),
-            Err(error) => {
-                warn!("kin: {folder}: {error}; another process of this dispatcher would not be known of");
-                None
-            }
-        });
+        let companion = folder.map(|folder| Companion::start(&config, &folder, clock));
         let joins = companion.as_ref().is_some_and(|companion| companion.seen().0.stage == Stage::Joining);
         let (phase, phases) = watch::channel(if joins { Phase::Joining } else { Phase::Serving });
         let health = Health::new(figures.clone(), phases, config.most_open());
--- a/src/edge/kin.rs
+++ b/src/edge/kin.rs
@@ -4,14 +4,16 @@
 
 use std::fs::{File, OpenOptions, TryLockError};
 use std::io;
+use std::net::SocketAddr;
 use std::os::unix::fs::FileExt as _;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use dewladder_kin::{Kin, Other, Part, Said, Stage, WHOLE};
+use dewladder_kin::{next_generation, Generation, Kin, Other, Part, Said, Stage, WHOLE};
 use dewladder_router::Handover;
-use log::{info, warn};
+use log::{debug, info, warn};
 use serde::{Deserialize, Serialize};
+use socket2::{Domain, Socket, Type};
 use tokio::sync::{oneshot, watch};
 use tokio::time::Instant;
 
@@ -21,12 +23,18 @@
 use crate::edge::driver::{Message, Sender};
 use crate::edge::settings::Config;
 use crate::edge::stats::Figures;
+use crate::interface::Micros;
 
 /// A line is written and read in one go, so it is always this long.
 const LINE: usize = 64;
 /// Time between two looks while nobody else is there, and while somebody is.
 const SELDOM: Duration = Duration::from_millis(150);
 const OFTEN: Duration = Duration::from_millis(40);
+/// A hand-over that could not be written is tried again after this.
+const HAND_OVER_AGAIN: Duration = Duration::from_millis(200);
+
+/// A hand-over is taken this soon; what its clock is further off, the clocks differ by (us).
+const CLOCKS_AGREE: Micros = 5_000_000;
 
 /// The two processes' files.
 #[derive(Debug)]
@@ -40,9 +48,17 @@
     OpenOptions::new().read(true).write(true).create(true).truncate(false).open(path)
 }
 
+/// What came of looking for a free seat.
+enum Taken {
+    /// This process has it; its number.
+    Seat(Seats, u64),
+    /// Two processes have both.
+    None,
+}
+
 impl Seats {
-    /// Takes a free seat and its number; `None` where two processes have both.
-    fn take(folder: &Path, listen: std::net::SocketAddr) -> io::Result<Option<(Self, u64)>> {
+    /// Takes a free seat.
+    fn take(folder: &Path, listen: SocketAddr) -> io::Result<Taken> {
         let name = format!("dewladder-{}-{}", listen.ip(), listen.port());
         let at = |what: &str| folder.join(format!("{name}.{what}"));
         for (number, [own, other]) in [["seat0", "seat1"], ["seat1", "seat0"]].into_iter().enumerate() {
@@ -50,13 +66,13 @@
             match own.try_lock() {
                 Ok(()) => {
                     let (other, handover) = (open(&at(other))?, at("handover"));
-                    return Ok(Some((Self { own, other, handover }, number as u64)));
+                    return Ok(Taken::Seat(Self { own, other, handover }, number as u64));
                 }
                 Err(TryLockError::WouldBlock) => {}
                 Err(TryLockError::Error(error)) => return Err(error),
             }
         }
-        Ok(None)
+        Ok(Taken::None)
     }
 
     fn say(&self, said: Said) -> io::Result<()> {
@@ -64,30 +80,70 @@
         self.own.write_all_at(line.as_bytes(), 0)
     }
 
-    fn look(&self) -> Other {
+    /// What was last said in a seat, if that can be read.
+    fn said_in(seat: &File) -> Option<Said> {
+        let mut bytes = [0; LINE];
+        seat.read_exact_at(&mut bytes, 0).ok()?; // of a new file, a torn line or a failing disk nothing is known
+        let line = std::str::from_utf8(&bytes).ok()?;
+        Said::from_line(&format!("{}\n", line.trim_end()))
+    }
+
+    /// The process in the other seat.
+    ///
+    /// # Errors
+    /// Where the system does not tell whether there is one.
+    fn look(&self) -> io::Result<Other> {
         match self.other.try_lock_shared() {
             Ok(()) => {
-                let _ = self.other.unlock(); // nobody has it; nor do we
-                Other::None
+                self.other.unlock()?; // nobody has it; nor do we
+                Ok(Other::None)
             }
-            Err(_) => {
-                let mut bytes = [0; LINE];
-                let read = self.other.read_exact_at(&mut bytes, 0).ok();
-                let line = read.and_then(|()| std::str::from_utf8(&bytes).ok());
-                let said = line.and_then(|line| Said::from_line(&format!("{}\n", line.trim_end())));
-                said.map_or(Other::Unclear, Other::Says)
+            Err(TryLockError::WouldBlock) => {
+                Ok(Self::said_in(&self.other).map_or(Other::Unclear, Other::Says))
             }
+            Err(TryLockError::Error(error)) => Err(error),
         }
     }
+
+    /// The number of the process that has just taken this seat.
+    fn next_generation(&self, number: u64) -> Generation {
+        let unclear = matches!(self.look(), Ok(Other::Unclear) | Err(_));
+        next_generation(number, [Self::said_in(&self.own), Self::said_in(&self.other)], unclear)
+    }
+}
+
+/// Whether any process listens there: tells whether this one is alone where no file can.
+fn someone_listens(at: SocketAddr) -> bool {
+    let bind = || {
+        let socket = Socket::new(Domain::for_address(at), Type::STREAM, None)?;
+        socket.set_reuse_address(true)?; // connections that have ended do not count
+        socket.bind(&at.into())
+    };
+    bind().is_err_and(|error: io::Error| error.kind() == io::ErrorKind::AddrInUse)
 }
 
 /// What is handed over, and by whom.
 #[derive(Serialize, Deserialize)]
 struct Handed {
-    born: u64,
+    born: Generation,
+    /// What the clock of who hands over said as it did. Absent from versions that took all clocks of a machine for one.
+    #[serde(default)]
+    clock: Micros,
     learnt: Handover,
 }
 
+impl Handed {
+    /// What was learnt, on the clock of who takes it over now. Both clocks are the machine's wall clock as it stood when
+    /// their process started: it may have been stepped in between.
+    fn on_clock(self, now: Micros) -> Handover {
+        let apart = now.abs_diff(self.clock);
+        if self.clock == 0 || apart <= CLOCKS_AGREE {
+            return self.learnt;
+        }
+        self.learnt.shifted(now as i64 - self.clock as i64)
+    }
+}
+
 /// What the rest of the program is told: what this process says of itself, and what the other one says.
 pub type Seen = (Said, Option<Said>);
 
@@ -96,51 +152,72 @@
 pub struct Companion {
     seats: Option<Seats>,
     folder: PathBuf,
-    listen: std::net::SocketAddr,
+    listen: SocketAddr,
     kin: Kin,
     clock: Clock,
-    /// Started when the other one that it was written for started.
-    handed_to: u64,
+    /// What it says of itself could not be written yet.
+    unsaid: bool,
+    /// The number of the other one that what is learnt was written for.
+    handed_to: Generation,
+    /// A hand-over that failed is tried again then.
+    hand_over_at: Instant,
+    /// The number of the other one whose hand-over was taken.
+    taken_from: Generation,
 }
 
 impl Companion {
-    /// Takes a seat. Without a folder there is nobody to know of.
-    ///
-    /// # Errors
-    /// What the system says of the files.
-    pub fn start(config: &Config, folder: &str, clock: Clock) -> io::Result<Self> {
-        let (folder, listen, kin) = (PathBuf::from(folder), config.listen, Kin::start(clock.now()));
-        let mut companion = Self { seats: None, folder, listen, kin, clock, handed_to: 0 };
-        companion.sit()?;
+    /// Takes a seat, or tries again at each look.
+    #[must_use]
+    pub fn start(config: &Config, folder: &str, clock: Clock) -> Self {
+        let mut companion = Self {
+            seats: None,
+            folder: PathBuf::from(folder),
+            listen: config.listen,
+            kin: Kin::start(0, clock.now()),
+            clock,
+            unsaid: false,
+            handed_to: 0,
+            hand_over_at: Instant::now(),
+            taken_from: 0,
+        };
         companion.look(0);
-        Ok(companion)
+        companion
     }
 
     /// Takes a seat, if one is free, and says so there: a third process waits for one of the two to end.
     fn sit(&mut self) -> io::Result<()> {
-        if let Some((seats, number)) = Seats::take(&self.folder, self.listen)? {
-            // No two start at the same time, as far as they can tell: their seats differ.
-            self.kin = Kin::start((self.clock.now() & !1) | number);
-            seats.say(self.kin.says())?;
+        if let Taken::Seat(seats, number) = Seats::take(&self.folder, self.listen)? {
+            self.kin.takes_seat(seats.next_generation(number));
             self.seats = Some(seats);
+            self.say();
         }
         Ok(())
     }
 
+    /// Writes what this process says of itself; at the next look again, where that fails.
+    fn say(&mut self) {
+        let Some(seats) = &self.seats else { return };
+        let said = seats.say(self.kin.says());
+        if let (Err(error), false) = (&said, self.unsaid) {
+            warn!("kin: another process could not be told: {error}");
+        }
+        self.unsaid = said.is_err();
+    }
+
     /// Looks at the other one and says what has changed here; `in_use` is the part of the limits in use.
     fn look(&mut self, in_use: Part) {
-        if self.seats.is_none() {
-            if let Err(error) = self.sit() {
-                warn!("kin: no seat: {error}");
-            }
-        }
-        let Some(seats) = &self.seats else { return };
         let before = self.kin.other();
-        // What is read is acted on and said in one go.
-        if self.kin.sees(self.clock.now(), seats.look(), in_use) {
-            if let Err(error) = seats.say(self.kin.says()) {
-                warn!("kin: another process could not be told: {error}");
+        let seen = match self.see() {
+            Ok(seen) => seen,
+            Err(error) => {
+                debug!("kin: {error}");
+                None
             }
+        };
+        // What is read is acted on and said in one go.
+        let changed = seen.is_some_and(|other| self.kin.sees(self.clock.now(), other, in_use));
+        if changed || self.unsaid {
+            self.say();
         }
         let [before, now] = [before, self.kin.other()].map(|other| other.map(|other| other.stage));
         if before != now {
@@ -151,6 +228,19 @@
         }
     }
 
+    /// What is seen of the other one; `None` where nothing has to be concluded from it.
+    fn see(&mut self) -> io::Result<Option<Other>> {
+        if self.seats.is_none() {
+            if let Err(error) = self.sit() {
+                // A folder that can't be used must not keep a lone process from serving.
+                let other = if someone_listens(self.listen) { Other::Unclear } else { Other::None };
+                debug!("kin: no seat: {error}; other: {other:?}");
+                return Ok(Some(other));
+            }
+        }
+        self.seats.as_ref().map(Seats::look).transpose()
+    }
+
     /// What is told to the rest of the program.
     #[must_use]
     pub fn seen(&self) -> Seen {
@@ -172,16 +262,17 @@
             let leaving = *phase.borrow_and_update() > Phase::Serving;
             if leaving && self.kin.says().stage != Stage::Leaving {
                 self.kin.told_to_end();
-                if let Some(Err(error)) = self.seats.as_ref().map(|seats| seats.say(self.kin.says())) {
-                    warn!("kin: another process could not be told: {error}");
-                }
+                self.say();
                 self.handed_to = 0;
             }
             // The one that comes after is told before it can count on what is given up for it.
             if let Some(other) = self.kin.other().filter(|other| other.born > self.kin.says().born) {
-                if self.handed_to != other.born {
-                    self.handed_to = other.born;
-                    self.hand_over(&driver).await;
+                if self.handed_to != other.born && Instant::now() >= self.hand_over_at {
+                    if self.hand_over(&driver).await {
+                        self.handed_to = other.born;
+                    } else {
+                        self.hand_over_at = Instant::now() + HAND_OVER_AGAIN;
+                    }
                 }
             }
             self.look(dewladder_kin::part_of(room.held() + figures.open(), config.limits.sockets));
@@ -195,44 +286,53 @@
             }
             room.shrink(Instant::now());
             tell.send_replace(Some(self.seen()));
-            let pause = if self.kin.other().is_some() || leaving { OFTEN } else { SELDOM };
+            let pause = if self.kin.other().is_some() || leaving || self.unsaid { OFTEN } else { SELDOM };
             let _ = tokio::time::timeout_at(Instant::now() + pause, phase.changed()).await;
         }
     }
 
-    async fn hand_over(&self, driver: &Sender) {
-        let Some(seats) = &self.seats else { return };
+    /// Writes what is learnt by now; whether it lies there whole.
+    async fn hand_over(&self, driver: &Sender) -> bool {
+        let Some(seats) = &self.seats else { return false };
         let (learnt, answer) = oneshot::channel();
         driver.send(Message::Learnt(learnt));
-        let Ok(learnt) = answer.await else { return };
-        let handed = Handed { born: self.kin.says().born, learnt: *learnt };
+        let Ok(learnt) = answer.await else { return false };
+        let handed = Handed { born: self.kin.says().born, clock: self.clock.now(), learnt: *learnt };
         let written = serde_json::to_vec(&handed).map_err(io::Error::other).and_then(|text| {
             let new = seats.handover.with_extension("new");
             std::fs::write(&new, text)?;
             std::fs::rename(&new, &seats.handover) // whole or not at all
         });
-        match written {
+        match &written {
             Ok(()) => info!("kin: what was learnt is handed over"),
             Err(error) => warn!("kin: what was learnt can't be handed over: {error}"),
         }
+        written.is_ok()
     }
 
     /// Takes what the other one has handed over, if it is of the one that lives: what lies there otherwise means
     /// nothing. It is removed, as it counts as memory.
-    fn take_over(&self, driver: &Sender) {
+    fn take_over(&mut self, driver: &Sender) {
         let (Some(seats), Some(other)) = (&self.seats, self.kin.other()) else { return };
-        if other.born > self.kin.says().born {
+        if other.born > self.kin.says().born || self.taken_from == other.born {
             return;
         }
-        let Ok(text) = std::fs::read(&seats.handover) else { return };
-        let _ = std::fs::remove_file(&seats.handover);
+        let text = match std::fs::read(&seats.handover) {
+            Ok(text) => text,
+            Err(error) if error.kind() == io::ErrorKind::NotFound => return,
+            Err(error) => return debug!("kin: what was handed over can't be read yet: {error}"),
+        };
         match serde_json::from_slice::<Handed>(&text) {
             Ok(handed) if handed.born == other.born => {
                 info!("kin: what the other process has learnt is taken over");
-                driver.send(Message::TakenOver(Box::new(handed.learnt)));
+                self.taken_from = other.born;
+                driver.send(Message::TakenOver(Box::new(handed.on_clock(self.clock.now()))));
             }
             Ok(_) => {}
             Err(error) => warn!("kin: what was handed over can't be read: {error}"),
         }
+        if let Err(error) = std::fs::remove_file(&seats.handover) {
+            warn!("kin: what was handed over can't be removed: {error}");
+        }
     }
 }
