Leave the runtime's own wake-up pipe alone in the fault shim; let a close stop a stand-in's work

Cause: the shim failed the write by which tokio wakes itself on a signal (EINTR, at 6,650 ms in the trace; SIGTERM came then and was never seen). Linux fails no non-blocking write on such a pair so, and the program can't make it good. In the stand-in, a close and the end of a read in one moment were drawn by lot.

Change: faults hit TCP sockets only; the close goes first.

--- a/crates/fault-shim/src/calls.rs
+++ b/crates/fault-shim/src/calls.rs
@@ -56,14 +56,19 @@
     unsafe { real(to, line.as_ptr().cast(), line.len()) };
 }
 
-/// Whether a descriptor is a stream socket's.
+fn option(descriptor: c_int, name: c_int) -> Option<c_int> {
+    let (mut told, mut length) = (0 as c_int, size_of::<c_int>() as socklen_t);
+    // SAFETY: `told` and `length` are as the options that are asked for here want them.
+    let done =
+        unsafe { libc::getsockopt(descriptor, libc::SOL_SOCKET, name, (&raw mut told).cast(), &mut length) };
+    (done == 0).then_some(told)
+}
+
+/// Whether a descriptor is a TCP socket's. The pair by which a runtime wakes itself on a signal is left alone: Linux fails
+/// no call on it for want of anything (`unix(7)`), and a wake-up that is lost is made good by nobody.
 fn is_stream(descriptor: c_int) -> bool {
-    let (mut kind, mut length) = (0 as c_int, size_of::<c_int>() as socklen_t);
-    // SAFETY: `kind` and `length` are as the option wants them.
-    let told = unsafe {
-        libc::getsockopt(descriptor, libc::SOL_SOCKET, libc::SO_TYPE, (&raw mut kind).cast(), &mut length)
-    };
-    told == 0 && kind == libc::SOCK_STREAM
+    option(descriptor, libc::SO_TYPE) == Some(libc::SOCK_STREAM)
+        && option(descriptor, libc::SO_DOMAIN) == Some(libc::AF_INET)
 }
 
 /// Whether a descriptor is a regular file's, other than the trace's.
--- a/crates/soak/src/servers.rs
+++ b/crates/soak/src/servers.rs
@@ -289,10 +289,11 @@
         let end = tokio::time::Instant::now() + time;
         loop {
             tokio::select! {
-                () = sleep_until(end) => return self.unless_silent().await,
+                biased; // a close that has come stops the work, though its time is over in the same moment
                 came = self.stream.read_buf(&mut self.read) => if matches!(came, Ok(0) | Err(_)) {
                     return Err(Gone::Closed);
                 },
+                () = sleep_until(end) => return self.unless_silent().await,
             }
         }
     }
