Show by a failing test that local connect failures turn requests away

Seen: with connect or socket failing for 0.5 s (EADDRNOTAVAIL, ENOBUFS, EINTR, ENFILE) and the kept connections reset, 25 requests are refused or failed: each attempt fails at once as if the server had refused it, strikes the server and is spent.

--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 
 use dewladder_soak::bed::{play, Options};
-use dewladder_soak::ledger::{Entry, Seen};
+use dewladder_soak::ledger::{Entry, Final, Seen};
 use dewladder_soak::oracle::{counts, judge, LIMITS};
 use dewladder_soak::plan::{Kind, Plan, Trouble};
 
@@ -140,3 +140,24 @@
         assert!(logs[1].contains("what the other process has learnt is taken over"), "{rule}: {whole}");
     }
 }
+
+/// A connect that fails for want of something on this machine (`connect(2)`, `socket(2)`: EADDRNOTAVAIL, ENOBUFS, ENFILE)
+/// says nothing of the server: it is made again within its time, and no request is turned away for it.
+#[tokio::test(flavor = "multi_thread")]
+async fn connects_that_fail_on_this_machine_for_a_moment_cost_no_request() {
+    let rules = ["connect:EADDRNOTAVAIL", "connect:ENOBUFS", "connect:EINTR", "socket:ENFILE"].map(|call| {
+        // From before the connections that are kept are reset, to a little later.
+        format!("{call}@2000-2500%1000")
+    });
+    let mut troubles: Vec<Trouble> =
+        (0..4).map(|server| trouble(2_200, 2_250, Kind::Reset { server })).collect();
+    for (dispatcher, rule) in rules.into_iter().enumerate() {
+        troubles.push(trouble(0, 60_000, Kind::Shim { dispatcher, rule }));
+    }
+    let plan = Plan { processes: 4, ..plan(950, 4_000, 30, troubles) };
+    let seen = keeps_the_rules("connect", &plan).await;
+    let turned_away = seen.iter().filter(|entry| {
+        matches!(entry.seen, Seen::Ended(Final::Refused | Final::Failed)) && entry.at > 2_300_000
+    });
+    assert_eq!(turned_away.count(), 0);
+}
