--- a/crates/router/src/start_times.rs
+++ b/crates/router/src/start_times.rs
@@ -1,12 +1,14 @@
 //! Start times of servers on this process's own clock.
 //!
-//! The list tells them by discovery's clock. This process's clock is the machine's wall clock as it stood at the start,
-//! which may be off by an hour; slow start goes by spans of real time, so what the list tells is held against when it
-//! was told:
+//! The list tells them by discovery's clock. This process's clock is the machine's wall clock as it stood
+//! at the start, which may be off by an hour; slow start goes by spans of real time, so what the list tells
+//! is held against when it was told:
 //!
-//! - no server has started in the future: the newest start time shows by how much this clock is behind at the least;
-//! - a server that is first heard of after the first list, or under a new start time, has started lately: one whose age
-//!   can't be believed is taken to have started just now. That spares it for longer than it needs at worst.
+//! - no server has started in the future: the newest start time shows by how much this clock is behind at
+//!   the least;
+//! - a server that is first heard of after the first list, or under a new start time, has started lately:
+//!   one whose age can't be believed is taken to have started just now. That spares it for longer than it
+//!   needs at worst.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -14,8 +16,8 @@
 
 /// Clocks of machines that are kept in step differ by less (us).
 const SKEW: Micros = 1_000_000;
-/// A start is told no later than this (us). Scales with the register's lag. Harm: after a longer outage of discovery,
-/// servers that started within it are spared anew.
+/// A start is told no later than this (us). Scales with the register's lag. Harm: after a longer outage of
+/// discovery, servers that started within it are spared anew.
 const TOLD_WITHIN: Micros = 10_000_000;
 /// Servers that have gone whose start times are kept: they come under new ids all day.
 const MOST_GONE: usize = 1_024;
@@ -40,8 +42,8 @@
 }
 
 impl StartTimes {
-    /// Puts the start times of entries that are told now on this process's clock. What is known of a server stays while
-    /// it is told of under the same start time.
+    /// Puts the start times of entries that are told now on this process's clock. What is known of a server
+    /// stays while it is told of under the same start time.
     pub fn localize(&mut self, now: Micros, how: ListKind, entries: &mut [Entry]) {
         let newest = entries.iter().filter_map(|entry| entry.started).max().unwrap_or(0);
         if newest > now + self.ahead + SKEW {
