Pass sends and answers through one guard, and count what it refuses and finds broken

Need: the conditions for a send stood in line in the reducer, and nothing told how often one of them held. Change: src/edge/guard.rs has one check for a send and counts by rule, refused apart from found broken, in STATS (guard_refused, guard_broken) and in one log line with the request's state; the reducer also looks for answers that are late, things held too long and second runs. A send to a server that the list has as draining is refused there too. The soak reads the counts at the end of each play and reports one that is not 0.

--- a/crates/soak/src/bed.rs
+++ b/crates/soak/src/bed.rs
@@ -365,6 +365,17 @@
         let leak = |what| self.ledger.write(0, Seen::Leak { dispatcher: self.number, what });
         let first = self.starts.load(Ordering::Relaxed) == 1;
         let processes = self.processes.lock().await;
+        // A process that was stopped is late for all that it had open; the ledger excuses that too.
+        let stopped =
+            self.plan.troubles.iter().any(
+                |trouble| matches!(trouble.kind, Kind::Stop { dispatcher } if dispatcher == self.number),
+            );
+        if let Some(process) = processes.last().filter(|_| !stopped) {
+            let stats = process.stats().await.unwrap_or_default();
+            let broken =
+                stats.lines().filter(|line| line.contains(".guard_broken.") && !line.contains(":0|"));
+            broken.for_each(|line| leak(format!("by its own account {line}")));
+        }
         let Some(after) = processes.last().and_then(Process::held) else { return };
         if after.peak_kib > MEMORY_MB * 1_024 {
             leak(format!("{} KiB of memory at its peak", after.peak_kib));
--- a/src/edge/core.rs
+++ b/src/edge/core.rs
@@ -5,6 +5,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+use crate::edge::guard::{Guard, Rule, SendCheck};
 use crate::interface::{
     self as class, Action, Call, Class, Ended, EngineId, Entry, Event, Health, ListKind, Micros, Outcome,
     Report, RequestId, Role, Settings, TimerToken,
@@ -12,6 +13,11 @@
 use crate::Router;
 use dewladder_router::{Classes, GossipCounts, Handover, StartTimes};
 
+/// An answer that comes so long after the client's time is lost (the standing test's word; us).
+const LATE_ANSWER: Micros = 500_000;
+/// What is held has so much more than the settings say on sockets (the protocol page; us).
+const HELD_MORE: Micros = 300_000;
+
 /// What has happened outside.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Input {
@@ -210,6 +216,7 @@
     /// Servers by the list: role, and whether it takes work.
     servers: BTreeMap<EngineId, (Role, bool)>,
     start_times: StartTimes,
+    guard: Guard,
     requests: BTreeMap<RequestId, Request>,
     timers: BTreeSet<(Micros, Timer)>,
     most_open: usize,
@@ -237,6 +244,7 @@
             router: Router::new(settings, seed, now),
             servers: BTreeMap::new(),
             start_times: StartTimes::default(),
+            guard: Guard::default(),
             requests: BTreeMap::new(),
             timers: BTreeSet::new(),
             most_open,
@@ -304,6 +312,12 @@
         self.router.gossip()
     }
 
+    /// What the guard has refused and found broken.
+    #[must_use]
+    pub fn guard(&self) -> &Guard {
+        &self.guard
+    }
+
     /// Servers of the list that are avoided now.
     #[must_use]
     pub fn avoided(&self) -> usize {
@@ -389,6 +403,11 @@
         if request.client != Client::Waiting {
             return self.stop(id, number, Outcome::Cancelled);
         }
+        let runs_once = |class: &Class| class.effect == class::Effect::AtMostOnce;
+        let ran_before = request.ran.is_some_and(|ran| ran != out.sent);
+        if ran_before && self.classes.known().get(&request.class).is_some_and(runs_once) {
+            self.guard.finds_broken(Rule::SecondRun, id, request);
+        }
         request.client = Client::Streaming(number);
         request.ran.get_or_insert(out.sent);
         request.held.clear(); // with the first token all that is held goes by itself
@@ -523,7 +542,12 @@
     /// Whether the request's one final answer is still to be given; it is taken to be given now.
     fn answered(&mut self, id: RequestId) -> bool {
         let waiting = self.requests.get_mut(&id).filter(|request| request.client == Client::Waiting);
-        waiting.map(|request| request.client = Client::Done).is_some()
+        let Some(request) = waiting else { return false };
+        if self.now > request.not_after + LATE_ANSWER {
+            self.guard.finds_broken(Rule::LateAnswer, id, request);
+        }
+        request.client = Client::Done;
+        true
     }
 
     fn assign(&mut self, id: RequestId, engine: EngineId, patience: Micros) {
@@ -532,24 +556,24 @@
         request.attempts += 1;
         let reads = self.servers.get(&engine).is_some_and(|&(role, _)| role == Role::Reader);
         let (sent, until) = (self.now, request.not_after.min(self.now + patience));
-        let mut begin_by = until;
-        let mut confirm_by = None;
-        if !request.held.is_empty() {
-            let release_by = request.held_since + self.release_within;
-            begin_by = begin_by.min(release_by);
-            confirm_by = Some(release_by);
-        }
+        let taken_by = (!request.held.is_empty()).then_some(request.held_since + self.release_within);
         let class = self.classes.known().get(&request.class);
         let first = request.ran.filter(|_| !reads);
-        if let (Some(first), Some(class)) = (first, class) {
-            begin_by = begin_by.min(match class.effect {
-                class::Effect::Idempotent => until,
-                class::Effect::Deduplicated => (first + class.dedup_window).saturating_sub(self.resolution),
-                class::Effect::AtMostOnce => 0,
-            });
-        }
-        // Guards against a send after the final answer, a hangup or the first event, and against a second effect.
-        if request.client != Client::Waiting || begin_by <= self.now {
+        let runs_again_by = first.zip(class).map(|(first, class)| match class.effect {
+            class::Effect::Idempotent => until,
+            class::Effect::Deduplicated => (first + class.dedup_window).saturating_sub(self.resolution),
+            class::Effect::AtMostOnce => 0,
+        });
+        let check = SendCheck {
+            now: self.now,
+            waits: request.client == Client::Waiting,
+            takes_work: self.servers.get(&engine).is_none_or(|&(_, ready)| ready),
+            until,
+            taken_by,
+            runs_again_by,
+        };
+        let begin_by = [taken_by, runs_again_by].into_iter().flatten().fold(until, Micros::min);
+        if !self.guard.lets_send(id, &check) {
             let (outcome, kept_tokens, report) = (Outcome::Moot, 0, None);
             let last = request.client != Client::Waiting;
             let ended = Ended { id, attempt, engine, taken: 0, outcome, kept_tokens, last, report };
@@ -557,11 +581,15 @@
         }
         request.out.insert(attempt, Out { engine, reads, sent, until, stopping: None });
         self.timers.insert((until, Timer::Attempt(id, attempt)));
-        self.effects.push(Effect::Send { id, attempt, engine, reads, until, begin_by, confirm_by });
+        self.effects.push(Effect::Send { id, attempt, engine, reads, until, begin_by, confirm_by: taken_by });
     }
 
     fn let_go(&mut self, id: RequestId) {
         let Some(request) = self.requests.get_mut(&id) else { return };
+        let held_by = request.held_since + self.release_within + HELD_MORE;
+        if !request.held.is_empty() && request.out.is_empty() && self.now > held_by {
+            self.guard.finds_broken(Rule::HeldTooLong, id, request);
+        }
         let holders = std::mem::take(&mut request.held);
         if !holders.is_empty() {
             self.effects.push(Effect::Release { id, holders });
--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -405,6 +405,7 @@
         let mut record = self.figures.record();
         record.open = self.core.open();
         record.serves = self.core.serves();
+        record.guard = self.core.guard().clone();
         record.messages_dropped = self.core.gossip().dropped;
         let now = self.clock.now();
         if now >= self.avoided_due {
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -10,6 +10,7 @@
 pub mod core;
 pub mod dispatcher;
 pub mod driver;
+pub mod guard;
 pub mod kin;
 pub mod list;
 pub mod listing;
--- a/src/edge/stats.rs
+++ b/src/edge/stats.rs
@@ -5,6 +5,8 @@
 use std::fmt::Write as _;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use crate::edge::guard::{Guard, Rule};
+
 /// How a request ended. Each ends once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
@@ -96,6 +98,8 @@
     pub releases: usize,
     /// Messages of other dispatchers that were dropped.
     pub messages_dropped: u64,
+    /// What the guard has refused and found broken.
+    pub guard: Guard,
 }
 
 impl Record {
@@ -153,6 +157,10 @@
         line("pending", self.all().pending(), 'g');
         line("members", self.members as u64, 'g');
         line("members_unavailable", self.members_unavailable as u64, 'g');
+        for (at, rule) in Rule::ALL.into_iter().enumerate() {
+            line(&format!("guard_refused.{}", rule.name()), self.guard.refused()[at], 'c');
+            line(&format!("guard_broken.{}", rule.name()), self.guard.broken()[at], 'c');
+        }
         text
     }
 }
