Strike no server for a connect that local failures left too little time

Cause: Pool::new_connection told the time-out of its last try as the server's, however late that try began.

--- a/src/edge/connections.rs
+++ b/src/edge/connections.rs
@@ -232,16 +232,19 @@
     /// A new connection to a server. None comes up after `until`.
     ///
     /// # Errors
-    /// What the system says; `TimedOut` where nobody answers.
+    /// What the system says; `TimedOut` where nobody answers. Where a connect began late for want of something on this
+    /// machine, that too little time was left says nothing of the server: then it is what was wanting.
     pub async fn new_connection(&self, address: &str, until: Instant) -> io::Result<Connection<B>> {
-        let late = |_| io::Error::from(io::ErrorKind::TimedOut);
+        let mut failed_here = None;
         loop {
-            match timeout_at(until, self.open(address)).await.map_err(late)? {
+            match timeout_at(until, self.open(address)).await {
+                Err(_) => return Err(failed_here.unwrap_or_else(|| io::ErrorKind::TimedOut.into())),
                 // It says nothing of the server; what this machine lacks may be there in a moment.
-                Err(error) if is_transient(&error) && Instant::now() + transient::PAUSE < until => {
+                Ok(Err(error)) if is_transient(&error) && Instant::now() + transient::PAUSE < until => {
+                    failed_here = Some(error);
                     sleep_until(Instant::now() + transient::PAUSE).await;
                 }
-                opened => return opened,
+                Ok(opened) => return opened,
             }
         }
     }
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -48,6 +48,17 @@
     keeps_the_rules("cut", &plan(912, 8_500, 40, vec![cut(2), cut(3)])).await;
 }
 
+/// The same while this machine can make no connection at all: that nobody could look is no proof that something arrived.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_is_sent_to_machines_that_are_cut_off_is_let_go_though_no_connect_can_be_made() {
+    let cut = |server| trouble(2_000, 4_500, Kind::Cut { server });
+    let fails = |dispatcher| {
+        let rule = "connect:EADDRNOTAVAIL@1900-4600%1000".to_owned();
+        trouble(0, 60_000, Kind::Shim { dispatcher, rule })
+    };
+    keeps_the_rules("cut-local", &plan(915, 8_500, 40, vec![cut(2), cut(3), fails(0), fails(1)])).await;
+}
+
 /// Calls on streams that are interrupted, or do a part of their work, lose nothing (`recv(2)`, `send(2)`: EINTR).
 #[tokio::test(flavor = "multi_thread")]
 async fn interrupted_and_short_calls_lose_no_request() {
