Accept the next connection at once behind one that ended in the queue; prove nothing by a lack

Cause: after any failed accept the listener waited 20 ms, also where the error was of one connection (ECONNABORTED, EINTR, pending errors by accept(2)); so 50 aborted connections held up all others for a second. And Servers::unreachable took every connect error but a time-out for the machine's word, also this machine's own lack of descriptors or ports, so what is held was taken as sent.

Fix: src/edge/accept.rs names the errors of one connection; all four listeners (fronts, the close of a front, second address, agent check) go through it, with a pause after 100 in a row. Only a refusal or a reset proves that a machine is there.

--- a/src/edge/admin.rs
+++ b/src/edge/admin.rs
@@ -15,6 +15,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{timeout_at, Instant};
 
+use crate::edge::accept::accept;
 use crate::edge::balancers::Health;
 use crate::edge::cluster::View;
 use crate::edge::tcp::Uninterrupted;
@@ -81,8 +82,8 @@
 pub async fn serve(listener: TcpListener, health: Health, cluster: Option<View>) {
     let mut callers: VecDeque<(Instant, JoinHandle<()>)> = VecDeque::new();
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+        let stream = match accept(&listener).await {
+            Ok(stream) => stream,
             Err(error) => {
                 warn!("second address: can't accept: {error}");
                 tokio::time::sleep(PAUSE).await;
--- a/src/edge/balancers.rs
+++ b/src/edge/balancers.rs
@@ -13,6 +13,7 @@
 use tokio::sync::watch;
 use tokio::time::{timeout_at, Instant};
 
+use crate::edge::accept::accept;
 use crate::edge::clients::listener::Phase;
 use crate::edge::stats::Figures;
 use crate::edge::tcp::Uninterrupted;
@@ -92,8 +93,8 @@
 /// Answers agent checks, one after the other: each is one short line.
 pub async fn agent_check(listener: TcpListener, health: Health) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => tell(stream, &health.line()).await,
+        match accept(&listener).await {
+            Ok(stream) => tell(stream, &health.line()).await,
             Err(error) => {
                 warn!("agent check: can't accept: {error}");
                 tokio::time::sleep(WRITE).await;
--- a/src/edge/clients/listener.rs
+++ b/src/edge/clients/listener.rs
@@ -26,6 +26,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep_until, timeout_at, Instant};
 
+use crate::edge::accept::Aborted;
 use crate::edge::clients::framing::{Verdict, MOST_HEAD};
 use crate::edge::clients::room::{Place, Room, Seat};
 use crate::edge::servers::header;
@@ -142,18 +143,23 @@
 
 impl FailingAccepts {
     async fn accept(&mut self, listener: &TcpListener) -> io::Result<TcpStream> {
-        let at_once = poll_fn(|context| Poll::Ready(listener.poll_accept(context))).await;
-        let accepted = match at_once {
-            Poll::Ready(accepted) => accepted,
-            Poll::Pending => {
-                self.since = None; // the queue is empty
-                listener.accept().await
+        let mut aborted = Aborted::default();
+        loop {
+            let at_once = poll_fn(|context| Poll::Ready(listener.poll_accept(context))).await;
+            let accepted = match at_once {
+                Poll::Ready(accepted) => accepted,
+                Poll::Pending => {
+                    self.since = None; // the queue is empty
+                    listener.accept().await
+                }
+            };
+            if accepted.is_err() {
+                self.since.get_or_insert_with(Instant::now);
+            }
+            if !aborted.again_at_once(&accepted) {
+                return accepted.map(|(stream, _)| stream);
             }
-        };
-        if accepted.is_err() {
-            self.since.get_or_insert_with(Instant::now);
         }
-        accepted.map(|(stream, _)| stream)
     }
 
     fn waited(&self) -> Duration {
@@ -174,15 +180,19 @@
         }
     };
     let until = Instant::now() + LAST_ACCEPTS;
+    let mut aborted = Aborted::default();
     loop {
-        match listener.accept() {
+        let accepted = listener.accept();
+        if aborted.again_at_once(&accepted) {
+            continue;
+        }
+        match accepted {
             Ok((stream, _)) => streams.push(stream),
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
             Err(error) if Instant::now() >= until => {
                 warn!("listener: can't accept those that wait at its close: {error}");
                 break;
             }
-            Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
             Err(_) => tokio::time::sleep(PAUSE).await,
         }
     }
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -1,6 +1,7 @@
 //! The real dispatcher: a reducer that deals in requests, attempts and outcomes (`core`), the loop that
 //! feeds it (`driver`), and a module for each peer that is spoken to.
 
+pub mod accept;
 pub mod admin;
 pub mod balancers;
 pub mod clients;
--- a/src/edge/servers.rs
+++ b/src/edge/servers.rs
@@ -444,11 +444,19 @@
         sleep_until(reuse.sent + by.saturating_duration_since(reuse.sent) / 2).await;
         if !reuse.proven() {
             let up_by = by.min(Instant::now() + self.connect_timeout);
-            match self.pool.new_connection(&reuse.address, up_by).await {
-                Ok(ready) => self.pool.keep(reuse.address.clone(), ready),
-                Err(error) if says_unreachable(&error) && !reuse.proven() => return,
-                // Refused, the machine is there; or this one could not try.
-                Err(error) => debug!("server {}: not tried: {error}", reuse.address),
+            let answers = match self.pool.new_connection(&reuse.address, up_by).await {
+                Ok(ready) => {
+                    self.pool.keep(reuse.address.clone(), ready);
+                    true
+                }
+                Err(error) => {
+                    debug!("server {}: tried while it is silent: {error}", reuse.address);
+                    is_machines_answer(&error) || reuse.proven()
+                }
+            };
+            // That this machine could not try is no proof either: what is held goes on being held.
+            if !answers {
+                return;
             }
             reuse.reached.store(true, Ordering::Relaxed);
         }
@@ -504,10 +512,10 @@
     }
 }
 
-/// Whether a failed connect says that no machine answers there (`connect(2)`, `ip(7)`).
-fn says_unreachable(error: &io::Error) -> bool {
-    use io::ErrorKind::{HostUnreachable, NetworkUnreachable, TimedOut};
-    matches!(error.kind(), TimedOut | HostUnreachable | NetworkUnreachable)
+/// Whether a failed connect is the word of the machine itself, which is there then (`connect(2)`).
+fn is_machines_answer(error: &io::Error) -> bool {
+    use io::ErrorKind::{ConnectionRefused, ConnectionReset};
+    matches!(error.kind(), ConnectionRefused | ConnectionReset)
 }
 
 /// Asks one server to let go of what is held; whether it says that it has.
--- a/tests/local_connect_failures.rs
+++ b/tests/local_connect_failures.rs
@@ -1,7 +1,7 @@
 //! Connects that fail for want of something on this machine, at the edges of the time that a connect has. Alone in its
 //! program: the limit on descriptors is the process's.
 
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
 use dewladder::edge::servers::{self, Attempt, Payload, Servers};
