--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -105,6 +105,20 @@
     keeps_the_rules("aborted", &plan).await;
 }
 
+/// Clients ask and leave while nobody accepts their connections (`accept(2)`: EMFILE): once they are accepted, nothing is
+/// begun for those that have gone.
+#[tokio::test(flavor = "multi_thread")]
+async fn nothing_is_begun_for_clients_that_left_before_they_were_accepted() {
+    let mut troubles = Vec::new();
+    for dispatcher in 0..4 {
+        let rule = "accept:EMFILE@1500-2300%1000".to_owned();
+        troubles.push(trouble(0, 60_000, Kind::Shim { dispatcher, rule }));
+        troubles.push(trouble(1_500, 2_300, Kind::ClientsLeave { dispatcher }));
+    }
+    let plan = Plan { processes: 4, ..plan(917, 4_000, 60, troubles) };
+    keeps_the_rules("left-in-queue", &plan).await;
+}
+
 /// The logs of a dispatcher's processes in a play, in the order of their starts.
 fn logs(name: &str, seed: u64, dispatcher: usize, count: usize) -> Vec<String> {
     let folder =
