Look for a client's close right behind its request before the request is sent on

Cause: tokio takes a new connection for ready before any event has told of it (assume_ready) and a read that fills less than its buffer for an empty socket; so the close that lies behind the first request of a connection is not read until the event queue is looked at again, and by then the request has been sent on. A trace showed it: a peek right after the read finds the close, the next poll_read is Pending. It takes connections that have waited in the accept queue, so accepts that failed for a while, or a process that was held up.

Fix: once a request is whole, Wire looks behind it itself, once; what comes is kept as read-ahead.

--- a/src/edge/clients/listener.rs
+++ b/src/edge/clients/listener.rs
@@ -1,7 +1,7 @@
 //! What all fronts share: accepting connections within bounds, and ending them in good order.
 
 use std::future::{poll_fn, Future};
-use std::io;
+use std::io::{self, Read as _};
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::{pin, Pin};
@@ -109,8 +109,13 @@
         let seat = place.seat.clone();
         seat.has_waited(waited);
         let ahead = ReadAhead { bytes: BytesMut::new(), overflowed: false, of_all: place.room.ahead.clone() };
-        let wire =
-            Wire { stream: Some(Uninterrupted(stream)), place: Some(place), ahead, running: running.clone() };
+        let wire = Wire {
+            stream: Some(Uninterrupted(stream)),
+            place: Some(place),
+            ahead,
+            looked_behind: false,
+            running: running.clone(),
+        };
         let task = connection(wire, front.clone(), seat.clone(), figures.clone(), phase_of.clone());
         seat.served_by(tokio::spawn(task).abort_handle());
     };
@@ -320,6 +325,8 @@
     stream: Option<Uninterrupted>,
     place: Option<Place>,
     ahead: ReadAhead,
+    /// What lies behind the open request has been looked at without waiting for the event queue.
+    looked_behind: bool,
     running: mpsc::Sender<()>,
 }
 
@@ -378,6 +385,25 @@
         Poll::Ready(read.map(|()| length))
     }
 
+    /// Reads what lies behind a request that has just come whole, past the runtime: tokio takes a read that fills less than
+    /// its buffer for an empty socket, and a new connection for ready before any event has told of it. So a client's
+    /// close that lies right behind its request is not told until the event queue is looked at again; by then the
+    /// request has been sent on. Whether the client has left.
+    fn look_behind(&mut self) -> io::Result<bool> {
+        let mut piece = [0; PIECE];
+        while !self.ahead.overflowed {
+            let Some(Uninterrupted(stream)) = &self.stream else { return Ok(true) };
+            match (&*SockRef::from(stream)).read(&mut piece) {
+                Ok(0) => return Ok(true),
+                Ok(length) => self.ahead.keep(&piece[..length]),
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(false),
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(false)
+    }
+
     fn wrote(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if let Some(place) = &self.place {
             place.seat.wrote(Instant::now(), written.is_pending());
@@ -421,6 +447,13 @@
             let mut piece = [MaybeUninit::uninit(); PIECE];
             let mut piece = ReadBuf::uninit(&mut piece);
             let Poll::Ready(came) = self.receive(context, &mut piece) else {
+                if !std::mem::replace(&mut self.looked_behind, true) {
+                    let left = self.look_behind();
+                    if !matches!(left, Ok(false)) {
+                        seat.ended();
+                        return Poll::Ready(left.map(drop));
+                    }
+                }
                 if self.ahead.overflowed || !self.ahead.bytes.is_empty() {
                     seat.wakes(context.waker());
                 }
@@ -434,6 +467,7 @@
         if self.ahead.overflowed {
             return Poll::Ready(Ok(())); // as if the client had sent no more
         }
+        self.looked_behind = false;
         if self.ahead.bytes.is_empty() {
             let before = into.filled().len();
             let came = ready!(self.receive(context, into))?;
