Show by a failing test that held states wait for silent open connections

Seen: a writer's open connection falls silent with no error while new ones come up; a hand-over goes over it, nothing arrives, and the state is neither sent nor let go of in 850 ms (0.5 s and 0.3 s more).

--- a/tests/crossings_handover.rs
+++ b/tests/crossings_handover.rs
@@ -244,6 +244,24 @@
     }
 }
 
+/// Open connections fall silent with no error, and new ones come up: what is held reaches a server, or is let go, in time.
+#[tokio::test]
+async fn what_is_held_does_not_wait_for_an_open_connection_that_has_fallen_silent() {
+    for lane in ["ask", "book"] {
+        let mut bed = Bed::start(&[READER, WRITER], patient).await;
+        let first = bed.asks("01", lane, "2.9");
+        bed.expect("POST 01").await.says(&read()).await;
+        bed.expect("POST 01").await.says(&stream(1)).await;
+        assert_eq!(status(&answer(first).await), 200);
+        sleep(SOON).await; // its connections can be used again
+        bed.silences(1);
+        let _asked = bed.asks("02", lane, "2.9");
+        bed.expect("POST 02").await.says(&read()).await;
+        let came = bed.within(HELD_AT_MOST).await;
+        assert!(came.is_some(), "{lane}: neither sent nor let go of in {HELD_AT_MOST:?}");
+    }
+}
+
 /// Sends that no machine acknowledges have not reached a server: the time that a state may be held goes on from the
 /// read's end, however many writers are tried, and what was read is let go when it is over.
 #[test]
--- a/tests/servers_bed/mod.rs
+++ b/tests/servers_bed/mod.rs
@@ -85,6 +85,8 @@
     ended: watch::Receiver<Option<Instant>>,
     /// All bytes that came.
     pub bytes: Arc<Mutex<Vec<u8>>>,
+    /// What comes from now on is taken and reaches nobody.
+    silent: Arc<AtomicBool>,
 }
 
 impl std::fmt::Debug for Line {
@@ -272,6 +274,13 @@
         }
     }
 
+    /// All connections that are open to that server fall silent, without an error; new ones are as ever.
+    pub fn silences(&self, server: usize) {
+        for line in self.lines_of(server) {
+            line.silent.store(true, Ordering::Relaxed);
+        }
+    }
+
     /// From now on connections to it come up; one that tries meanwhile does with its next try.
     pub fn opens(&mut self, server: usize) {
         self.gates[server].fillers.clear();
@@ -375,6 +384,7 @@
             reading: Arc::default(),
             ended,
             bytes: Arc::default(),
+            silent: Arc::default(),
         };
         lines.lock().unwrap().push((at, line.clone()));
         if !reading.load(Ordering::Relaxed) {
@@ -411,7 +421,7 @@
             }
             messages
         };
-        for head in messages {
+        for head in messages.into_iter().filter(|_| !line.silent.load(Ordering::Relaxed)) {
             let mut words = head.split(' ');
             let (method, path) = (words.next().unwrap_or(""), words.next().unwrap_or(""));
             let id =
