Send what is held over new connections only; drop the guess about silent ones

Cause: a connection that was open before may fall silent with no error, and a hand-over over it never arrives; liveness.rs could tell that only where new connections fail too. So held states waited for the attempt's time-out.

Fix: a send for which something is held (a hand-over, a second read after one that may have left a state) goes over a connection that comes up for it and is not kept; the probes, Reuse, the word 'arrived' and liveness.rs are gone, and time-outs count as they did before them.

--- a/src/edge/connections.rs
+++ b/src/edge/connections.rs
@@ -26,7 +26,6 @@
 use tokio::task::AbortHandle;
 use tokio::time::{sleep_until, timeout_at, Instant};
 
-use crate::edge::liveness::{Liveness, OpenConnection};
 use crate::edge::settings::Config;
 use crate::edge::tcp::Uninterrupted;
 use crate::edge::transient::{self, is_transient};
@@ -96,7 +95,6 @@
     written: Written,
     /// A request's body has been taken in hand, and its last byte is not written yet.
     carries: Arc<AtomicBool>,
-    liveness: OpenConnection,
     _open: watch::Sender<()>,
 }
 
@@ -138,8 +136,6 @@
     pub sender: SendRequest<B>,
     /// What is known of it.
     pub handle: Handle,
-    /// Whether it has carried a request before: then it may have fallen silent since.
-    pub reused: bool,
 }
 
 struct Idle<B> {
@@ -163,7 +159,6 @@
     acknowledged_in: Duration,
     most_idle: usize,
     written: Written,
-    liveness: Liveness,
 }
 
 /// Connections to all servers; each carries one request at a time.
@@ -200,16 +195,9 @@
             acknowledged_in: acknowledged_in(config),
             most_idle: config.most_idle(),
             written: Arc::new(written),
-            liveness: Liveness::default(),
         }))
     }
 
-    /// Which servers have been heard from.
-    #[must_use]
-    pub fn liveness(&self) -> &Liveness {
-        &self.0.liveness
-    }
-
     fn idle(&self) -> MutexGuard<'_, HashMap<String, Vec<Idle<B>>>> {
         self.0.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -255,7 +243,7 @@
         let idle = all.get_mut(address)?;
         idle.retain(|idle| !idle.ready.sender.is_closed());
         let at = idle.iter().rposition(|idle| which == Which::Any || idle.quiet_at <= now)?;
-        Some(Connection { reused: true, ..idle.remove(at).ready })
+        Some(idle.remove(at).ready)
     }
 
     async fn freed(&self, address: &str, which: Which) -> Connection<B> {
@@ -280,7 +268,6 @@
             io: TokioIo::new(Uninterrupted(stream)),
             written: self.0.written.clone(),
             carries: carries.clone(),
-            liveness: self.0.liveness.opened(address),
             _open: tell,
         };
         let (sender, connection) = http1::Builder::new()
@@ -296,7 +283,7 @@
             let _ = connection.await;
         });
         let handle = Handle { carries, open, task: task.abort_handle() };
-        Ok(Connection { sender, handle, reused: false })
+        Ok(Connection { sender, handle })
     }
 
     /// Keeps a connection for the next request, once its answer has come to its end.
@@ -346,11 +333,7 @@
         context: &mut Context<'_>,
         into: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        let read = Pin::new(&mut self.io).poll_read(context, into);
-        if let Poll::Ready(Ok(())) = read {
-            self.liveness.hears();
-        }
-        read
+        Pin::new(&mut self.io).poll_read(context, into)
     }
 }
 
--- a/src/edge/core.rs
+++ b/src/edge/core.rs
@@ -54,8 +54,6 @@
         attempt: u32,
         /// Whether its last byte may have been written.
         written: bool,
-        /// Whether what was written can be taken to have reached the server.
-        arrived: bool,
     },
     /// The client has left.
     ClientGone(RequestId),
@@ -110,8 +108,9 @@
         until: Micros,
         /// Nothing of it may be written from then on.
         begin_by: Micros,
-        /// Where something is held: by then it is to be known whether the server's machine can be reached.
-        confirm_by: Option<Micros>,
+        /// It may go over a new connection only: something is held, whose time runs until this arrives, and a connection
+        /// that was open before may have fallen silent.
+        new_connection: bool,
     },
     /// Call an attempt off if nothing of it has been written yet; only then `Stopped` is to follow.
     Withdraw {
@@ -263,7 +262,7 @@
             Input::Arrived(call) => self.arrived(call),
             Input::Began { id, attempt } => self.began(id, attempt),
             Input::Finished { id, attempt, ending } => self.finished(id, attempt, ending),
-            Input::Stopped { id, attempt, written, arrived } => self.stopped(id, attempt, written, arrived),
+            Input::Stopped { id, attempt, written } => self.stopped(id, attempt, written),
             Input::ClientGone(id) => self.client_gone(id),
             Input::Retuned(settings) => self.retuned(*settings),
             Input::TakenOver(learnt) => self.events.push_back(Event::TakenOver(learnt)),
@@ -453,11 +452,9 @@
     }
 
     /// A stop that came before the last byte was written proves that the attempt never ran.
-    fn stopped(&mut self, id: RequestId, number: u32, written: bool, arrived: bool) {
+    fn stopped(&mut self, id: RequestId, number: u32, written: bool) {
         let Some(out) = self.requests.get(&id).and_then(|request| request.out.get(&number)) else { return };
         let outcome = match out.stopping {
-            // What has not arrived is not out: the time of what is held goes on.
-            Some(Outcome::Timeout) if written && !arrived && !out.reads => Outcome::Unacknowledged,
             Some(outcome) if written => outcome,
             Some(Outcome::Timeout) => Outcome::ConnectFailed,
             _ if !written => Outcome::Moot,
@@ -581,7 +578,8 @@
         }
         request.out.insert(attempt, Out { engine, reads, sent, until, stopping: None });
         self.timers.insert((until, Timer::Attempt(id, attempt)));
-        self.effects.push(Effect::Send { id, attempt, engine, reads, until, begin_by, confirm_by: taken_by });
+        let new_connection = taken_by.is_some();
+        self.effects.push(Effect::Send { id, attempt, engine, reads, until, begin_by, new_connection });
     }
 
     fn let_go(&mut self, id: RequestId) {
--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -439,15 +439,14 @@
     fn carry_out(&mut self, effect: Effect) -> Option<Input> {
         debug!("{effect:?}");
         match effect {
-            Effect::Send { id, attempt, engine, reads, until, begin_by, confirm_by } => {
+            Effect::Send { id, attempt, engine, reads, until, begin_by, new_connection } => {
                 let (Some((address, _)), Some(client)) = (self.addresses.get(&engine), self.clients.get(&id))
                 else {
                     return Some(Input::Finished { id, attempt, ending: Outcome::ConnectFailed.into() });
                 };
                 let (address, payload) = (address.clone(), client.payload.clone());
                 let (until, begin_by) = (self.clock.instant(until), self.clock.instant(begin_by));
-                let confirm_by = confirm_by.map(|by| self.clock.instant(by));
-                let sent = servers::Attempt { address, payload, reads, until, begin_by, confirm_by };
+                let sent = servers::Attempt { address, payload, reads, until, begin_by, new_connection };
                 self.send(id, attempt, sent);
                 None
             }
@@ -519,8 +518,8 @@
             match servers.attempt(attempt, marks, stopped).await {
                 servers::Result::Opened(opened) => to.send(Message::Opened { id, attempt: number, opened }),
                 servers::Result::Ended(ending) => to.finished(id, number, ending),
-                servers::Result::Stopped { written, arrived } => {
-                    to.send(Message::Told(Input::Stopped { id, attempt: number, written, arrived }))
+                servers::Result::Stopped { written } => {
+                    to.send(Message::Told(Input::Stopped { id, attempt: number, written }))
                 }
                 // Told already: by now the request may be over, and another have its id.
                 servers::Result::CalledOff => {}
@@ -544,7 +543,7 @@
             return None;
         }
         self.flying.remove(&(id, attempt));
-        Some(Input::Stopped { id, attempt, written: false, arrived: false })
+        Some(Input::Stopped { id, attempt, written: false })
     }
 
     /// Gives up a stream that has begun and will not be passed on.
@@ -552,7 +551,7 @@
         let to = self.to_self.clone();
         tokio::spawn(async move {
             opened.close().await;
-            to.send(Message::Told(Input::Stopped { id, attempt, written: true, arrived: true }));
+            to.send(Message::Told(Input::Stopped { id, attempt, written: true }));
         });
     }
 
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -15,7 +15,6 @@
 pub mod kin;
 pub mod list;
 pub mod listing;
-pub mod liveness;
 pub mod peers;
 pub mod servers;
 pub mod settings;
--- a/src/edge/servers.rs
+++ b/src/edge/servers.rs
@@ -4,7 +4,7 @@
 use std::future::Future as _;
 use std::io;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
@@ -22,7 +22,6 @@
 
 use crate::edge::connections::{Handle, Pool, Which};
 use crate::edge::core::Ending;
-use crate::edge::liveness::Liveness;
 use crate::edge::settings::Config;
 use crate::edge::stats::Figures;
 use crate::edge::transient::is_transient;
@@ -74,25 +73,6 @@
     stage: AtomicU8,
     /// The connection that it goes over, once it has one.
     handle: OnceLock<Handle>,
-    /// Where it was sent over a connection that had been open for a while.
-    reuse: OnceLock<Reuse>,
-}
-
-/// An attempt's sending over a connection that had carried others before.
-#[derive(Debug)]
-struct Reuse {
-    address: String,
-    sent: Instant,
-    liveness: Liveness,
-    /// A new connection has come up there since.
-    reached: AtomicBool,
-}
-
-impl Reuse {
-    /// Whether the server has been reached since: heard from over a connection that was open then, or by a new one.
-    fn proven(&self) -> bool {
-        self.reached.load(Ordering::Relaxed) || self.liveness.heard_since(&self.address, self.sent)
-    }
 }
 
 const UNTOUCHED: u8 = 0;
@@ -111,12 +91,6 @@
         self.stage.load(Ordering::Relaxed) == WRITTEN && !unfinished
     }
 
-    /// Whether what was written can be taken to have reached the server: a new connection has just come up there; of one
-    /// that was open before that is known once the server has been heard from.
-    fn arrived(&self) -> bool {
-        self.reuse.get().is_none_or(Reuse::proven)
-    }
-
     /// Closes the connection that the attempt goes over, if it has one. Only then has the server been told that the
     /// attempt is given up: an answer to the client, or another attempt, that overtook it would count as a repeat of
     /// what is still out.
@@ -188,8 +162,8 @@
     pub until: Instant,
     /// Nothing of it is written from then on.
     pub begin_by: Instant,
-    /// By then it is to be known whether the server's machine can be reached; `None` where nothing hangs on it.
-    pub confirm_by: Option<Instant>,
+    /// It may go over a new connection only, which is not used again.
+    pub new_connection: bool,
 }
 
 /// The servers, as attempts reach them.
@@ -209,9 +183,6 @@
     /// The server's machine did not acknowledge all of it in time.
     #[error("what was written is not acknowledged")]
     Unacknowledged,
-    /// Nothing has come from the server since, and no new connection to it comes up.
-    #[error("its machine can't be reached any more")]
-    Silent,
     /// The connection broke.
     #[error("{0}")]
     Broken(hyper::Error),
@@ -236,11 +207,10 @@
 }
 
 impl SendError {
-    /// What becomes of an attempt whose last byte had been written; `arrived`: as far as is known, to the server.
-    fn outcome(&self, arrived: bool) -> Outcome {
+    /// What becomes of an attempt whose last byte had been written.
+    fn outcome(&self) -> Outcome {
         match self {
-            Self::Unacknowledged | Self::Silent => Outcome::Unacknowledged,
-            Self::Stuck | Self::Broken(_) if !arrived => Outcome::Unacknowledged,
+            Self::Unacknowledged => Outcome::Unacknowledged,
             Self::Stuck | Self::Broken(_) => Outcome::Reset,
         }
     }
@@ -314,8 +284,6 @@
     Stopped {
         /// Whether its last byte may have been written.
         written: bool,
-        /// Whether what was written can be taken to have reached the server.
-        arrived: bool,
     },
     /// It was called off before anything was written, as who called it off knows.
     CalledOff,
@@ -349,20 +317,26 @@
             Some(result) => result,
             None if progress.call_off() => {
                 progress.close().await;
-                Result::Stopped { written: progress.written(), arrived: progress.arrived() }
+                Result::Stopped { written: progress.written() }
             }
             None => Result::CalledOff,
         }
     }
 
     async fn send(&self, attempt: &Attempt, progress: &Arc<Progress>) -> Result {
-        let Attempt { address, payload, reads, until, begin_by, confirm_by } = attempt;
+        let Attempt { address, payload, reads, until, begin_by, new_connection } = attempt;
         let never = |why: &dyn std::fmt::Display| {
             debug!("server {address}: {why}; never ran");
             Result::Ended(Outcome::ConnectFailed.into())
         };
         let up_by = (*begin_by).min(Instant::now() + self.connect_timeout);
-        let mut ready = match self.pool.connection(address, Which::Quiet, up_by).await {
+        // A connection that was open before may have fallen silent with no error: the system takes all that is written, and
+        // something between may acknowledge it. Nothing shows that but waiting, for which what is held has no time.
+        let connected = match new_connection {
+            true => self.pool.new_connection(address, up_by).await,
+            false => self.pool.connection(address, Which::Quiet, up_by).await,
+        };
+        let mut ready = match connected {
             Ok(ready) => ready,
             // Not the server's doing: nothing is held against it.
             Err(error) if is_transient(&error) => {
@@ -401,24 +375,16 @@
                 std::future::pending().await
             }
         };
-        if ready.reused {
-            let reuse = Reuse {
-                address: address.clone(),
-                sent: Instant::now(),
-                liveness: self.pool.liveness().clone(),
-                reached: AtomicBool::new(false),
-            };
-            let _ = progress.reuse.set(reuse); // an attempt is sent once
-        }
-        let silent = self.unreachable(progress, *confirm_by);
         let sent = tokio::select! {
             sent = ready.sender.try_send_request(request) => sent.map_err(|error| SendError::from(error.into_error())),
             () = stuck => Err(SendError::Stuck),
-            () = silent => Err(SendError::Silent),
         };
         match sent {
             Ok(response) => {
-                self.pool.keep(address.clone(), ready);
+                // One that nothing else may be sent over would only take a place at the server.
+                if !new_connection {
+                    self.pool.keep(address.clone(), ready);
+                }
                 answered(response, *reads, handle).await
             }
             // Only a last byte that was not written proves that it never ran.
@@ -428,41 +394,11 @@
                     return never(&error);
                 }
                 debug!("server {address}: {error}; it may have run");
-                // A read's own end is what its state is held from.
-                Result::Ended(error.outcome(*reads || progress.arrived()).into())
+                Result::Ended(error.outcome().into())
             }
         }
     }
 
-    /// Ends where the machine that an attempt was sent to can't be reached any more. A cut says nothing over connections
-    /// that are open; so where something hangs on it and the server is silent for half of the time, a new connection is
-    /// tried, which the pool keeps if it comes up.
-    async fn unreachable(&self, progress: &Progress, confirm_by: Option<Instant>) {
-        let (Some(reuse), Some(by)) = (progress.reuse.get(), confirm_by) else {
-            return std::future::pending().await;
-        };
-        sleep_until(reuse.sent + by.saturating_duration_since(reuse.sent) / 2).await;
-        if !reuse.proven() {
-            let up_by = by.min(Instant::now() + self.connect_timeout);
-            let answers = match self.pool.new_connection(&reuse.address, up_by).await {
-                Ok(ready) => {
-                    self.pool.keep(reuse.address.clone(), ready);
-                    true
-                }
-                Err(error) => {
-                    debug!("server {}: tried while it is silent: {error}", reuse.address);
-                    is_machines_answer(&error) || reuse.proven()
-                }
-            };
-            // That this machine could not try is no proof either: what is held goes on being held.
-            if !answers {
-                return;
-            }
-            reuse.reached.store(true, Ordering::Relaxed);
-        }
-        std::future::pending().await
-    }
-
     /// Has everything that is held for a request let go: the holder is asked first, then, as any server takes
     /// the call, the others, until one has answered. It takes the connection on which the holder has just
     /// answered a read: where a server's places for connections are all taken, a new one would be refused.
@@ -512,12 +448,6 @@
     }
 }
 
-/// Whether a failed connect is the word of the machine itself, which is there then (`connect(2)`).
-fn is_machines_answer(error: &io::Error) -> bool {
-    use io::ErrorKind::{ConnectionRefused, ConnectionReset};
-    matches!(error.kind(), ConnectionRefused | ConnectionReset)
-}
-
 /// Asks one server to let go of what is held; whether it says that it has.
 async fn release_at(pool: Pool<Marked>, txn: String, address: String, until: Instant) -> bool {
     let request = Request::builder()
