Soak: clients that stop within a request, longer aims, holds that come alone

Holds are now a second apart. Plans draw an aim of 0.4 or 1.5 s: with the short one no attempt outlasted what a state may be held for, so silent connections could not break that rule in any play. Clients stop in a head, behind it, in a body and in a chunk, and are owed an end; a false dispatcher that ends none is seen.

--- a/crates/fault-shim/src/lib.rs
+++ b/crates/fault-shim/src/lib.rs
@@ -25,8 +25,13 @@
     /// The descriptor of the trace file, or -1.
     trace: i32,
     lots: AtomicU64,
+    /// When a hold last began (ms since the start).
+    held_at: AtomicU64,
 }
 
+/// Holds are this far apart (ms): several in a row would make one that is longer than any that is asked for.
+const HOLDS_APART: u64 = 1_000;
+
 fn state() -> &'static State {
     static STATE: OnceLock<State> = OnceLock::new();
     STATE.get_or_init(|| {
@@ -37,10 +42,25 @@
             .map(|text| text.parse().unwrap_or_else(|error| panic!("{PLAN}: '{text}': {error}")));
         let rules = rules.collect();
         let trace = std::env::var(TRACE).map_or(-1, |path| calls::open_trace(&path));
-        State { rules, started: calls::monotonic_micros(), trace, lots: AtomicU64::new(1) }
+        State {
+            rules,
+            started: calls::monotonic_micros(),
+            trace,
+            lots: AtomicU64::new(1),
+            held_at: AtomicU64::new(0),
+        }
     })
 }
 
+impl State {
+    /// Whether a hold may begin now; it is taken to begin then.
+    fn may_hold(&self, now: u64) -> bool {
+        let last = self.held_at.load(Ordering::Relaxed);
+        let far = last == 0 || now >= last + HOLDS_APART;
+        far && self.held_at.compare_exchange(last, now.max(1), Ordering::Relaxed, Ordering::Relaxed).is_ok()
+    }
+}
+
 /// A number of a fixed sequence (SplitMix64): the same plan makes the same draws in the same order.
 fn draw(lots: &AtomicU64) -> u64 {
     const STEP: u64 = 0x9e37_79b9_7f4a_7c15;
@@ -61,6 +81,9 @@
         .rules
         .iter()
         .find(|rule| rule.call == call && rule.holds(now) && rule.hits(draw(&state.lots)))?;
+    if matches!(rule.effect, Effect::Hold(_)) && !state.may_hold(now) {
+        return None;
+    }
     calls::trace(state.trace, &format!("{now} {call:?} {:?}\n", rule.effect));
     Some(rule.effect)
 }
--- a/crates/soak/src/bed.rs
+++ b/crates/soak/src/bed.rs
@@ -142,9 +142,10 @@
 }
 
 /// A dispatcher's configuration.
-fn settings(agent: SocketAddr, listen: SocketAddr, number: usize, of: usize, known: &Value) -> Value {
+fn settings(agent: SocketAddr, listen: SocketAddr, number: usize, plan: &Plan, known: &Value) -> Value {
+    let (of, aim) = (plan.processes, plan.aim_ms as f64 / 1e3);
     let lane = |name: &str, effect: &str| {
-        json!({"name": name, "aim_s": 0.4, "give_up_s": 3.0, "effect": effect, "group": "all", "worth": 2.0,
+        json!({"name": name, "aim_s": aim, "give_up_s": 3.0, "effect": effect, "group": "all", "worth": 2.0,
             "dedup_window_s": 0.4})
     };
     json!({"name": format!("n{number}"), "listen": listen, "discovery": agent, "admin_addr": "127.0.0.1:0",
@@ -178,7 +179,7 @@
         reserved.set_reuse_address(true)?;
         reserved.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into())?;
         let address = reserved.local_addr()?.as_socket().ok_or(std::io::ErrorKind::AddrNotAvailable)?;
-        let settings = settings(agent, address, number, plan.processes, &known);
+        let settings = settings(agent, address, number, plan, &known);
         let config = folder.join("config.json");
         std::fs::write(&config, settings.to_string())?;
         let launch = Launch {
--- a/crates/soak/src/bin/false_dispatcher.rs
+++ b/crates/soak/src/bin/false_dispatcher.rs
@@ -9,7 +9,7 @@
 use socket2::{Domain, Socket, Type};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// What it holds to, and what it breaks.
 #[derive(Clone)]
@@ -80,10 +80,17 @@
     }
 }
 
+/// A request comes whole within this, or its connection is closed.
+const REQUEST: Duration = Duration::from_secs(2);
+/// Longer than any play.
+const FOR_EVER: Duration = Duration::from_secs(600);
+
 /// Serves a client until its connection ends.
 async fn serve(mut client: TcpStream, habits: Habits) {
     let mut read = Vec::new();
-    while let Some((head, body)) = message(&mut client, &mut read).await {
+    loop {
+        let patience = if habits.breaks("half_request") { FOR_EVER } else { REQUEST };
+        let Ok(Some((head, body))) = timeout(patience, message(&mut client, &mut read)).await else { return };
         let txn = field(&head, "x-txn").unwrap_or_default();
         if habits.breaks("dropped") && txn.ends_with(['1', '5', '9', 'd']) {
             return;
--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -84,7 +84,8 @@
             while open.try_join_next().is_some() {}
         }
         while open.join_next().await.is_some() {}
-        idlers.abort();
+        // Those that wait for the end of their half requests say what they saw.
+        drop(idlers.await);
         self.kept.lock().unwrap_or_else(PoisonError::into_inner).clear();
     }
 
@@ -207,15 +208,40 @@
             continue;
         }
         sleep_until(ledger.instant(trouble.from_ms)).await;
-        let mut open = Vec::new();
+        let (mut open, mut halves) = (Vec::new(), tokio::task::JoinSet::new());
         for at in 0..count {
-            let Ok(mut stream) = TcpStream::connect(address).await else { continue };
-            if at % 2 == 0 {
-                // One that is closed on while it writes has no more to say.
-                drop(stream.write_all(b"POST /v1/chat/completions HTTP/1.1\r\nHost: b\r\nX-Txn").await);
+            let Ok(stream) = TcpStream::connect(address).await else { continue };
+            match HALF_REQUESTS.get(at % (2 * HALF_REQUESTS.len())) {
+                Some(half) => {
+                    halves.spawn(stops_and_stays(stream, half, ledger.clone(), of));
+                }
+                None => open.push(stream),
             }
-            open.push(stream);
         }
         sleep_until(ledger.instant(trouble.to_ms)).await;
+        drop(open);
+        while halves.join_next().await.is_some() {}
+    }
+}
+
+/// A client that stops in the middle of its request is owed an error or a close within this, and some time to see it.
+const ENDS_HALF_REQUESTS: Duration = Duration::from_millis(3_200);
+/// Requests that stop: in a head, behind it, in a body, in a chunk.
+const HALF_REQUESTS: [&str; 4] = [
+    "POST /v1/chat/completions HTTP/1.1\r\nHost: b\r\nX-Txn",
+    "POST /v1/chat/completions HTTP/1.1\r\nHost: b\r\nX-Txn: 01\r\nX-Lane: ask\r\nContent-Length: 9\r\n\r\n",
+    "POST /v1/chat/completions HTTP/1.1\r\nHost: b\r\nX-Txn: 02\r\nX-Lane: ask\r\nContent-Length: 9\r\n\r\n{\"a",
+    "POST /v1/chat/completions HTTP/1.1\r\nHost: b\r\nX-Txn: 03\r\nX-Lane: ask\r\nTransfer-Encoding: chunked\r\n\r\n9\r\n{\"",
+];
+
+/// Writes a part of a request and waits for what becomes of it.
+async fn stops_and_stays(mut stream: TcpStream, half: &str, ledger: Ledger, dispatcher: usize) {
+    let began = ledger.now();
+    if stream.write_all(half.as_bytes()).await.is_err() {
+        return;
+    }
+    // Any byte is the start of an error; no byte, or a failed read, is the end.
+    if tokio::time::timeout(ENDS_HALF_REQUESTS, stream.read_u8()).await.is_err() {
+        ledger.write(0, Seen::HalfRequestIgnored { dispatcher, began });
     }
 }
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -121,6 +121,13 @@
         /// Whether what it had taken is excused too.
         killed: bool,
     },
+    /// A client that stopped in the middle of a request, and stayed, has got neither an error nor an end of its connection.
+    HalfRequestIgnored {
+        /// The dispatcher.
+        dispatcher: usize,
+        /// When the client began.
+        began: Micros,
+    },
     /// A process ended although nobody had told it to, or did not end when told.
     BadExit {
         /// The dispatcher.
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -58,6 +58,8 @@
     DeadlineTold,
     /// An event came late, or a stream that its server ended did not come to its end.
     Stream,
+    /// A client that stopped in the middle of a request got neither an error nor a close in time.
+    HalfRequest,
     /// A process was not ready in time.
     NotReady,
     /// A process ended by itself, or did not end when told.
@@ -68,7 +70,7 @@
 
 impl Rule {
     /// All of them.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::Dropped,
         Self::RunTwice,
         Self::SentToDraining,
@@ -76,6 +78,7 @@
         Self::Held,
         Self::DeadlineTold,
         Self::Stream,
+        Self::HalfRequest,
         Self::NotReady,
         Self::Exit,
         Self::Leak,
@@ -220,6 +223,17 @@
         let (rule, dispatcher, what) = match &entry.seen {
             Seen::BadExit { dispatcher, what } => (Rule::Exit, dispatcher, what.clone()),
             Seen::Leak { dispatcher, what } => (Rule::Leak, dispatcher, what.clone()),
+            Seen::HalfRequestIgnored { dispatcher, began } => {
+                let accepted = excuses.accepts_from(*dispatcher, *began);
+                if accepted > *began || excuses.within(*dispatcher, *began, entry.at, false) {
+                    continue;
+                }
+                (
+                    Rule::HalfRequest,
+                    dispatcher,
+                    "a request that stopped in its middle is not ended".to_owned(),
+                )
+            }
             _ => continue,
         };
         let rule = if what.starts_with("not ready") { Rule::NotReady } else { rule };
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -17,10 +17,18 @@
     pub servers_of_a_role: usize,
     /// Requests of each dispatcher's clients in a second.
     pub rate: u32,
+    /// By when first tokens are wanted (ms): dispatchers wait so long at least for an attempt.
+    #[serde(default = "short_aim")]
+    pub aim_ms: u64,
     /// What goes wrong.
     pub troubles: Vec<Trouble>,
 }
 
+/// The aim of plans that name none (ms).
+fn short_aim() -> u64 {
+    400
+}
+
 /// Something that goes wrong for a while.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Trouble {
@@ -239,7 +247,8 @@
             }
         }
         let rate = lots.of(&[4, 10, 20]);
-        Self { seed, processes, length_ms, servers_of_a_role, rate, troubles }
+        let aim_ms = lots.of(&[short_aim(), 1_500]);
+        Self { seed, processes, length_ms, servers_of_a_role, rate, aim_ms, troubles }
     }
 
     fn trouble(lots: &mut Lots, processes: usize, servers: usize, from: u64, to: u64) -> Kind {
--- a/crates/soak/tests/sees_each_rule.rs
+++ b/crates/soak/tests/sees_each_rule.rs
@@ -8,7 +8,7 @@
 use dewladder_soak::plan::{Kind, Plan, Trouble};
 
 fn plan(seed: u64, troubles: Vec<Trouble>) -> Plan {
-    Plan { seed, processes: 1, length_ms: 4_500, servers_of_a_role: 2, rate: 20, troubles }
+    Plan { seed, processes: 1, length_ms: 4_500, servers_of_a_role: 2, rate: 20, aim_ms: 400, troubles }
 }
 
 async fn rules_broken_by(rule: &str, seed: u64, troubles: Vec<Trouble>) -> BTreeSet<Rule> {
@@ -68,6 +68,15 @@
     assert!(rules_broken_by("stream", 8, Vec::new()).await.contains(&Rule::Stream));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_half_request_that_is_not_ended_is_seen() {
+    let kind = Kind::Idlers { dispatcher: 0, count: 16 };
+    let idlers = |from_ms| vec![Trouble { from_ms, to_ms: from_ms + 100, kind: kind.clone() }];
+    let broken = rules_broken_by("half_request", 12, idlers(500)).await;
+    assert_eq!(broken, BTreeSet::from([Rule::HalfRequest]));
+    assert_eq!(rules_broken_by("none", 13, idlers(500)).await, BTreeSet::new());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_process_that_is_never_ready_is_seen() {
     assert_eq!(rules_broken_by("not_ready", 9, Vec::new()).await, BTreeSet::from([Rule::NotReady]));
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -37,7 +37,7 @@
 }
 
 fn plan(seed: u64, length_ms: u64, rate: u32, troubles: Vec<Trouble>) -> Plan {
-    Plan { seed, processes: 2, length_ms, servers_of_a_role: 2, rate, troubles }
+    Plan { seed, processes: 2, length_ms, servers_of_a_role: 2, rate, aim_ms: 400, troubles }
 }
 
 /// The writers' machines are cut off: what is written into connections that were open stays unanswered, and new ones do
