Count and log what becomes of attempts and requests, by typed reasons

Need: nothing told why a request was refused or given up, or how often which outcome ended an attempt. Change: the router keeps the reason of each answer without a stream beside its action (end_reason.rs; no decision goes by it); src/edge/transitions.rs has one line at debug for each sending, begin, stop, end, release and answer, with id, attempt and server, and counts by outcome and reason in STATS. Measured: tests/transitions.rs, which also shows that the guard counts a late answer as broken; the router's tests and the connection model pass.

--- a/crates/router/src/admission.rs
+++ b/crates/router/src/admission.rs
@@ -2,6 +2,7 @@
 
 use rand_core::RngCore;
 
+use crate::end_reason::EndReason;
 use crate::figures::{mix, unit, Rate};
 use crate::health::RATE_TIME;
 use crate::interface::{Action, Call, DedupGroup, Effect, Key, Micros, RequestId, Role};
@@ -34,12 +35,8 @@
     /// else whole to whatever can do it, else an answer at once.
     pub(crate) fn route(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id) else { return };
-        if request.call.not_after <= self.now
-            || self.attempts_spent(request)
-            || self.fleet.is_empty()
-            || self.reach_without_repeat(request) == Reach::Nowhere
-        {
-            return self.answer(id, out);
+        if let Some(reason) = self.ends_now(request) {
+            return self.answer(id, reason, out);
         }
         let &Call { not_after, class, session, .. } = &request.call;
         if let Some((reader, since)) = request.state {
@@ -51,7 +48,7 @@
                     self.parked.insert(id);
                     return;
                 }
-                _ => return self.answer(id, out),
+                _ => return self.answer(id, EndReason::NoWriter, out),
             }
         }
         let lot = unit(self.rng.next_u64());
@@ -64,7 +61,7 @@
             }
         }
         if jammed {
-            return self.answer(id, out);
+            return self.answer(id, EndReason::Overloaded, out);
         }
         if let Some(reader) = self.pick_by_match(id, Role::Reader, false) {
             return self.send(id, reader, Stage::Read, out);
@@ -75,7 +72,18 @@
                 return self.send(id, engine, Stage::Whole, out);
             }
         }
-        self.answer(id, out);
+        self.answer(id, EndReason::NoServerReady, out);
+    }
+
+    /// Why a request that has no attempt out can have no further one, if that is so.
+    fn ends_now(&self, request: &Request) -> Option<EndReason> {
+        let checks = [
+            (request.call.not_after <= self.now, EndReason::Deadline),
+            (self.attempts_spent(request), EndReason::AttemptsSpent),
+            (self.fleet.is_empty(), EndReason::NoServers),
+            (self.reach_without_repeat(request) == Reach::Nowhere, EndReason::MayNotRepeat),
+        ];
+        checks.into_iter().find(|(holds, _)| *holds).map(|(_, reason)| reason)
     }
 
     pub(crate) fn may_hold(&self, since: Micros, not_after: Micros) -> bool {
@@ -94,8 +102,9 @@
     }
 
     /// Ends a request at once: refused where a new try is harmless, else failed. Lets go of its state.
-    pub(crate) fn answer(&mut self, id: RequestId, out: &mut Vec<Action>) {
+    pub(crate) fn answer(&mut self, id: RequestId, reason: EndReason, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get_mut(&id) else { return };
+        self.end_reasons.push((id, reason));
         let class = self.settings.classes.get(&request.call.class);
         let harmless = request.ran.is_none()
             || class.is_none_or(|class| match class.effect {
--- a/crates/router/src/attempts.rs
+++ b/crates/router/src/attempts.rs
@@ -1,5 +1,6 @@
 //! Attempts: the guard that every send passes, the send itself, its time-out, and what comes back.
 
+use crate::end_reason::EndReason;
 use crate::health::{PACE_WEIGHT, RATE_TIME};
 use crate::interface::{
     Action, Call, DedupGroup, Effect, Ended, EngineId, Health, Micros, Outcome, RequestId,
@@ -51,7 +52,7 @@
     pub(crate) fn send(&mut self, id: RequestId, to: EngineId, stage: Stage, out: &mut Vec<Action>) {
         let (Some(request), Some(engine)) = (self.requests.get(&id), self.fleet.get(to)) else { return };
         if !self.allowed(request, engine) || self.attempts_spent(request) {
-            return self.answer(id, out);
+            return self.answer(id, EndReason::NotAllowed, out);
         }
         let call = &request.call;
         let held = engine.prefixes.longest(call, self.now);
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -7,6 +7,7 @@
 mod admission;
 mod attempts;
 mod classes;
+mod end_reason;
 mod figures;
 mod fleet;
 mod gossip;
@@ -31,6 +32,7 @@
 mod writers;
 
 pub use classes::Classes;
+pub use end_reason::{EndReason, EndReasons};
 pub use figures::mix;
 pub use gossip::{tag, GossipCounts, Load, LoadUpdate};
 pub use handover::Handover;
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -14,6 +14,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::attempts::WRITE_OVERHEAD;
+use crate::end_reason::EndReasons;
 use crate::figures::{Pace, Rate};
 use crate::fleet::{Fleet, FleetTimes};
 use crate::gossip::LoadGossip;
@@ -44,7 +45,8 @@
     pub(crate) ask_at: Option<Micros>,
     pub(crate) sweeping: bool,
     pub(crate) gossip: LoadGossip,
-    pub(crate) part: f64, // of this front that this process is, while another takes over
+    pub(crate) end_reasons: EndReasons, // of the event that was taken last
+    pub(crate) part: f64,               // of this front that this process is, while another takes over
 }
 
 impl Router {
@@ -72,6 +74,7 @@
             sweeping: false,
             gossip: LoadGossip::new(&settings),
             settings,
+            end_reasons: EndReasons::new(),
             part: 1.0,
         }
     }
@@ -79,6 +82,7 @@
     /// Takes an event and adds what is to be done to `out`.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         self.now = now;
+        self.end_reasons.clear();
         self.fleet.advance(now);
         if !self.sweeping {
             self.sweeping = true;
@@ -100,6 +104,12 @@
         self.gossip.tell(now, out);
     }
 
+    /// Why requests were answered by the event that was taken last.
+    #[must_use]
+    pub fn end_reasons(&self) -> &EndReasons {
+        &self.end_reasons
+    }
+
     /// New settings: what is known of servers for a class goes on under its new number.
     fn retune(&mut self, settings: Settings, heirs: &BTreeMap<u32, u32>) {
         self.fleet.renumber(heirs, &settings.classes);
--- a/src/edge/core.rs
+++ b/src/edge/core.rs
@@ -6,12 +6,13 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::edge::guard::{Guard, Rule, SendCheck};
+use crate::edge::transitions::{AttemptLabel, Transitions};
 use crate::interface::{
     self as class, Action, Call, Class, Ended, EngineId, Entry, Event, Health, ListKind, Micros, Outcome,
     Report, RequestId, Role, Settings, TimerToken,
 };
 use crate::Router;
-use dewladder_router::{Classes, GossipCounts, Handover, StartTimes};
+use dewladder_router::{Classes, EndReason, GossipCounts, Handover, StartTimes};
 
 /// An answer that comes so long after the client's time is lost (the standing test's word; us).
 const LATE_ANSWER: Micros = 500_000;
@@ -186,6 +187,12 @@
     stopping: Option<Outcome>,
 }
 
+impl Out {
+    fn label(&self, id: RequestId, attempt: u32) -> AttemptLabel {
+        AttemptLabel { id, attempt, server: self.engine }
+    }
+}
+
 #[derive(Debug)]
 struct Request {
     class: u32,
@@ -216,6 +223,7 @@
     servers: BTreeMap<EngineId, (Role, bool)>,
     start_times: StartTimes,
     guard: Guard,
+    transitions: Transitions,
     requests: BTreeMap<RequestId, Request>,
     timers: BTreeSet<(Micros, Timer)>,
     most_open: usize,
@@ -244,6 +252,7 @@
             servers: BTreeMap::new(),
             start_times: StartTimes::default(),
             guard: Guard::default(),
+            transitions: Transitions::default(),
             requests: BTreeMap::new(),
             timers: BTreeSet::new(),
             most_open,
@@ -317,6 +326,12 @@
         &self.guard
     }
 
+    /// What became of attempts and requests, by reason.
+    #[must_use]
+    pub fn transitions(&self) -> &Transitions {
+        &self.transitions
+    }
+
     /// Servers of the list that are avoided now.
     #[must_use]
     pub fn avoided(&self) -> usize {
@@ -377,7 +392,10 @@
             return;
         }
         // A class that went while the request was on its way here: nothing was done, and trying again is harmless.
-        if self.requests.len() >= self.most_open || !self.classes.knows(class) {
+        let too_many = self.requests.len() >= self.most_open;
+        if too_many || !self.classes.knows(class) {
+            let reason = if too_many { EndReason::TooManyOpen } else { EndReason::ClassGone };
+            self.transitions.answered(id, reason);
             self.effects.push(Effect::Refuse { id, retry_in: self.retry_in });
             self.effects.push(Effect::Forget { id, may_have_run: false });
             return;
@@ -411,6 +429,7 @@
         request.ran.get_or_insert(out.sent);
         request.held.clear(); // with the first token all that is held goes by itself
         self.timers.remove(&(out.until, Timer::Attempt(id, number)));
+        Transitions::begins(out.label(id, number), self.now - out.sent);
         self.effects.push(Effect::Relay { id, attempt: number });
         self.events.push_back(Event::Begun { id, attempt: number, taken: self.now - out.sent });
     }
@@ -420,6 +439,7 @@
         let Some(out) = request.out.remove(&number) else { return };
         self.timers.remove(&(out.until, Timer::Attempt(id, number)));
         let Ending { outcome, kept_tokens, report } = ending;
+        self.transitions.ended(out.label(id, number), outcome, self.now - out.sent);
         // A read that was cut short may have ended well all the same: what it left counts as held.
         if out.reads && (outcome == Outcome::Read || outcome.may_have_run()) {
             request.held.push(out.engine);
@@ -487,6 +507,7 @@
         }
         let Some(out) = request.out.get_mut(&number).filter(|out| out.stopping.is_none()) else { return };
         out.stopping = Some(outcome);
+        Transitions::stops(out.label(id, number), outcome);
         self.effects.push(Effect::Stop { id, attempt: number });
     }
 
@@ -499,6 +520,9 @@
                 touched.push(id);
             }
             self.router.handle(self.now, event, &mut actions);
+            for &(id, reason) in self.router.end_reasons() {
+                self.transitions.answered(id, reason);
+            }
             for action in actions.drain(..) {
                 if let Action::Refuse { id, .. } | Action::GiveUp(id) = action {
                     touched.push(id);
@@ -576,7 +600,9 @@
             let ended = Ended { id, attempt, engine, taken: 0, outcome, kept_tokens, last, report };
             return self.events.push_back(Event::Ended(ended));
         }
-        request.out.insert(attempt, Out { engine, reads, sent, until, stopping: None });
+        let out = Out { engine, reads, sent, until, stopping: None };
+        Transitions::sends(out.label(id, attempt), reads, until - sent);
+        request.out.insert(attempt, out);
         self.timers.insert((until, Timer::Attempt(id, attempt)));
         let new_connection = taken_by.is_some();
         self.effects.push(Effect::Send { id, attempt, engine, reads, until, begin_by, new_connection });
@@ -590,6 +616,7 @@
         }
         let holders = std::mem::take(&mut request.held);
         if !holders.is_empty() {
+            Transitions::releases(id, holders.len(), self.now.saturating_sub(request.held_since));
             self.effects.push(Effect::Release { id, holders });
         }
     }
--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -406,6 +406,7 @@
         record.open = self.core.open();
         record.serves = self.core.serves();
         record.guard = self.core.guard().clone();
+        record.transitions = *self.core.transitions();
         record.messages_dropped = self.core.gossip().dropped;
         let now = self.clock.now();
         if now >= self.avoided_due {
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -21,3 +21,4 @@
 pub mod stats;
 pub mod tcp;
 pub mod transient;
+pub mod transitions;
--- a/src/edge/stats.rs
+++ b/src/edge/stats.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use crate::edge::guard::{Guard, Rule};
+use crate::edge::transitions::Transitions;
 
 /// How a request ended. Each ends once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -100,6 +101,8 @@
     pub messages_dropped: u64,
     /// What the guard has refused and found broken.
     pub guard: Guard,
+    /// What became of attempts and requests, by reason.
+    pub transitions: Transitions,
 }
 
 impl Record {
@@ -161,6 +164,7 @@
             line(&format!("guard_refused.{}", rule.name()), self.guard.refused()[at], 'c');
             line(&format!("guard_broken.{}", rule.name()), self.guard.broken()[at], 'c');
         }
+        self.transitions.counts().for_each(|(name, count)| line(&name, count, 'c'));
         text
     }
 }
--- /dev/null
+++ b/tests/transitions.rs
@@ -0,0 +1,96 @@
+//! What becomes of attempts and requests is counted by its reason, and rules that are found broken are counted.
+
+use dewladder::edge::core::{Core, Effect, Ending, Input};
+use dewladder::edge::guard::Rule;
+use dewladder::edge::stats::Record;
+use dewladder::edge::transitions::OUTCOMES;
+use dewladder::interface::*;
+use dewladder_router::pairs::from_pairs;
+use dewladder_router::EndReason;
+
+const SECOND: Micros = 1_000_000;
+const ID: RequestId = RequestId(7);
+
+fn core(most_open: usize) -> Core {
+    let pairs = [("lanes.count", "1"), ("limits.max_retry_after_s", "1")].into_iter().collect();
+    Core::new(from_pairs(pairs).expect("settings"), 1, SECOND, most_open)
+}
+
+fn call(class: u32, not_after: Micros) -> Input {
+    Input::Arrived(Call {
+        id: ID,
+        class,
+        session: None,
+        shared: None,
+        shared_tokens: 0,
+        prompt_tokens: 100,
+        max_tokens: 10,
+        hint: None,
+        not_after,
+    })
+}
+
+fn list() -> Input {
+    let entry = Entry {
+        engine: EngineId(1),
+        zone: ZoneId(0),
+        cell: CellId(0),
+        weight: 1.0,
+        started: None,
+        health: Health::Ready,
+        kind: 0,
+    };
+    Input::Listed { how: ListKind::Whole, entries: vec![entry] }
+}
+
+/// The figures' lines that are not 0, of those that count by reason.
+fn counted(core: &Core) -> Vec<String> {
+    let mut record = Record::default();
+    record.transitions = *core.transitions();
+    let lines = record.lines();
+    let ours = lines.lines().filter(|line| line.contains(".attempts.") || line.contains(".answered."));
+    ours.filter(|line| !line.ends_with(":0|c")).map(str::to_owned).collect()
+}
+
+#[test]
+fn every_reason_has_a_figure_of_its_own() {
+    let lines = Record::default().lines();
+    let names = OUTCOMES.iter().map(|(_, name)| format!("edge_router.attempts.{name}:0|c"));
+    let names =
+        names.chain(EndReason::ALL.map(|reason| format!("edge_router.answered.{}:0|c", reason.name())));
+    for name in names {
+        assert_eq!(lines.lines().filter(|line| **line == name).count(), 1, "{name}");
+    }
+}
+
+#[test]
+fn a_request_that_is_answered_without_a_stream_is_counted_by_its_reason() {
+    let later = 4 * SECOND;
+    let cases = [
+        (core(0), call(0, later), "too_many_open"),
+        (core(8), call(9, later), "class_gone"),
+        (core(8), call(0, later), "no_servers"),
+        (core(8), call(0, SECOND), "deadline"),
+    ];
+    for (mut core, asks, reason) in cases {
+        let effects = core.step(SECOND, asks);
+        assert!(effects.iter().any(|effect| matches!(effect, Effect::Refuse { .. } | Effect::Fail { .. })));
+        assert_eq!(counted(&core), [format!("edge_router.answered.{reason}:1|c")]);
+    }
+}
+
+#[test]
+fn an_attempt_is_counted_by_its_outcome_and_an_answer_that_comes_too_late_as_broken() {
+    let mut core = core(8);
+    core.step(SECOND, list());
+    let sent = core.step(SECOND, call(0, 2 * SECOND));
+    let [Effect::Send { attempt, .. }] = sent[..] else { panic!("{sent:?}") };
+    assert_eq!(core.guard().broken().iter().sum::<u64>(), 0);
+    // The driver was held up for long: the attempt's end comes with no tick before it.
+    let ending = Ending::from(Outcome::ConnectFailed);
+    core.step(3 * SECOND, Input::Finished { id: ID, attempt, ending });
+    let lines = counted(&core);
+    assert_eq!(lines, ["edge_router.attempts.connect_failed:1|c", "edge_router.answered.deadline:1|c"]);
+    assert_eq!(core.guard().broken()[Rule::LateAnswer as usize], 1);
+    assert_eq!(core.guard().broken().iter().sum::<u64>(), 1);
+}
