--- a/crates/soak/src/servers.rs
+++ b/crates/soak/src/servers.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::Poll;
 use std::time::Duration;
 
 use dewladder_stand_in::{chunk, field, plain};
@@ -113,7 +114,10 @@
             sleep(LOOK).await;
             continue;
         };
-        fillers.clear();
+        if !fillers.is_empty() {
+            reset_all(listening).await;
+            fillers.clear();
+        }
         tokio::select! {
             accepted = listening.accept() => if let Ok((stream, _)) = accepted {
                 tokio::spawn(connection(stream, shared.clone()));
@@ -123,12 +127,26 @@
     }
 }
 
+/// Resets all connections that wait to be accepted: those that came up as the machine was cut off are of no use any more.
+async fn reset_all(listener: &TcpListener) {
+    let at_once = || std::future::poll_fn(|context| Poll::Ready(listener.poll_accept(context)));
+    while let Poll::Ready(Ok((stream, _))) = at_once().await {
+        resets(&stream);
+    }
+}
+
+/// Has the close of a stream be a reset.
+fn resets(stream: &TcpStream) {
+    // Where it can't be set, the close is an ordinary one.
+    drop(SockRef::from(stream).set_linger(Some(Duration::ZERO)));
+}
+
 async fn connection(stream: TcpStream, shared: Shared) {
     let opened = shared.now();
-    let resets = shared.plan.troubles.iter().filter(|trouble| {
+    let planned = shared.plan.troubles.iter().filter(|trouble| {
         matches!(trouble.kind, Kind::Reset { server } if server == shared.server) && trouble.from_ms >= opened
     });
-    let reset_at = resets.map(|trouble| trouble.from_ms).min().unwrap_or(shared.plan.length_ms + 60_000);
+    let reset_at = planned.map(|trouble| trouble.from_ms).min().unwrap_or(shared.plan.length_ms + 60_000);
     let ledger = shared.ledger.clone();
     let mut peer = Connection { stream, read: Vec::new(), opened, shared };
     let gone = tokio::select! {
@@ -136,8 +154,7 @@
         () = sleep_until(ledger.instant(reset_at)) => Gone::Reset,
     };
     if matches!(gone, Gone::Reset) {
-        // Where it can't be set, the close is an ordinary one.
-        drop(SockRef::from(&peer.stream).set_linger(Some(Duration::ZERO)));
+        resets(&peer.stream);
     }
 }
 
