Soak: second answers, answers without end, requests in pieces; a start in 1970

The shim's wall clock stops at 1970, as Linux lets nobody set an earlier time: below it httpdate panics, which no machine can show.

--- a/crates/fault-shim/src/calls.rs
+++ b/crates/fault-shim/src/calls.rs
@@ -154,6 +154,7 @@
     if told == 0 && clock == libc::CLOCK_REALTIME {
         let step = crate::wall_clock_step();
         let nanos = (*into).tv_sec * 1_000_000_000 + (*into).tv_nsec + step * 1_000_000;
+        let nanos = nanos.max(0); // Linux lets nobody set a time before 1970
         ((*into).tv_sec, (*into).tv_nsec) =
             (nanos.div_euclid(1_000_000_000), nanos.rem_euclid(1_000_000_000));
     }
--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -18,6 +18,9 @@
 const PATIENCE: Duration = Duration::from_millis(1_500);
 /// And so long for the rest of a stream.
 const STREAM: Duration = Duration::from_secs(10);
+/// A piece of a request has so many bytes, and the next one comes so long after it.
+const PIECE: usize = 7;
+const BETWEEN_PIECES: Duration = Duration::from_millis(2);
 /// A stream's last event.
 const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 const END_OF_HEAD: &[u8] = b"\r\n\r\n";
@@ -40,6 +43,8 @@
     waits: Micros,
     leaves_after: Option<Duration>,
     keeps: bool,
+    /// It is sent in small pieces.
+    in_pieces: bool,
 }
 
 impl Clients {
@@ -103,7 +108,9 @@
         let leaves = lots.next_u64() % 10 < if leaving { 8 } else { 1 };
         let leaves_after = leaves.then(|| Duration::from_micros(lots.next_u64() % 120_000));
         let id = (self.plan.seed << 24) + self.next.fetch_add(1, Ordering::Relaxed) + 1;
-        Asks { id, class, waits, leaves_after, keeps: !lots.next_u64().is_multiple_of(4) }
+        let keeps = !lots.next_u64().is_multiple_of(4);
+        let in_pieces = self.has(|kind| matches!(kind, Kind::Pieces { dispatcher } if mine(*dispatcher)));
+        Asks { id, class, waits, leaves_after, keeps, in_pieces }
     }
 }
 
@@ -120,6 +127,19 @@
     )
 }
 
+/// Writes a request, whole or in pieces.
+async fn sends(stream: &mut TcpStream, asks: &Asks) -> std::io::Result<()> {
+    let text = request(asks);
+    if !asks.in_pieces {
+        return stream.write_all(text.as_bytes()).await;
+    }
+    for piece in text.as_bytes().chunks(PIECE) {
+        stream.write_all(piece).await?;
+        sleep(BETWEEN_PIECES).await;
+    }
+    Ok(())
+}
+
 async fn exchange(
     asks: Asks,
     kept: Option<TcpStream>,
@@ -136,10 +156,10 @@
             _ => return, // nobody listens: nothing was asked
         },
     };
-    if stream.write_all(request(&asks).as_bytes()).await.is_err() {
+    if sends(&mut stream, &asks).await.is_err() {
         return;
     }
-    let Asks { id, class, waits, leaves_after, keeps } = asks;
+    let Asks { id, class, waits, leaves_after, keeps, .. } = asks;
     ledger.write(id, Seen::Asked { dispatcher, class, waits, fresh });
     let until = Instant::now() + Duration::from_micros(waits) + PATIENCE;
     let leaves = async {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -119,6 +119,16 @@
         /// The server.
         server: usize,
     },
+    /// Readers' answers come twice, the second some milliseconds after the first.
+    AnswerTwice {
+        /// The server.
+        server: usize,
+    },
+    /// Readers' answers never come to their end.
+    NeverEnd {
+        /// The server.
+        server: usize,
+    },
     /// It drains from then on, and goes on being there.
     Drain {
         /// The server.
@@ -146,6 +156,11 @@
         /// So many.
         count: usize,
     },
+    /// Clients send their requests in small pieces.
+    Pieces {
+        /// The dispatcher.
+        dispatcher: usize,
+    },
     /// Requests have 1 to 50 ms left.
     ShortTime {
         /// The dispatcher.
@@ -248,6 +263,16 @@
         }
         let rate = lots.of(&[4, 10, 20]);
         let aim_ms = lots.of(&[short_aim(), 1_500]);
+        // Drawn last, so that a seed's other troubles are as they were before there was this one.
+        let from_ms = QUIET_MS + lots.below(length_ms.saturating_sub(2 * QUIET_MS));
+        let (server, dispatcher) =
+            (lots.below(servers_of_a_role as u64) as usize, lots.below(processes as u64) as usize);
+        let kind = match lots.below(3) {
+            0 => Kind::AnswerTwice { server },
+            1 => Kind::NeverEnd { server },
+            _ => Kind::Pieces { dispatcher },
+        };
+        troubles.push(Trouble { from_ms, to_ms: from_ms + lots.of(&[300, 1_500, 3_000]), kind });
         Self { seed, processes, length_ms, servers_of_a_role, rate, aim_ms, troubles }
     }
 
--- a/crates/soak/src/servers.rs
+++ b/crates/soak/src/servers.rs
@@ -26,6 +26,10 @@
 const NEXT_EVENT: Duration = Duration::from_millis(12);
 /// Events of an answer.
 pub const EVENTS: usize = 6;
+/// A second answer comes so long after the first.
+const SECOND_ANSWER: Duration = Duration::from_millis(6);
+/// Longer than any play.
+const FOR_EVER: Duration = Duration::from_secs(600);
 /// The time between two looks at the plan.
 const LOOK: Duration = Duration::from_millis(10);
 const STREAM_HEAD: &str =
@@ -219,6 +223,8 @@
         | Kind::TurnAway { server }
         | Kind::Break { server }
         | Kind::CloseOnUse { server }
+        | Kind::AnswerTwice { server }
+        | Kind::NeverEnd { server }
         | Kind::Drain { server } => Some(*server),
         _ => None,
     }
@@ -349,7 +355,7 @@
             self.waits(READ + slow).await?;
             shared.kept().insert(id, server);
             shared.ledger.write(id, Seen::ReadEnded { server });
-            return self.says(&plain(202, "", "{\"cached_tokens\":0}")).await;
+            return self.says_read().await;
         }
         if shared.kept().remove(&id).is_none() {
             return self.turns_away(id, 410).await;
@@ -359,6 +365,21 @@
         self.streams(id).await
     }
 
+    /// A reader's answer, spoilt where the plan says so.
+    async fn says_read(&mut self) -> Result<(), Gone> {
+        let answer = plain(202, "", "{\"cached_tokens\":0}");
+        if self.shared.has(|kind| matches!(kind, Kind::NeverEnd { .. })) {
+            self.says(&answer[..answer.len() - 2]).await?;
+            return self.waits(FOR_EVER).await;
+        }
+        self.says(&answer).await?;
+        if self.shared.has(|kind| matches!(kind, Kind::AnswerTwice { .. })) {
+            self.waits(SECOND_ANSWER).await?;
+            return self.says(&answer).await;
+        }
+        Ok(())
+    }
+
     /// Takes what comes and answers nothing, while the plan says so and until the other side closes.
     async fn hangs(&mut self) -> Result<(), Gone> {
         while self.shared.has(|kind| matches!(kind, Kind::Hang { .. })) {
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -190,3 +190,16 @@
         assert!(log.contains("Moot") || log.contains("Served"), "its steps are logged");
     }
 }
+
+/// A machine that starts without a clock of its own takes the time for 1970, until its clock is set: nothing is reckoned
+/// back beyond that, and the step forward changes nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_start_at_the_beginning_of_unix_time_is_as_any_other() {
+    let troubles = vec![
+        trouble(0, 60_000, Kind::Shim { dispatcher: 0, rule: "clock:-9000000000000@0-1200".to_owned() }),
+        trouble(0, 60_000, Kind::Shim { dispatcher: 1, rule: "clock:-9000000000000@0-60000".to_owned() }),
+        trouble(1_500, 1_600, Kind::Upgrade { dispatcher: 0 }),
+        trouble(1_500, 1_600, Kind::Upgrade { dispatcher: 1 }),
+    ];
+    keeps_the_rules("1970", &plan(960, 4_000, 20, troubles)).await;
+}
