Ask each second server for a release over a new connection

Cause: release_at took any open connection of the pool for each try, however many had just been silent. Fix: tries take an open connection and a new one by turns (ReleaseWay).

--- a/src/edge/servers.rs
+++ b/src/edge/servers.rs
@@ -401,7 +401,8 @@
 
     /// Has everything that is held for a request let go: the holder is asked first, then, as any server takes
     /// the call, the others, until one has answered. It takes the connection on which the holder has just
-    /// answered a read: where a server's places for connections are all taken, a new one would be refused.
+    /// answered a read: where a server's places for connections are all taken, a new one would be refused. Each
+    /// second try goes over a new one.
     pub async fn release(self, txn: String, addresses: Vec<String>) {
         if addresses.is_empty() {
             warn!("request {txn}: there is no server to ask for the release of what is held");
@@ -409,13 +410,14 @@
         let end = Instant::now() + RELEASE_FOR;
         // Dropped at the return, and with it all tries that are still out.
         let mut tries = JoinSet::new();
-        for address in addresses.into_iter().cycle() {
+        for (address, way) in addresses.into_iter().cycle().zip(ReleaseWay::EACH_IN_TURN.into_iter().cycle())
+        {
             let start = Instant::now();
             if start >= end {
                 warn!("request {txn}: nobody took the release of what is held");
                 return;
             }
-            tries.spawn(release_at(self.pool.clone(), txn.clone(), address, start + RELEASE_TRY));
+            tries.spawn(release_at(self.pool.clone(), txn.clone(), address, way, start + RELEASE_TRY));
             // One that refuses at once must not be asked in a tight loop: its step is waited for all the same.
             let answered = async {
                 while let Some(answered) = tries.join_next().await {
@@ -448,8 +450,28 @@
     }
 }
 
+/// Over which connection a server is asked for a release.
+#[derive(Clone, Copy, Debug)]
+enum ReleaseWay {
+    /// Any that is open, else a new one.
+    Any,
+    /// A new one: those that are open may have fallen silent, one and all.
+    New,
+}
+
+impl ReleaseWay {
+    /// Servers that have no place for a new connection still have the open ones.
+    const EACH_IN_TURN: [Self; 2] = [Self::Any, Self::New];
+}
+
 /// Asks one server to let go of what is held; whether it says that it has.
-async fn release_at(pool: Pool<Marked>, txn: String, address: String, until: Instant) -> bool {
+async fn release_at(
+    pool: Pool<Marked>,
+    txn: String,
+    address: String,
+    way: ReleaseWay,
+    until: Instant,
+) -> bool {
     let request = Request::builder()
         .method(Method::DELETE)
         .uri(format!("/kv/leases/{txn}"))
@@ -457,8 +479,11 @@
         .body(Marked { body: None, begin_by: None, progress: Arc::default() });
     let Ok(request) = request else { return false };
     let answer = async {
-        let mut ready =
-            pool.connection(&address, Which::Any, until).await.map_err(|error| error.to_string())?;
+        let connected = match way {
+            ReleaseWay::Any => pool.connection(&address, Which::Any, until).await,
+            ReleaseWay::New => pool.new_connection(&address, until).await,
+        };
+        let mut ready = connected.map_err(|error| error.to_string())?;
         let response = ready.sender.send_request(request).await.map_err(|error| error.to_string())?;
         pool.keep(address.clone(), ready);
         let status = response.status();
