Show by a failing test that a release may overtake the close of the read it is for

The state stays held for good. Closes and releases go over different connections, so no server is bound to see them in that order.

--- a/tests/crossings_handover.rs
+++ b/tests/crossings_handover.rs
@@ -170,6 +170,27 @@
     assert!(!asked.is_empty(), "nobody was asked to let go");
 }
 
+/// A reader ends its read just before it sees that the attempt was given up, and after the release that follows has been
+/// handled elsewhere: what it left then is let go of by a second release. What has been answered needs one only.
+#[tokio::test]
+async fn what_a_read_leaves_that_ends_between_its_close_and_its_release_is_let_go() {
+    for answered in [false, true] {
+        let mut bed = Bed::start(&[READER, WRITER], patient).await;
+        let client = client(&bed, "01", "ask").await;
+        let reading = bed.expect("POST 01").await;
+        if answered {
+            reading.says(&read()).await;
+            bed.expect("POST 01").await; // the writer has it, and says nothing
+        }
+        drop(client);
+        let release = released(&mut bed, "01", Instant::now()).await;
+        release.says(&plain(204, "", "")).await;
+        let again = bed.within(HELD_AT_MOST).await.map(|came| came.what);
+        let expected = if answered { None } else { Some("DELETE 01".to_owned()) };
+        assert_eq!(again, expected, "answered: {answered}");
+    }
+}
+
 // ---- A writer that does not take it ----
 
 /// No connection to the only writer comes up: what was read is let go in time, counted from the read's end.
