Release once more what a read may leave that ends as it is given up

Cause: an attempt's close and the release that follows it go over different connections; a release that is handled first lets go of nothing, and a read that ends before its close is seen stays held for good. Fix: where a read was given up or broke off within the last 0.1 s, its release is asked once more after 0.1 s (Effect::Release.again); a newer read calls it off as any other. The same mistake elsewhere: releases after reads that were answered, or given up earlier, can't be overtaken so.

--- a/src/edge/core.rs
+++ b/src/edge/core.rs
@@ -19,6 +19,9 @@
 /// What is held has so much more than the settings say on sockets (the protocol page; us).
 const HELD_MORE: Micros = 300_000;
 
+/// A server has seen the close of a connection by then (us). A release goes over another one and may overtake it.
+pub const CLOSE_SEEN: Micros = 100_000;
+
 /// What has happened outside.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Input {
@@ -154,6 +157,8 @@
         id: RequestId,
         /// Servers that hold or may hold something.
         holders: Vec<EngineId>,
+        /// Once more after [`CLOSE_SEEN`]: a read that has just been given up may end until its close is seen.
+        again: bool,
     },
     /// Send a message to all other dispatchers.
     Tell(Vec<u8>),
@@ -203,6 +208,8 @@
     held: Vec<EngineId>,
     /// Since when nothing that was written is out.
     held_since: Micros,
+    /// When a read was last given up or broke off, which may have ended all the same.
+    read_unsure: Option<Micros>,
     /// When the first attempt was sent that may have run.
     ran: Option<Micros>,
 }
@@ -408,6 +415,7 @@
             out: BTreeMap::new(),
             held: Vec::new(),
             held_since: self.now,
+            read_unsure: None,
             ran: None,
         };
         self.requests.insert(id, request);
@@ -443,6 +451,7 @@
         // A read that was cut short may have ended well all the same: what it left counts as held.
         if out.reads && (outcome == Outcome::Read || outcome.may_have_run()) {
             request.held.push(out.engine);
+            request.read_unsure = (outcome != Outcome::Read).then_some(self.now).or(request.read_unsure);
         }
         if !out.reads && outcome.may_have_run() {
             request.ran.get_or_insert(out.sent);
@@ -617,7 +626,8 @@
         let holders = std::mem::take(&mut request.held);
         if !holders.is_empty() {
             Transitions::releases(id, holders.len(), self.now.saturating_sub(request.held_since));
-            self.effects.push(Effect::Release { id, holders });
+            let again = request.read_unsure.take().is_some_and(|at| self.now < at + CLOSE_SEEN);
+            self.effects.push(Effect::Release { id, holders, again });
         }
     }
 
@@ -652,6 +662,7 @@
             out: BTreeMap::new(),
             held: Vec::new(),
             held_since: 0,
+            read_unsure: None,
             ran: None,
         };
         core.requests.insert(id, request);
--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -4,14 +4,15 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::future::Future;
 use std::sync::Arc;
+use std::time::Duration;
 
 use log::{debug, info};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinHandle;
-use tokio::time::timeout_at;
+use tokio::time::{sleep, timeout_at};
 
 use crate::edge::clock::Clock;
-use crate::edge::core::{Core, Effect, Ending, Input};
+use crate::edge::core::{Core, Effect, Ending, Input, CLOSE_SEEN};
 use crate::edge::peers::Peers;
 use crate::edge::servers::{self, Opened, Payload, Progress, Relay, Servers, StreamEnd};
 use crate::edge::settings::Config;
@@ -484,8 +485,8 @@
                 self.reply(id, Reply::Failed { may_have_run });
                 None
             }
-            Effect::Release { id, holders } => {
-                self.release(id, &holders);
+            Effect::Release { id, holders, again } => {
+                self.release(id, &holders, again);
                 None
             }
             Effect::Tell(bytes) => {
@@ -565,8 +566,8 @@
         tasks.for_each(|task| task.abort());
     }
 
-    /// Asks each holder; where it does not answer, any other server takes the call.
-    fn release(&mut self, id: RequestId, holders: &[EngineId]) {
+    /// Asks each holder, and once more where that is said; where it does not answer, any other server takes the call.
+    fn release(&mut self, id: RequestId, holders: &[EngineId], again: bool) {
         let Some(client) = self.clients.get(&id) else { return };
         let mut releasing = self.releasing.remove(&id).unwrap_or_default();
         let mut holders = holders.to_vec();
@@ -584,7 +585,11 @@
             let (servers, txn) = (self.servers.clone(), client.payload.txn.clone());
             let held = Held::new(self.figures.clone());
             let task = tokio::spawn(async move {
-                servers.release(txn, addresses).await;
+                servers.release(&txn, &addresses).await;
+                if again {
+                    sleep(Duration::from_micros(CLOSE_SEEN)).await;
+                    servers.release(&txn, &addresses).await;
+                }
                 drop(held);
             });
             releasing.push((holder, Some(task)));
--- a/src/edge/servers.rs
+++ b/src/edge/servers.rs
@@ -403,21 +403,26 @@
     /// the call, the others, until one has answered. It takes the connection on which the holder has just
     /// answered a read: where a server's places for connections are all taken, a new one would be refused. Each
     /// second try goes over a new one.
-    pub async fn release(self, txn: String, addresses: Vec<String>) {
+    pub async fn release(&self, txn: &str, addresses: &[String]) {
         if addresses.is_empty() {
             warn!("request {txn}: there is no server to ask for the release of what is held");
         }
         let end = Instant::now() + RELEASE_FOR;
         // Dropped at the return, and with it all tries that are still out.
         let mut tries = JoinSet::new();
-        for (address, way) in addresses.into_iter().cycle().zip(ReleaseWay::EACH_IN_TURN.into_iter().cycle())
-        {
+        for (address, way) in addresses.iter().cycle().zip(ReleaseWay::EACH_IN_TURN.into_iter().cycle()) {
             let start = Instant::now();
             if start >= end {
                 warn!("request {txn}: nobody took the release of what is held");
                 return;
             }
-            tries.spawn(release_at(self.pool.clone(), txn.clone(), address, way, start + RELEASE_TRY));
+            tries.spawn(release_at(
+                self.pool.clone(),
+                txn.to_owned(),
+                address.clone(),
+                way,
+                start + RELEASE_TRY,
+            ));
             // One that refuses at once must not be asked in a tight loop: its step is waited for all the same.
             let answered = async {
                 while let Some(answered) = tries.join_next().await {
--- a/tests/connection_model.rs
+++ b/tests/connection_model.rs
@@ -154,7 +154,7 @@
                 self.answer(id, State::Answered);
             }
             Effect::Fail { id, .. } => self.answer(id, State::Answered),
-            Effect::Release { id, holders } => {
+            Effect::Release { id, holders, .. } => {
                 let held = &mut self.connections.get_mut(&id).expect("known").held;
                 assert_eq!(&holders, held, "every holder is asked, and no other");
                 held.clear();
--- a/tests/silent_releases.rs
+++ b/tests/silent_releases.rs
@@ -93,7 +93,8 @@
     }
     sleep(Duration::from_millis(20)).await; // all are kept
     network.silent.store(true, Ordering::Relaxed);
-    servers.release("01".to_owned(), addresses.iter().map(ToString::to_string).collect()).await;
+    let addresses: Vec<String> = addresses.iter().map(ToString::to_string).collect();
+    servers.release("01", &addresses).await;
     assert_eq!(network.released.load(Ordering::Relaxed), 1);
     let lost = network.lost.load(Ordering::Relaxed);
     assert!(lost <= 2, "{lost} calls went over silent connections first");
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -659,7 +659,7 @@
         stream
     });
     let config = Config::parse("config", &config, |_| None).unwrap();
-    Servers::new(&config, Figures::default()).release("ab".into(), addresses).await;
+    Servers::new(&config, Figures::default()).release("ab", &addresses).await;
     let _stream = answering.await.unwrap();
     eventually("all are given up", || log.lock().unwrap().len() == 4).await;
     let asked = log.lock().unwrap().iter().position(|what| *what == "asked").unwrap();
