--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -119,6 +119,19 @@
     keeps_the_rules("left-in-queue", &plan).await;
 }
 
+/// Accepts fail (`accept(2)`: EMFILE, ENFILE) from before a listener is closed at a planned end until a while after: who
+/// waits in its queue is accepted once they don't, and answered.
+#[tokio::test(flavor = "multi_thread")]
+async fn who_waits_in_a_queue_as_its_listener_closes_is_answered_though_accepts_fail_for_a_second() {
+    let mut troubles = Vec::new();
+    for (dispatcher, errno) in ["EMFILE", "ENFILE"].into_iter().enumerate() {
+        let rule = format!("accept:{errno}@1700-3200%1000");
+        troubles.push(trouble(0, 60_000, Kind::Shim { dispatcher, rule }));
+        troubles.push(trouble(1_500, 1_600, Kind::Restart { dispatcher }));
+    }
+    keeps_the_rules("close", &plan(918, 4_500, 40, troubles)).await;
+}
+
 /// The logs of a dispatcher's processes in a play, in the order of their starts.
 fn logs(name: &str, seed: u64, dispatcher: usize, count: usize) -> Vec<String> {
     let folder =
