Let a test's servers take any number of connections

Cause: its reader and writer each took one connection only, and a hand-over has one of its own now; the second read opens one too, as the first is not quiet yet. Both serve all connections now, and the 15 reports are held to three 200s each as before.

--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -297,6 +297,17 @@
     assert_eq!(all.takers(1).await.len(), 2);
 }
 
+/// Answers all messages on all connections alike, for ever.
+async fn answers_all(peer: Peer, answer: String) {
+    loop {
+        let mut line = peer.accept().await;
+        let answer = answer.clone();
+        tokio::spawn(
+            async move { while line.message().await.is_some() && line.says(&answer).await.is_ok() {} },
+        );
+    }
+}
+
 /// A load report that holds no numbers says nothing: the next request is served like the one before.
 #[tokio::test]
 async fn a_broken_load_report_costs_no_request() {
@@ -324,34 +335,15 @@
         let mut config = settings(agent.address, &list(1, true, &known));
         config["settings"]["domain"]["report_x0"] = json!("share_of_memory_that_is_held");
         let site = Running::start(&config);
-        let reported = report.to_owned();
-        let reads = async {
-            let mut line = reader.accept().await;
-            while line.message().await.is_some() {
-                let head = format!("X-Pressure: {reported}\r\n");
-                line.says(&plain(202, &head, "{\"cached_tokens\":1}")).await.unwrap();
-            }
-        };
-        // Each state comes over a connection of its own.
-        let writes = async {
-            loop {
-                let mut line = writer.accept().await;
-                line.message().await.expect("a state's request comes over it");
-                let body = format!("{}{LAST_EVENTS}: X-Pressure: {reported}\n\n", event(0));
-                line.says(&plain(200, "Content-Type: text/event-stream\r\n", &body)).await.unwrap();
-            }
-        };
-        let asks = async {
-            let mut said = Vec::new();
-            for turn in 0..3 {
-                said.push(status(&site.ask(&format!("04{turn:014x}"), "ask", "0.900").await));
-            }
-            said
-        };
-        let said = tokio::select! {
-            said = asks => said,
-            () = async { tokio::join!(reads, writes); } => panic!("{report:?}: connections were closed"),
-        };
+        let read = plain(202, &format!("X-Pressure: {report}\r\n"), "{\"cached_tokens\":1}");
+        let body = format!("{}{LAST_EVENTS}: X-Pressure: {report}\n\n", event(0));
+        let written = plain(200, "Content-Type: text/event-stream\r\n", &body);
+        let servers = [tokio::spawn(answers_all(reader, read)), tokio::spawn(answers_all(writer, written))];
+        let mut said = Vec::new();
+        for turn in 0..3 {
+            said.push(status(&site.ask(&format!("04{turn:014x}"), "ask", "0.900").await));
+        }
+        servers.iter().for_each(tokio::task::JoinHandle::abort);
         if said != [200; 3] {
             wrong.push(format!("{report:?}: {said:?}"));
         }
