Move the accept queue and the form of events into modules of their own

Need: listener.rs and servers.rs had grown. No behaviour changes; last_ones is close_when_empty, Shape is EventShape.

--- /dev/null
+++ b/src/edge/clients/accept_queue.rs
@@ -0,0 +1,106 @@
+//! The queue of connections that wait to be accepted: accepts that fail, and a listener's close.
+
+use std::future::poll_fn;
+use std::io;
+use std::task::Poll;
+use std::time::Duration;
+
+use log::warn;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::Instant;
+
+use crate::edge::accept::Aborted;
+
+/// After an accept that failed, for want of descriptors say.
+pub const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// At the close of a listener, accepts that fail are made again for so long: what waits has a deadline of its own, and a
+/// process that was told to end has its longest one and more (the protocol page).
+const LAST_ACCEPTS: Duration = Duration::from_secs(2);
+
+/// Accepts that fail in a row: what is accepted after them may have waited as long.
+#[derive(Debug, Default)]
+pub struct FailingAccepts {
+    since: Option<Instant>,
+}
+
+impl FailingAccepts {
+    /// Accepts the next connection.
+    ///
+    /// # Errors
+    /// What this machine lacks, see [`Aborted`].
+    pub async fn accept(&mut self, listener: &TcpListener) -> io::Result<TcpStream> {
+        let mut aborted = Aborted::default();
+        loop {
+            let at_once = poll_fn(|context| Poll::Ready(listener.poll_accept(context))).await;
+            let accepted = match at_once {
+                Poll::Ready(accepted) => accepted,
+                Poll::Pending => {
+                    self.since = None; // the queue is empty
+                    listener.accept().await
+                }
+            };
+            self.note(&accepted);
+            if !aborted.again_at_once(&accepted) {
+                return accepted.map(|(stream, _)| stream);
+            }
+        }
+    }
+
+    fn note<T>(&mut self, accepted: &io::Result<T>) {
+        if accepted.is_err() {
+            self.since.get_or_insert_with(Instant::now);
+        }
+    }
+
+    /// How long what is accepted now may have waited at failing accepts.
+    #[must_use]
+    pub fn waited(&self) -> Duration {
+        self.since.map_or(Duration::ZERO, |since| since.elapsed())
+    }
+}
+
+/// Closes a listener, with nobody left in its queue: a connection that waits there would be reset by the close, and
+/// its request would have to be asked again. An accept that fails for a moment is made again: of one that failed with
+/// ECONNABORTED others wait behind it, and descriptors may come free.
+pub async fn close_when_empty(
+    listener: TcpListener,
+    failing: &mut FailingAccepts,
+    admit: impl Fn(TcpStream, Duration),
+) {
+    let listener = match listener.into_std() {
+        Ok(listener) => listener,
+        Err(error) => {
+            return warn!("listener: its queue can't be emptied: {error}");
+        }
+    };
+    let until = Instant::now() + LAST_ACCEPTS;
+    let mut aborted = Aborted::default();
+    loop {
+        let accepted = listener.accept();
+        if aborted.again_at_once(&accepted) {
+            continue;
+        }
+        match accepted {
+            Ok((stream, _)) => match usable(stream) {
+                Ok(stream) => admit(stream, failing.waited()),
+                Err(error) => warn!("listener: a connection is lost at its close: {error}"),
+            },
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+            Err(error) if Instant::now() >= until => {
+                warn!("listener: can't accept those that wait at its close: {error}");
+                break;
+            }
+            failed => {
+                failing.note(&failed);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+    drop(listener); // in the same breath: what comes between the last accept and this is lost
+}
+
+/// A connection that was accepted without the runtime, made ready for it.
+fn usable(stream: std::net::TcpStream) -> io::Result<TcpStream> {
+    stream.set_nonblocking(true)?;
+    TcpStream::from_std(stream)
+}
--- a/src/edge/clients/listener.rs
+++ b/src/edge/clients/listener.rs
@@ -26,7 +26,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep_until, timeout_at, Instant};
 
-use crate::edge::accept::Aborted;
+use crate::edge::clients::accept_queue::{close_when_empty, FailingAccepts, ACCEPT_PAUSE};
 use crate::edge::clients::framing::{Verdict, MOST_HEAD};
 use crate::edge::clients::room::{Place, Room, Seat};
 use crate::edge::servers::header;
@@ -44,11 +44,6 @@
 const AHEAD: usize = 1 << 20;
 const AHEAD_OF_ALL: usize = 4 << 20;
 const PIECE: usize = 8 << 10;
-/// After an accept that failed, for want of descriptors say.
-const PAUSE: Duration = Duration::from_millis(20);
-/// At the close of a listener, accepts that fail are made again for so long: what waits has a deadline of its own, and a
-/// process that was told to end has its longest one and more (the protocol page).
-const LAST_ACCEPTS: Duration = Duration::from_secs(2);
 const BACKLOG: u32 = 1_024;
 /// A connection that has just been accepted is not closed as idle: its request is on the way.
 const JUST_NOW: Duration = Duration::from_millis(60);
@@ -130,93 +125,15 @@
             Ok(stream) => admit(stream, failing.waited()),
             Err(error) => {
                 warn!("listener: can't accept: {error}");
-                tokio::time::sleep(PAUSE).await;
+                tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
     }
-    last_ones(listener, &mut failing, admit).await;
+    close_when_empty(listener, &mut failing, admit).await;
     drop(running);
     let _ = ended.recv().await;
 }
 
-/// Accepts that fail in a row: what is accepted after them may have waited as long.
-#[derive(Default)]
-struct FailingAccepts {
-    since: Option<Instant>,
-}
-
-impl FailingAccepts {
-    async fn accept(&mut self, listener: &TcpListener) -> io::Result<TcpStream> {
-        let mut aborted = Aborted::default();
-        loop {
-            let at_once = poll_fn(|context| Poll::Ready(listener.poll_accept(context))).await;
-            let accepted = match at_once {
-                Poll::Ready(accepted) => accepted,
-                Poll::Pending => {
-                    self.since = None; // the queue is empty
-                    listener.accept().await
-                }
-            };
-            self.note(&accepted);
-            if !aborted.again_at_once(&accepted) {
-                return accepted.map(|(stream, _)| stream);
-            }
-        }
-    }
-
-    fn note<T>(&mut self, accepted: &io::Result<T>) {
-        if accepted.is_err() {
-            self.since.get_or_insert_with(Instant::now);
-        }
-    }
-
-    fn waited(&self) -> Duration {
-        self.since.map_or(Duration::ZERO, |since| since.elapsed())
-    }
-}
-
-/// Closes a listener, with nobody left in its queue: a connection that waits there would be reset by the close, and
-/// its request would have to be asked again. An accept that fails for a moment is made again: of one that failed with
-/// ECONNABORTED others wait behind it, and descriptors may come free.
-async fn last_ones(listener: TcpListener, failing: &mut FailingAccepts, admit: impl Fn(TcpStream, Duration)) {
-    let listener = match listener.into_std() {
-        Ok(listener) => listener,
-        Err(error) => {
-            return warn!("listener: its queue can't be emptied: {error}");
-        }
-    };
-    let until = Instant::now() + LAST_ACCEPTS;
-    let mut aborted = Aborted::default();
-    loop {
-        let accepted = listener.accept();
-        if aborted.again_at_once(&accepted) {
-            continue;
-        }
-        match accepted {
-            Ok((stream, _)) => match usable(stream) {
-                Ok(stream) => admit(stream, failing.waited()),
-                Err(error) => warn!("listener: a connection is lost at its close: {error}"),
-            },
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
-            Err(error) if Instant::now() >= until => {
-                warn!("listener: can't accept those that wait at its close: {error}");
-                break;
-            }
-            failed => {
-                failing.note(&failed);
-                tokio::time::sleep(PAUSE).await;
-            }
-        }
-    }
-    drop(listener); // in the same breath: what comes between the last accept and this is lost
-}
-
-/// A connection that was accepted without the runtime, made ready for it.
-fn usable(stream: std::net::TcpStream) -> io::Result<TcpStream> {
-    stream.set_nonblocking(true)?;
-    TcpStream::from_std(stream)
-}
-
 async fn connection(
     wire: Wire,
     front: Router,
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -11,6 +11,7 @@
 pub mod core;
 pub mod dispatcher;
 pub mod driver;
+pub mod event_shape;
 pub mod guard;
 pub mod kin;
 pub mod list;
--- a/src/edge/servers.rs
+++ b/src/edge/servers.rs
@@ -22,6 +22,7 @@
 
 use crate::edge::connections::{Handle, Pool, Which};
 use crate::edge::core::Ending;
+use crate::edge::event_shape::EventShape;
 use crate::edge::settings::Config;
 use crate::edge::stats::Figures;
 use crate::edge::transient::is_transient;
@@ -221,7 +222,7 @@
 pub struct Opened {
     first: Option<Bytes>,
     rest: Incoming,
-    shape: Shape,
+    shape: EventShape,
     handle: Handle,
 }
 
@@ -233,46 +234,6 @@
     }
 }
 
-/// An event holds this many bytes at most.
-const MOST_EVENT: usize = 64 << 10;
-const FIELDS: [&[u8]; 5] = [b"data:", b":", b"event:", b"id:", b"retry:"];
-
-/// Holds a stream against the form that events have, in whatever pieces it comes.
-#[derive(Debug, Default)]
-struct Shape {
-    /// What the line that is not over begins with.
-    start: Vec<u8>,
-    /// Bytes since the last event's end.
-    event: usize,
-}
-
-impl Shape {
-    /// Takes in a piece: whether an event ends in it, `None` if this is no stream of events. Guards against
-    /// what a server that has gone astray sends without end in a chunk of any size.
-    fn take(&mut self, data: &[u8]) -> Option<bool> {
-        let mut ends = false;
-        for line in data.split_inclusive(|&byte| byte == b'\n') {
-            let over = line.ends_with(b"\n");
-            let room = 6usize.saturating_sub(self.start.len());
-            self.start.extend(line.iter().take(room).filter(|&&byte| !matches!(byte, b'\r' | b'\n')));
-            self.event += line.len();
-            let begins =
-                |field: &&[u8]| self.start.starts_with(field) || (!over && field.starts_with(&self.start));
-            let blank = over && self.start.is_empty();
-            if self.event > MOST_EVENT || !(blank || FIELDS.iter().any(begins)) {
-                return None;
-            }
-            if blank {
-                (self.event, ends) = (0, true);
-            }
-            if over {
-                self.start.clear();
-            }
-        }
-        Some(ends)
-    }
-}
-
 /// What an attempt comes to.
 #[derive(Debug)]
 pub enum Result {
@@ -548,8 +509,8 @@
 
 /// What a stream opens with, to the end of its first event; no bytes for one that ended in good order without
 /// any, `None` if it broke or is none: it may have run, and nothing of it has been passed on.
-async fn first_event(body: &mut Incoming) -> Option<(Option<Bytes>, Shape)> {
-    let (mut shape, mut first) = (Shape::default(), Bytes::new());
+async fn first_event(body: &mut Incoming) -> Option<(Option<Bytes>, EventShape)> {
+    let (mut shape, mut first) = (EventShape::default(), Bytes::new());
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.ok()?.into_data() else { continue };
         let ends = shape.take(&data)?;
