--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -10,6 +10,7 @@
 use dewladder_soak::plan::Plan;
 use dewladder_soak::shrink::shrink;
 use pico_args::Arguments;
+use tokio::signal::unix::{signal, SignalKind};
 use tokio::task::JoinSet;
 
 const HELP: &str = "dewladder-soak: real processes of the dispatcher under drawn, overlapping troubles
@@ -106,7 +107,23 @@
     }
     let settings = settings(arguments)?;
     let runtime = tokio::runtime::Runtime::new().map_err(|error| error.to_string())?;
-    runtime.block_on(soak(settings))
+    runtime.block_on(async {
+        tokio::select! {
+            done = soak(settings) => done,
+            // What is dropped with the runtime ends the processes of all plays.
+            told = told_to_end() => Err(told.map_or_else(|error| error.to_string(), |()| "told to end".to_owned())),
+        }
+    })
+}
+
+/// Waits for SIGINT or SIGTERM.
+async fn told_to_end() -> std::io::Result<()> {
+    let (mut interrupt, mut term) = (signal(SignalKind::interrupt())?, signal(SignalKind::terminate())?);
+    tokio::select! {
+        _ = interrupt.recv() => {}
+        _ = term.recv() => {}
+    }
+    Ok(())
 }
 
 /// The plans to play: the one that is named, or those that failed once and then the others.
