Count time at failing accepts only where a pause follows

Cause: an accept that failed for one connection began the time that later requests are taken to have waited, though the next accept is made at once; under a queue that is never seen empty that time would go on growing. Change: only failures that are followed by a pause begin it.

--- a/src/edge/clients/accept_queue.rs
+++ b/src/edge/clients/accept_queue.rs
@@ -39,8 +39,9 @@
                     listener.accept().await
                 }
             };
-            self.note(&accepted);
+            // An error of one connection holds up nobody behind it: only what a pause follows is waited for.
             if !aborted.again_at_once(&accepted) {
+                self.note(&accepted);
                 return accepted.map(|(stream, _)| stream);
             }
         }
