Record what becomes of each open request, and show held state and silent servers

Two processes broke the rule on what is held, and their logs at the default level were two summary lines and nothing: neither said whether the writer's connection was new, whether the bytes had been written, when the attempt would be given up, or whether a release was asked.

Each open request now keeps a bounded history of its transitions. SIGUSR1 and the second address (REQUESTS) show those of all open requests, HELD the figures of held state. The counts of all classes are added up every ten seconds again, not in each step.

The text of the second address for a line that it does not know names the new calls; the test that pins it follows.

--- a/benches/admin.rs
+++ b/benches/admin.rs
@@ -9,7 +9,7 @@
 use std::sync::{mpsc, Arc};
 use std::time::{Duration, Instant};
 
-use dewladder::edge::admin;
+use dewladder::edge::admin::{self, Sources};
 use dewladder::edge::dispatcher::Dispatcher;
 use dewladder::edge::settings::{Config, Fronts};
 use dewladder_test_peers::{config, platform, until_close, Fleet, Shape};
@@ -54,7 +54,8 @@
             let dispatcher = Dispatcher::bind(config, &Fronts::default()).expect("it starts");
             let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("an address");
             let task = listener.local_addr().expect("an address");
-            tokio::spawn(admin::serve(listener, dispatcher.health(), None));
+            let (health, driver) = (dispatcher.health(), dispatcher.driver());
+            tokio::spawn(admin::serve(listener, Sources { health, cluster: None, driver }));
             let thread = dispatcher.admin().expect("a second address");
             tell.send((dispatcher.addresses()[0], thread, task)).expect("told");
             let (_discovery, at) = watch::channel(agent);
--- a/crates/router/src/interface/ids.rs
+++ b/crates/router/src/interface/ids.rs
@@ -18,6 +18,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerId(pub u32);
 
+/// As log lines name it: eight hexadecimal digits, as the list writes ids.
+impl std::fmt::Display for ServerId {
+    fn fmt(&self, to: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(to, "{:08x}", self.0)
+    }
+}
+
 /// A failure domain.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ZoneId(pub u32);
--- a/src/edge/admin.rs
+++ b/src/edge/admin.rs
@@ -1,5 +1,6 @@
 //! The second address, for the staff and the platform: each connection carries one line, is answered and closed.
-//! `READY` says whether this process can serve, `STATS` shows the figures.
+//! `READY` says whether this process can serve, `STATS` shows the figures, `HELD` those of state that servers hold, and
+//! `REQUESTS` the histories of open requests.
 //!
 //! It runs on a thread of its own, so that a caller does not wait behind all that a busy dispatcher has to do.
 
@@ -18,6 +19,7 @@
 use crate::edge::accept::accept;
 use crate::edge::balancers::Health;
 use crate::edge::cluster::View;
+use crate::edge::driver::{DriverHandle, Message};
 use crate::edge::tcp::Uninterrupted;
 
 /// Callers at once. The oldest that has not sent its line yet makes room for a new one.
@@ -30,6 +32,8 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 /// What a caller sends behind its line is read for so long: unread, it would take the answer along.
 const LINGER_TIME: Duration = Duration::from_millis(200);
+/// What only the driver knows is waited for so long: a busy one is late, and callers wait for 1 s.
+const DRIVER_TIMEOUT: Duration = Duration::from_millis(700);
 /// A line holds so many bytes at most.
 const MAX_LINE_BYTES: usize = 256;
 /// After an accept that failed.
@@ -38,6 +42,29 @@
 /// Descriptors of the second address: its listener, its runtime's own, its callers.
 pub const DESCRIPTORS: usize = MAX_CALLERS + 6;
 
+/// Where answers come from.
+#[derive(Clone)]
+pub struct Sources {
+    /// Whether this process can serve, and its figures.
+    pub health: Health,
+    /// The members of the cluster, where there is one.
+    pub cluster: Option<View>,
+    /// Open requests and held state.
+    pub driver: DriverHandle,
+}
+
+impl Sources {
+    /// Asks the driver, and adds the line that ends its answer.
+    async fn ask_driver(&self, message: impl FnOnce(oneshot::Sender<String>) -> Message) -> String {
+        let (reply, replied) = oneshot::channel();
+        self.driver.send(message(reply));
+        match timeout_at(Instant::now() + DRIVER_TIMEOUT, replied).await {
+            Ok(Ok(lines)) => format!("{lines}END\n"),
+            _ => "ERR the driver is busy\n".to_owned(),
+        }
+    }
+}
+
 /// The thread that answers; it ends when this is dropped.
 #[derive(Debug)]
 pub struct Admin {
@@ -50,7 +77,7 @@
     ///
     /// # Errors
     /// What the system says.
-    pub fn start(address: SocketAddr, health: Health, cluster: Option<View>) -> io::Result<Self> {
+    pub fn start(address: SocketAddr, sources: Sources) -> io::Result<Self> {
         let socket = std::net::TcpListener::bind(address)?;
         socket.set_nonblocking(true)?;
         let address = socket.local_addr()?;
@@ -60,7 +87,7 @@
             runtime.block_on(async {
                 match TcpListener::from_std(socket) {
                     Ok(listener) => tokio::select! {
-                        () = serve(listener, health, cluster) => {}
+                        () = serve(listener, sources) => {}
                         _ = ended => {}
                     },
                     Err(what) => error!(reason:% = what; "second address: not started"),
@@ -79,7 +106,7 @@
 }
 
 /// Answers callers for ever.
-pub async fn serve(listener: TcpListener, health: Health, cluster: Option<View>) {
+pub async fn serve(listener: TcpListener, sources: Sources) {
     let mut callers: VecDeque<(Instant, JoinHandle<()>)> = VecDeque::new();
     loop {
         let stream = match accept(&listener).await {
@@ -98,17 +125,15 @@
             }
         }
         let now = Instant::now();
-        callers.push_back((
-            now,
-            tokio::spawn(answer(stream, health.clone(), cluster.clone(), now + LINE_TIMEOUT)),
-        ));
+        let answering = tokio::spawn(answer(stream, sources.clone(), now + LINE_TIMEOUT));
+        callers.push_back((now, answering));
     }
 }
 
-async fn answer(stream: TcpStream, health: Health, cluster: Option<View>, by: Instant) {
+async fn answer(stream: TcpStream, sources: Sources, by: Instant) {
     let mut stream = Uninterrupted(stream);
     let response = match timeout_at(by, read_line(&mut stream)).await {
-        Ok(Ok(line)) => response(&line, &health, cluster.as_ref()),
+        Ok(Ok(line)) => response(&line, &sources).await,
         Ok(Err(what)) => format!("ERR {what}\n"),
         Err(_) => "ERR no line came\n".to_owned(),
     };
@@ -154,19 +179,21 @@
     }
 }
 
-fn response(line: &[u8], health: &Health, cluster: Option<&View>) -> String {
+async fn response(line: &[u8], sources: &Sources) -> String {
     let line = line.strip_suffix(b"\r").unwrap_or(line);
-    if let (Some(cluster), Some(path)) = (cluster, line.strip_prefix(b"GET ")) {
+    if let (Some(cluster), Some(path)) = (&sources.cluster, line.strip_prefix(b"GET ")) {
         return http(path, cluster);
     }
     match line {
-        b"READY" => match health.ready() {
+        b"READY" => match sources.health.ready() {
             Ok(()) => "OK ready\n".to_owned(),
             Err(why) => format!("ERR not ready: {why}\n"),
         },
-        b"STATS" => format!("{}END\n", health.figures().record().lines()),
+        b"STATS" => format!("{}END\n", sources.health.figures().record().lines()),
+        b"HELD" => sources.ask_driver(Message::DescribeHeldState).await,
+        b"REQUESTS" => sources.ask_driver(Message::DescribeRequests).await,
         b"" => "ERR the line is empty\n".to_owned(),
-        _ => "ERR not known; READY and STATS are\n".to_owned(),
+        _ => "ERR not known; READY, STATS, HELD and REQUESTS are\n".to_owned(),
     }
 }
 
--- a/src/edge/connections.rs
+++ b/src/edge/connections.rs
@@ -5,29 +5,29 @@
 //! connects of a second, servers were told of a second more than was left. It also hands a kept connection on in the
 //! moment its answer has ended: a second answer, written some milliseconds later, was the next request's.
 
+mod stream;
+
 use std::collections::HashMap;
 use std::io;
-use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
 use http_body::Body;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::client::legacy::Client;
-use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::rt::{TokioExecutor, TokioTimer};
 use log::debug;
 use socket2::SockRef;
 use tokio::net::TcpStream;
-use tokio::sync::{oneshot, watch, Notify};
-use tokio::task::AbortHandle;
+use tokio::sync::{oneshot, Notify};
 use tokio::time::{sleep_until, timeout_at, Instant};
 
+pub use crate::edge::connections::stream::{Handle, WrittenCallback};
+use crate::edge::connections::stream::{Stream, Written};
+use crate::edge::core::ConnectionKind;
 use crate::edge::settings::Config;
-use crate::edge::tcp::Uninterrupted;
 use crate::edge::transient::{self, is_transient};
 
 /// A server's head, and what is read of its answer at once, hold this many bytes at most.
@@ -88,55 +88,14 @@
         .build(connector)
 }
 
-type Written = Arc<dyn Fn() + Send + Sync>;
-
-/// A connection's bytes; `open` is dropped once it has been closed, so the fields must stay in this order.
-struct Stream {
-    io: TokioIo<Uninterrupted>,
-    written: Written,
-    /// A request's body has been taken in hand, and its last byte is not written yet.
-    carries: Arc<AtomicBool>,
-    _open: watch::Sender<()>,
-}
-
-/// A connection as seen by the attempt that goes over it.
-#[derive(Clone, Debug)]
-pub struct Handle {
-    carries: Arc<AtomicBool>,
-    open: watch::Receiver<()>,
-    task: AbortHandle,
-}
-
-impl Handle {
-    /// An attempt's last bytes are handed over to be written.
-    pub fn carries(&self) {
-        self.carries.store(true, Ordering::Relaxed);
-    }
-
-    /// Whether bytes that were handed over have not all been written.
-    #[must_use]
-    pub fn carrying(&self) -> bool {
-        self.carries.load(Ordering::Relaxed)
-    }
-
-    /// Closes the connection, whatever is still to come on it, and waits until that is done.
-    pub async fn close(self) {
-        self.task.abort();
-        self.closed().await;
-    }
-
-    /// Waits until the connection has been closed.
-    async fn closed(mut self) {
-        while self.open.changed().await.is_ok() {}
-    }
-}
-
 /// A connection that takes a request.
 pub struct Connection<B> {
     /// Where requests are handed over.
     pub sender: SendRequest<B>,
     /// What is known of it.
     pub handle: Handle,
+    /// Whether it has carried a request before.
+    pub kind: ConnectionKind,
 }
 
 struct Idle<B> {
@@ -249,7 +208,7 @@
         let idle = all.get_mut(address)?;
         idle.retain(|idle| !idle.ready.sender.is_closed());
         let at = idle.iter().rposition(|idle| choice == IdleChoice::Any || idle.quiet_at <= now)?;
-        Some(idle.remove(at).ready)
+        Some(Connection { kind: ConnectionKind::Kept, ..idle.remove(at).ready })
     }
 
     async fn freed(&self, address: &str, choice: IdleChoice) -> Connection<B> {
@@ -269,14 +228,7 @@
         {
             debug!(address, reason:% = error; "connection: no time-out for acknowledgements");
         }
-        let (tell, open) = watch::channel(());
-        let carries = Arc::new(AtomicBool::new(false));
-        let stream = Stream {
-            io: TokioIo::new(Uninterrupted(stream)),
-            written: self.0.written.clone(),
-            carries: carries.clone(),
-            _open: tell,
-        };
+        let (stream, opened) = Stream::new(stream, self.0.written.clone());
         let (sender, connection) = http1::Builder::new()
             // Bounds a head that does not end.
             .max_buf_size(MAX_HEAD_BYTES)
@@ -289,8 +241,8 @@
             // How it ends, its requests are told.
             let _ = connection.await;
         });
-        let handle = Handle { carries, open, task: task.abort_handle() };
-        Ok(Connection { sender, handle })
+        let handle = opened.handle(task.abort_handle());
+        Ok(Connection { sender, handle, kind: ConnectionKind::New })
     }
 
     /// Keeps a connection for the next request, once its answer has come to its end.
@@ -333,48 +285,3 @@
         }
     }
 }
-
-impl Read for Stream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        into: ReadBufCursor<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_read(context, into)
-    }
-}
-
-impl Write for Stream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write(context, bytes)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        ready!(Pin::new(&mut self.io).poll_flush(context))?;
-        // Nothing is left to be written: hyper flushes once all that it has is out.
-        if self.carries.swap(false, Ordering::Relaxed) {
-            (self.written)();
-        }
-        Poll::Ready(Ok(()))
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_shutdown(context)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.io.is_write_vectored()
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        parts: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write_vectored(context, parts)
-    }
-}
--- a/src/edge/core.rs
+++ b/src/edge/core.rs
@@ -5,15 +5,19 @@
 //! for the rules), and fires the timers that are due.
 
 pub mod endpoints;
+pub mod held_statistics;
+pub mod history_reports;
 pub mod messages;
 pub mod request;
+pub mod request_history;
 pub mod request_table;
 pub mod step;
 
 use std::collections::BTreeMap;
+use std::fmt::Write as _;
 
 use crate::edge::core::endpoints::Endpoints;
-pub use crate::edge::core::messages::{AttemptResult, Effect, Input};
+pub use crate::edge::core::messages::{AttemptResult, ConnectionKind, Effect, Input};
 pub use crate::edge::core::request_table::CLOSE_SEEN;
 use crate::edge::core::request_table::{RequestTable, SendRules};
 use crate::edge::core::step::{Step, Timer};
@@ -116,6 +120,30 @@
         self.requests.transitions()
     }
 
+    /// What became of held state since the start, with what is held now, in lines.
+    #[must_use]
+    pub fn held_figures(&self, now: Micros) -> String {
+        self.requests.held_figures(now)
+    }
+
+    /// The histories of open requests, the oldest first: so many at most, a line each.
+    #[must_use]
+    pub fn histories(&self, now: Micros, count: usize) -> String {
+        let mut open: Vec<_> = self.requests.open_requests().collect();
+        open.sort_by_key(|(_, request)| request.history.arrived_at());
+        let mut text = String::new();
+        for (id, request) in open.into_iter().take(count) {
+            let (class, held_us) = (request.class, request.held.age(now));
+            let _ = writeln!(text, "request_id={id} class={class} held_us={held_us} {}", request.history);
+        }
+        text
+    }
+
+    /// How many histories of requests were left out of the log since this was last asked.
+    pub fn take_reports_left_out(&mut self) -> u64 {
+        self.requests.take_reports_left_out()
+    }
+
     /// Servers of the list that are avoided now.
     #[must_use]
     pub fn avoided(&self) -> usize {
@@ -142,12 +170,18 @@
             Input::StreamStarted { id, attempt } => {
                 self.requests.stream_started(id, attempt, self.classes.known(), step);
             }
+            Input::AttemptWritten { id, attempt, connection } => {
+                self.requests.attempt_written(id, attempt, connection, step);
+            }
             Input::AttemptFinished { id, attempt, result } => {
                 self.requests.attempt_finished(id, attempt, result, step);
             }
             Input::AttemptStopped { id, attempt, written } => {
                 self.requests.attempt_stopped(id, attempt, written, step);
             }
+            Input::ReleaseFinished { id, answered, .. } => {
+                self.requests.release_finished(id, answered, step);
+            }
             Input::ClientDisconnected(id) => self.requests.client_disconnected(id, step),
             Input::SettingsReloaded(settings) => self.reload_settings(*settings),
             Input::StateImported(learned) => step.events.push_back(Event::StateImported(learned)),
--- a/src/edge/core/messages.rs
+++ b/src/edge/core/messages.rs
@@ -25,6 +25,15 @@
         /// Which attempt.
         attempt: u32,
     },
+    /// The last byte of an attempt has been handed to the system. That says nothing of the server.
+    AttemptWritten {
+        /// The request.
+        id: RequestId,
+        /// Which attempt.
+        attempt: u32,
+        /// The connection that it goes over.
+        connection: ConnectionKind,
+    },
     /// An attempt has ended by itself.
     AttemptFinished {
         /// The request.
@@ -43,6 +52,15 @@
         /// Whether its last byte may have been written.
         written: bool,
     },
+    /// A release that was asked for has come to its end.
+    ReleaseFinished {
+        /// The request.
+        id: RequestId,
+        /// Which release, as its effect numbered it.
+        release: u64,
+        /// Whether a server answered it.
+        answered: bool,
+    },
     /// The client has disconnected.
     ClientDisconnected(RequestId),
     /// A message of another dispatcher.
@@ -62,6 +80,26 @@
     Tick,
 }
 
+/// The connection that an attempt goes over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionKind {
+    /// It was opened for the attempt.
+    New,
+    /// It had been opened before.
+    Kept,
+}
+
+impl ConnectionKind {
+    /// Its name in log lines.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::New => "new",
+            Self::Kept => "kept",
+        }
+    }
+}
+
 /// How an attempt ended by itself.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct AttemptResult {
@@ -139,6 +177,8 @@
     ReleaseHeldState {
         /// The request.
         id: RequestId,
+        /// The number of this release; its end is told by it.
+        release: u64,
         /// Servers that hold or may hold something.
         holders: Vec<ServerId>,
         /// Once more after [`CLOSE_SEEN`](super::CLOSE_SEEN): a read that has just been given up may end until its close is seen.
--- a/src/edge/core/request.rs
+++ b/src/edge/core/request.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use crate::edge::core::request_history::RequestHistory;
 use crate::edge::transitions::AttemptLabel;
 use crate::interface::{Micros, Outcome, RequestId, RequestInfo, ServerId};
 
@@ -27,6 +28,8 @@
     pub sent: Micros,
     /// When it times out (us).
     pub until: Micros,
+    /// Its last byte has been handed to the system.
+    pub written: bool,
     /// The outcome to report once the cancellation that was asked for has been carried out.
     pub cancelled_as: Option<Outcome>,
 }
@@ -46,10 +49,24 @@
     pub holders: Vec<ServerId>,
     /// Since when nothing that was written is in flight (us).
     pub since: Micros,
+    /// When a read last left something (us).
+    pub read_at: Micros,
     /// When a read was last given up or broke off, which may have ended all the same (us).
     pub uncertain_read: Option<Micros>,
 }
 
+impl HeldState {
+    /// How long something has been held (us); 0 where nothing is.
+    #[must_use]
+    pub fn age(&self, now: Micros) -> Micros {
+        if self.holders.is_empty() {
+            0
+        } else {
+            now.saturating_sub(self.read_at)
+        }
+    }
+}
+
 /// An open request.
 #[derive(Debug)]
 pub struct Request {
@@ -67,6 +84,8 @@
     pub held: HeldState,
     /// When the first attempt was sent that may have been executed (us); `None` while surely none was.
     pub first_execution: Option<Micros>,
+    /// What has become of it.
+    pub history: RequestHistory,
 }
 
 impl Request {
@@ -79,8 +98,9 @@
             not_after: info.not_after,
             attempts: 0,
             in_flight: BTreeMap::new(),
-            held: HeldState { holders: Vec::new(), since: now, uncertain_read: None },
+            held: HeldState { holders: Vec::new(), since: now, read_at: now, uncertain_read: None },
             first_execution: None,
+            history: RequestHistory::new(now, info.not_after.saturating_sub(now)),
         }
     }
 
--- a/src/edge/core/request_table.rs
+++ b/src/edge/core/request_table.rs
@@ -4,11 +4,16 @@
 //! The table takes what happens to attempts and clients, and what the router wants done, and writes events and effects
 //! into the [`Step`]. It decides nothing: which server, and whether to try again, is the router's.
 
+mod held;
+
 use std::collections::BTreeMap;
 
 use crate::edge::core::endpoints::Endpoints;
-use crate::edge::core::messages::{AttemptResult, Effect};
+use crate::edge::core::held_statistics::HeldStatistics;
+use crate::edge::core::history_reports::{HistoryReports, ReportReason};
+use crate::edge::core::messages::{AttemptResult, ConnectionKind, Effect};
 use crate::edge::core::request::{Client, InFlight, Request};
+use crate::edge::core::request_history::Transition;
 use crate::edge::core::step::{Step, Timer};
 use crate::edge::guard::{Guard, Rule, SendCheck};
 use crate::edge::transitions::Transitions;
@@ -20,9 +25,6 @@
 
 /// An answer that comes so long after the client's time is lost (the standing test's word; us).
 const LATE_ANSWER: Micros = 500_000;
-/// What is held has so much more than the settings say on sockets (the protocol page; us).
-const HOLD_TOLERANCE: Micros = 300_000;
-
 /// A server has seen the close of a connection by then (us). A release goes over another one and may overtake it.
 pub const CLOSE_SEEN: Micros = 100_000;
 
@@ -45,6 +47,10 @@
     resolution: Micros,
     guard: Guard,
     transitions: Transitions,
+    held_statistics: HeldStatistics,
+    reports: HistoryReports,
+    /// The number of the release that was asked for last.
+    last_release: u64,
 }
 
 impl RequestTable {
@@ -57,6 +63,9 @@
             resolution: settings.resolution,
             guard: Guard::default(),
             transitions: Transitions::default(),
+            held_statistics: HeldStatistics::default(),
+            reports: HistoryReports::default(),
+            last_release: 0,
         }
     }
 
@@ -96,6 +105,16 @@
         &self.transitions
     }
 
+    /// The open requests, by id.
+    pub fn open_requests(&self) -> impl Iterator<Item = (RequestId, &Request)> {
+        self.requests.iter().map(|(&id, request)| (id, request))
+    }
+
+    /// How many histories of requests were left out of the log since this was last asked.
+    pub fn take_reports_left_out(&mut self) -> u64 {
+        self.reports.take_left_out()
+    }
+
     /// Counts why a request was answered without a stream.
     pub fn record_end_reason(&mut self, id: RequestId, reason: EndReason) {
         self.transitions.answered(id, reason);
@@ -137,8 +156,12 @@
         let runs_once = |class: &Class| class.effect == ClassEffect::AtMostOnce;
         let executed_before = request.first_execution.is_some_and(|first| first != sent);
         if executed_before && classes.get(&request.class).is_some_and(runs_once) {
-            self.guard.finds_broken(Rule::SecondRun, id, request);
+            self.guard.finds_broken(Rule::SecondRun, id, &request.history);
         }
+        if !request.held.holders.is_empty() {
+            self.held_statistics.taken(request.held.age(step.now));
+        }
+        request.history.add(step.now, Transition::StreamStarted { attempt: number });
         request.client = Client::Streaming(number);
         request.first_execution.get_or_insert(sent);
         request.held.holders.clear(); // with the first token all that is held is released by itself
@@ -148,6 +171,14 @@
         step.events.push_back(Event::FirstToken { id, attempt: number, taken: step.now - sent });
     }
 
+    /// The last byte of an attempt has been handed to the system.
+    pub fn attempt_written(&mut self, id: RequestId, number: u32, connection: ConnectionKind, step: &Step) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let Some(attempt) = request.in_flight.get_mut(&number) else { return };
+        attempt.written = true;
+        request.history.add(step.now, Transition::Written { attempt: number, connection });
+    }
+
     /// An attempt has ended by itself, or its cancellation has been carried out.
     pub fn attempt_finished(&mut self, id: RequestId, number: u32, result: AttemptResult, step: &mut Step) {
         let Some(request) = self.requests.get_mut(&id) else { return };
@@ -156,6 +187,12 @@
         let AttemptResult { outcome, cached_tokens, report } = result;
         let taken = step.now - attempt.sent;
         self.transitions.ended(attempt.label(id, number), outcome, taken);
+        request.history.add(step.now, Transition::Finished { attempt: number, outcome });
+        let is_unanswered = matches!(outcome, Outcome::Timeout | Outcome::Reset | Outcome::Unacknowledged);
+        if is_unanswered && attempt.written && request.client != Client::Streaming(number) {
+            self.held_statistics.unanswered(attempt.server);
+            self.reports.write(step.now, id, request, ReportReason::Unanswered);
+        }
         Self::note_execution(request, &attempt, outcome, step.now);
         self.note_hold_time(id, outcome, step);
         let Some(request) = self.requests.get_mut(&id) else { return };
@@ -174,32 +211,6 @@
         }));
     }
 
-    /// Notes what an attempt that has ended may have left at its server, and whether it may have been executed.
-    fn note_execution(request: &mut Request, attempt: &InFlight, outcome: Outcome, now: Micros) {
-        // A read that was cut short may have ended well all the same: what it left counts as held.
-        if attempt.reads && (outcome == Outcome::Read || outcome.may_have_run()) {
-            request.held.holders.push(attempt.server);
-            if outcome != Outcome::Read {
-                request.held.uncertain_read = Some(now);
-            }
-        }
-        if !attempt.reads && outcome.may_have_run() {
-            request.first_execution.get_or_insert(attempt.sent);
-        }
-    }
-
-    /// The time that something may be held begins anew as an attempt ends. While requests don't reach servers it goes on
-    /// running, and once it is over what is held is released.
-    fn note_hold_time(&mut self, id: RequestId, outcome: Outcome, step: &mut Step) {
-        let Some(request) = self.requests.get_mut(&id) else { return };
-        let is_over = step.now >= request.held.since + self.max_hold_time;
-        if !matches!(outcome, Outcome::ConnectFailed | Outcome::NotSent | Outcome::Unacknowledged) {
-            request.held.since = step.now;
-        } else if is_over && request.in_flight.is_empty() {
-            self.release_held_state(id, step);
-        }
-    }
-
     /// The cancellation of an attempt has been carried out. One that came before the last byte was written proves that
     /// the attempt was never executed.
     pub fn attempt_stopped(&mut self, id: RequestId, number: u32, written: bool, step: &mut Step) {
@@ -217,7 +228,11 @@
     /// The client has disconnected.
     pub fn client_disconnected(&mut self, id: RequestId, step: &mut Step) {
         let Some(request) = self.requests.get_mut(&id) else { return };
-        match std::mem::replace(&mut request.client, Client::Done) {
+        let client = std::mem::replace(&mut request.client, Client::Done);
+        if client != Client::Done {
+            request.history.add(step.now, Transition::ClientDisconnected);
+        }
+        match client {
             Client::Done => {}
             Client::Waiting => {
                 // Whatever is still on its way to a server must not begin for a client that has gone.
@@ -245,19 +260,20 @@
         }
         attempt.cancelled_as = Some(outcome);
         Transitions::cancels(attempt.label(id, number), outcome);
+        request.history.add(step.now, Transition::CancelRequested { attempt: number, reason: outcome });
         step.effects.push(Effect::CancelAttempt { id, attempt: number });
     }
 
     /// Gives the final answer that a request is rejected, if it has none yet.
     pub fn reject(&mut self, id: RequestId, retry_in: Micros, step: &mut Step) {
-        if self.take_final_answer(id, step.now) {
+        if self.take_final_answer(id, Transition::Rejected, step.now) {
             step.effects.push(Effect::Reject { id, retry_in });
         }
     }
 
     /// Gives the final answer that a request has failed, if it has none yet.
     pub fn fail(&mut self, id: RequestId, step: &mut Step) {
-        if self.take_final_answer(id, step.now) {
+        if self.take_final_answer(id, Transition::Failed, step.now) {
             let request = self.requests.get(&id);
             let may_have_run = request.is_some_and(|request| request.first_execution.is_some());
             step.effects.push(Effect::Fail { id, may_have_run });
@@ -265,13 +281,14 @@
     }
 
     /// Whether the request's one final answer is still to be given; from now on it counts as given.
-    fn take_final_answer(&mut self, id: RequestId, now: Micros) -> bool {
+    fn take_final_answer(&mut self, id: RequestId, answer: Transition, now: Micros) -> bool {
         let Some(request) = self.requests.get_mut(&id) else { return false };
         if request.client != Client::Waiting {
             return false;
         }
+        request.history.add(now, answer);
         if now > request.not_after + LATE_ANSWER {
-            self.guard.finds_broken(Rule::LateAnswer, id, request);
+            self.guard.finds_broken(Rule::LateAnswer, id, &request.history);
         }
         request.client = Client::Done;
         true
@@ -303,46 +320,22 @@
             taken_by,
             runs_again_by,
         };
-        if !self.guard.lets_send(id, &check) {
+        if let Err(rule) = self.guard.check_send(id, &check) {
+            request.history.add(now, Transition::SendRefused { server, rule });
+            self.reports.write(now, id, request, ReportReason::SendRefused(rule));
             let last = request.client != Client::Waiting;
             step.events.push_back(Event::AttemptFinished(never_sent(id, attempt, server, last)));
             return;
         }
-        let in_flight = InFlight { server, reads, sent: now, until, cancelled_as: None };
+        let in_flight = InFlight { server, reads, sent: now, until, written: false, cancelled_as: None };
         Transitions::sends(in_flight.label(id, attempt), reads, until - now);
+        request.history.add(now, Transition::Sent { attempt, server, reads, timeout: until - now });
         request.in_flight.insert(attempt, in_flight);
         step.timers.start(until, Timer::Attempt(id, attempt));
         let begin_by = [taken_by, runs_again_by].into_iter().flatten().fold(until, Micros::min);
         let new_connection = taken_by.is_some();
         step.effects.push(Effect::Send { id, attempt, server, reads, until, begin_by, new_connection });
     }
-
-    /// Has servers release all that they hold, or may hold, for a request.
-    pub fn release_held_state(&mut self, id: RequestId, step: &mut Step) {
-        let Some(request) = self.requests.get_mut(&id) else { return };
-        let held_by = request.held.since + self.max_hold_time + HOLD_TOLERANCE;
-        if !request.held.holders.is_empty() && request.in_flight.is_empty() && step.now > held_by {
-            self.guard.finds_broken(Rule::HeldTooLong, id, request);
-        }
-        let holders = std::mem::take(&mut request.held.holders);
-        if holders.is_empty() {
-            return;
-        }
-        Transitions::releases(id, holders.len(), step.now.saturating_sub(request.held.since));
-        let again = request.held.uncertain_read.take().is_some_and(|at| step.now < at + CLOSE_SEEN);
-        step.effects.push(Effect::ReleaseHeldState { id, holders, again });
-    }
-
-    /// Evicts a request that is completed, and has what may still be held for it released.
-    pub fn evict_if_completed(&mut self, id: RequestId, step: &mut Step) {
-        if !self.requests.get(&id).is_some_and(Request::is_completed) {
-            return;
-        }
-        self.release_held_state(id, step);
-        let request = self.requests.remove(&id);
-        let may_have_run = request.is_some_and(|request| request.first_execution.is_some());
-        step.effects.push(Effect::Evict { id, may_have_run });
-    }
 }
 
 /// The end of an attempt that the guard has refused.
--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -15,7 +15,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
-use crate::edge::admin::Admin;
+use crate::edge::admin::{Admin, Sources};
 use crate::edge::balancers::{self, Health};
 use crate::edge::clients::{chat, platform};
 use crate::edge::clock::Clock;
@@ -106,7 +106,8 @@
         }
         let agent = settings.agent_check.as_ref().filter(|agent| agent.enabled);
         let agent = agent.map(|agent| listen(agent.listen, shared)).transpose()?;
-        let admin = config.admin.map(|at| start_admin(at, &health, cluster.as_ref())).transpose()?;
+        let admin =
+            config.admin.map(|at| start_admin(at, &health, cluster.as_ref(), &to_driver)).transpose()?;
         Ok(Self {
             config,
             driver,
@@ -138,6 +139,12 @@
         ConfigReloader::new(config, driver, figures, discovery)
     }
 
+    /// The way to the driver.
+    #[must_use]
+    pub fn driver(&self) -> DriverHandle {
+        self.to_driver.clone()
+    }
+
     /// What health answers are told from.
     #[must_use]
     pub fn health(&self) -> Health {
@@ -164,9 +171,15 @@
     }
 }
 
-fn start_admin(at: SocketAddr, health: &Health, cluster: Option<&Cluster>) -> Result<Admin, ListenError> {
-    let view = cluster.map(Cluster::view);
-    let start = || Admin::start(at, health.clone(), view.clone());
+fn start_admin(
+    at: SocketAddr,
+    health: &Health,
+    cluster: Option<&Cluster>,
+    driver: &DriverHandle,
+) -> Result<Admin, ListenError> {
+    let cluster = cluster.map(Cluster::view);
+    let sources = Sources { health: health.clone(), cluster, driver: driver.clone() };
+    let start = || Admin::start(at, sources.clone());
     outlast("second address", transient::START, is_transient, start)
         .map_err(|error: io::Error| ListenError { address: at, error })
 }
--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -26,7 +26,7 @@
 use crate::edge::driver::clients::{Client, Clients};
 pub use crate::edge::driver::handle::DriverHandle;
 pub use crate::edge::driver::messages::{Message, Reply};
-use crate::edge::driver::releases::Releases;
+use crate::edge::driver::releases::{ReleaseRequest, Releases};
 use crate::edge::driver::summary::Summary;
 use crate::edge::gossip_transport::GossipTransport;
 use crate::edge::servers::{Attempt, Payload, Servers};
@@ -38,6 +38,8 @@
 
 /// Servers that are avoided are counted so often (us): it goes through all of them, and a step is taken for each event.
 const AVOIDED_SERVERS_INTERVAL: Micros = 100_000;
+/// Histories of open requests that are shown at once.
+const MAX_HISTORIES: usize = 64;
 
 /// The loop. See the [module](self).
 pub struct Driver {
@@ -76,7 +78,7 @@
             clock,
             inbox,
             attempts: Attempts::new(servers.clone(), to_self.clone()),
-            releases: Releases::new(servers.clone(), figures.clone()),
+            releases: Releases::new(servers.clone(), to_self.clone(), figures.clone()),
             to_self: to_self.clone(),
             servers,
             gossip: GossipTransport::default(),
@@ -137,6 +139,18 @@
                 self.count_end(id, End::Left);
                 Some(Input::ClientDisconnected(id))
             }
+            Message::DescribeRequests(reply) => {
+                let _ = reply.send(self.describe_requests()); // who asked may have gone
+                None
+            }
+            Message::DescribeHeldState(reply) => {
+                let _ = reply.send(self.core.held_figures(self.clock.now())); // who asked may have gone
+                None
+            }
+            Message::LogRequests => {
+                self.log_requests();
+                None
+            }
             Message::ExportState(to) => {
                 let _ = to.send(Box::new(self.core.export_state())); // who asked may have gone
                 None
@@ -248,10 +262,22 @@
             self.avoided_due = now + AVOIDED_SERVERS_INTERVAL;
             record.members_unavailable = self.core.avoided();
         }
+        if !self.summary.is_due(now) {
+            return;
+        }
         let counts = record.all();
         drop(record); // who asks for the figures does not wait for a log line
-        if self.summary.is_due(now) {
-            self.summary.write(now, counts, self.core.gossip());
+        self.summary.write(now, counts, self.core.gossip(), self.core.take_reports_left_out());
+    }
+
+    fn describe_requests(&self) -> String {
+        self.core.histories(self.clock.now(), MAX_HISTORIES)
+    }
+
+    fn log_requests(&self) {
+        info!(open = self.core.open(); "driver: histories of open requests");
+        for line in self.describe_requests().lines() {
+            info!("request: open {line}");
         }
     }
 
@@ -282,7 +308,9 @@
                 info!(request_id:% = id, may_have_run; "driver: request failed");
                 self.clients.reply(id, Reply::Failed { may_have_run });
             }
-            Effect::ReleaseHeldState { id, holders, again } => self.release(id, &holders, again),
+            Effect::ReleaseHeldState { id, release, holders, again } => {
+                self.release(ReleaseRequest { id, release, again }, &holders);
+            }
             Effect::PublishGossip(bytes) => self.gossip.publish(&bytes),
             Effect::Evict { id, may_have_run } => {
                 // Guards the figures: a request that is completed has ended, whatever way that came about.
@@ -302,8 +330,8 @@
         self.clients.reply(id, Reply::Stream(relay));
     }
 
-    fn release(&mut self, id: RequestId, holders: &[ServerId], again: bool) {
-        let Some(payload) = self.clients.payload(id) else { return };
-        self.releases.start(id, &payload.txn, holders, &self.addresses, again);
+    fn release(&mut self, request: ReleaseRequest, holders: &[ServerId]) {
+        let Some(payload) = self.clients.payload(request.id) else { return };
+        self.releases.start(request, &payload.txn, holders, &self.addresses);
     }
 }
--- a/src/edge/driver/attempts.rs
+++ b/src/edge/driver/attempts.rs
@@ -33,7 +33,10 @@
 
     /// Sends a request to a server.
     pub(super) fn send(&mut self, id: RequestId, number: u32, attempt: Attempt) {
-        let progress = Arc::new(Progress::default());
+        let written = self.driver.clone();
+        let progress = Arc::new(Progress::new(move |connection| {
+            written.send(Message::Input(Input::AttemptWritten { id, attempt: number, connection }));
+        }));
         let (stop, stopped) = oneshot::channel();
         let (servers, driver, marks) = (self.servers.clone(), self.driver.clone(), progress.clone());
         tokio::spawn(async move {
--- a/src/edge/driver/messages.rs
+++ b/src/edge/driver/messages.rs
@@ -43,6 +43,12 @@
     ClientDisconnected(RequestId),
     /// Settings that hold from now on.
     SettingsReloaded(Box<Settings>),
+    /// Asks for the histories of open requests, a line each.
+    DescribeRequests(oneshot::Sender<String>),
+    /// Asks for the figures of held state, in lines.
+    DescribeHeldState(oneshot::Sender<String>),
+    /// Has the histories of open requests written to the log.
+    LogRequests,
     /// Asks for what has been learned by now.
     ExportState(oneshot::Sender<Box<Handover>>),
     /// What the process whose place this one takes has learned.
--- a/src/edge/driver/releases.rs
+++ b/src/edge/driver/releases.rs
@@ -6,8 +6,10 @@
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
-use crate::edge::core::CLOSE_SEEN;
+use crate::edge::core::{Input, CLOSE_SEEN};
 use crate::edge::driver::addresses::Addresses;
+use crate::edge::driver::handle::DriverHandle;
+use crate::edge::driver::messages::Message;
 use crate::edge::servers::Servers;
 use crate::edge::stats::Figures;
 use crate::interface::{RequestId, ServerId};
@@ -22,16 +24,27 @@
     task: Option<JoinHandle<()>>,
 }
 
+/// A release that is asked for.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ReleaseRequest {
+    pub(super) id: RequestId,
+    /// The number by which its end is told.
+    pub(super) release: u64,
+    /// Once more after [`CLOSE_SEEN`].
+    pub(super) again: bool,
+}
+
 /// Releases under way, by request. See the [module](self).
 pub(super) struct Releases {
     servers: Servers,
+    driver: DriverHandle,
     figures: Figures,
     by_request: HashMap<RequestId, Vec<Release>>,
 }
 
 impl Releases {
-    pub(super) fn new(servers: Servers, figures: Figures) -> Self {
-        Self { servers, figures, by_request: HashMap::new() }
+    pub(super) fn new(servers: Servers, driver: DriverHandle, figures: Figures) -> Self {
+        Self { servers, driver, figures, by_request: HashMap::new() }
     }
 
     /// A request is completed: its releases end by themselves.
@@ -56,12 +69,12 @@
     /// `transaction` is the request's id as servers know it.
     pub(super) fn start(
         &mut self,
-        id: RequestId,
+        request: ReleaseRequest,
         transaction: &str,
         holders: &[ServerId],
         addresses: &Addresses,
-        again: bool,
     ) {
+        let ReleaseRequest { id, release, again } = request;
         let releases = self.by_request.entry(id).or_default();
         let mut holders = holders.to_vec();
         holders
@@ -73,8 +86,10 @@
             let asked: Vec<String> = first.into_iter().chain(fallbacks.clone()).cloned().collect();
             let (servers, transaction) = (self.servers.clone(), transaction.to_owned());
             let counted = CountedRelease::new(self.figures.clone());
+            let driver = self.driver.clone();
             let task = tokio::spawn(async move {
-                servers.release(&transaction, &asked).await;
+                let answered = servers.release(&transaction, &asked).await;
+                driver.send(Message::Input(Input::ReleaseFinished { id, release, answered }));
                 if again {
                     sleep(Duration::from_micros(CLOSE_SEEN)).await;
                     servers.release(&transaction, &asked).await;
--- a/src/edge/driver/summary.rs
+++ b/src/edge/driver/summary.rs
@@ -23,8 +23,12 @@
         now >= self.due_us
     }
 
-    /// Writes the summary, if anything has changed since the last one.
-    pub(super) fn write(&mut self, now: Micros, counts: Counts, gossip: GossipCounts) {
+    /// Writes the summary, if anything has changed since the last one; so many histories of requests were left out of the
+    /// log meanwhile.
+    pub(super) fn write(&mut self, now: Micros, counts: Counts, gossip: GossipCounts, left_out: u64) {
+        if left_out > 0 {
+            info!(interval_s = INTERVAL_S, left_out; "driver: histories of requests left out of the log");
+        }
         if counts != self.last {
             let Counts { taken, completed, rejected, failed, left } = counts.since(&self.last);
             let pending = counts.pending();
--- a/src/edge/guard.rs
+++ b/src/edge/guard.rs
@@ -90,18 +90,21 @@
 }
 
 impl Guard {
-    /// Whether a send may begin; one that may not is counted as refused.
-    pub fn lets_send(&mut self, id: RequestId, check: &SendCheck) -> bool {
-        let Some(rule) = check.breaks() else { return true };
+    /// Checks whether a send may begin; one that may not is counted as refused.
+    ///
+    /// # Errors
+    /// The first rule that it would break.
+    pub fn check_send(&mut self, id: RequestId, check: &SendCheck) -> Result<(), Rule> {
+        let Some(rule) = check.breaks() else { return Ok(()) };
         self.refused[rule as usize] += 1;
         debug!(request_id:% = id, rule = rule.name(), check:? = check; "guard: send refused");
-        false
+        Err(rule)
     }
 
-    /// Counts a rule that is broken already; `state` says what the request was in.
-    pub fn finds_broken(&mut self, rule: Rule, id: RequestId, state: &dyn std::fmt::Debug) {
+    /// Counts a rule that is broken already; `history` says what became of the request.
+    pub fn finds_broken(&mut self, rule: Rule, id: RequestId, history: &dyn std::fmt::Display) {
         self.broken[rule as usize] += 1;
-        error!(request_id:% = id, rule = rule.name(), state:? = state; "guard: rule broken");
+        error!(request_id:% = id, rule = rule.name(), history:% = history; "guard: rule broken");
     }
 
     /// Refused by now, by rule.
--- a/src/edge/servers.rs
+++ b/src/edge/servers.rs
@@ -109,7 +109,7 @@
             Err(error) => return never_executed(address, &error),
         };
         let handle = ready.handle.clone();
-        progress.set_connection(handle.clone());
+        progress.set_connection(handle.clone(), ready.kind);
         let request = match request(attempt, progress) {
             Ok(request) => request,
             Err(error) => return never_executed(address, &error),
@@ -138,9 +138,10 @@
         }
     }
 
-    /// Has everything that is held for a request released, by the first of these servers that takes the call.
-    pub async fn release(&self, transaction: &str, addresses: &[String]) {
-        release::release(&self.pool, transaction, addresses).await;
+    /// Has everything that is held for a request released, by the first of these servers that takes the call; whether one
+    /// has answered that it did.
+    pub async fn release(&self, transaction: &str, addresses: &[String]) -> bool {
+        release::release(&self.pool, transaction, addresses).await
     }
 
     /// The relay of an attempt's stream; its end goes to `end`.
--- a/src/edge/servers/progress.rs
+++ b/src/edge/servers/progress.rs
@@ -9,15 +9,24 @@
 use http_body::{Body, Frame, SizeHint};
 use tokio::time::Instant;
 
-use crate::edge::connections::Handle;
+use crate::edge::connections::{Handle, WrittenCallback};
+use crate::edge::core::ConnectionKind;
 
 /// Whether an attempt's last byte may have been written. Until its body has been asked for it can't have
 /// been; one that is called off before that must never be written later, whatever still holds it.
-#[derive(Debug, Default)]
+#[derive(Default)]
 pub struct Progress {
     stage: AtomicU8,
     /// The connection that it goes over, once it has one.
-    handle: OnceLock<Handle>,
+    connection: OnceLock<(Handle, ConnectionKind)>,
+    /// Called once its last byte has been handed to the system.
+    on_written: Option<Arc<dyn Fn(ConnectionKind) + Send + Sync>>,
+}
+
+impl std::fmt::Debug for Progress {
+    fn fmt(&self, to: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        to.debug_struct("Progress").field("stage", &self.stage).finish_non_exhaustive()
+    }
 }
 
 /// Nothing of the body has been asked for.
@@ -28,9 +37,28 @@
 const CALLED_OFF: u8 = 2;
 
 impl Progress {
+    /// The progress of an attempt that has not begun; `on_written` is called once its last byte has been handed to the
+    /// system.
+    #[must_use]
+    pub fn new(on_written: impl Fn(ConnectionKind) + Send + Sync + 'static) -> Self {
+        Self { on_written: Some(Arc::new(on_written)), ..Self::default() }
+    }
+
     /// The attempt goes over this connection; it has one only.
-    pub(super) fn set_connection(&self, handle: Handle) {
-        let _ = self.handle.set(handle); // an attempt has one
+    pub(super) fn set_connection(&self, handle: Handle, kind: ConnectionKind) {
+        let _ = self.connection.set((handle, kind)); // an attempt has one
+    }
+
+    fn handle(&self) -> Option<&Handle> {
+        self.connection.get().map(|(handle, _)| handle)
+    }
+
+    /// The connection has taken in hand all that is to be written.
+    fn handed_over(&self) {
+        let Some((handle, kind)) = self.connection.get() else { return };
+        let (on_written, kind) = (self.on_written.clone(), *kind);
+        handle
+            .carries(on_written.map(|on_written| -> WrittenCallback { Box::new(move || on_written(kind)) }));
     }
 
     fn move_on(&self, to: u8) -> u8 {
@@ -40,7 +68,7 @@
 
     /// Whether the last byte may have been written, once nothing more will be: the connection has broken or is closed.
     pub(super) fn written(&self) -> bool {
-        let unfinished = self.handle.get().is_some_and(Handle::carrying);
+        let unfinished = self.handle().is_some_and(Handle::carrying);
         self.stage.load(Ordering::Relaxed) == WRITTEN && !unfinished
     }
 
@@ -48,7 +76,7 @@
     /// attempt is given up: an answer to the client, or another attempt, that overtook it would count as a repeat of
     /// what is still out.
     pub(super) async fn close(&self) {
-        if let Some(handle) = self.handle.get() {
+        if let Some(handle) = self.handle() {
             handle.clone().close().await;
         }
     }
@@ -99,9 +127,7 @@
             return Poll::Ready(Some(Err(CalledOff)));
         }
         let Some(body) = self.body.take() else { return Poll::Ready(None) };
-        if let Some(handle) = self.progress.handle.get() {
-            handle.carries();
-        }
+        self.progress.handed_over();
         Poll::Ready(Some(Ok(Frame::data(body))))
     }
 
--- a/src/edge/servers/release.rs
+++ b/src/edge/servers/release.rs
@@ -56,9 +56,9 @@
 }
 
 /// Has everything that is held for a request released: the holder is asked first, then, as any server takes the call, the
-/// others, until one has answered. It takes the connection on which the holder has just answered a read: where a server's
+/// others, until one has answered; whether one has. It takes the connection on which the holder has just answered a read: where a server's
 /// places for connections are all taken, a new one would be refused. Each second try goes over a new one.
-pub(super) async fn release(pool: &Pool<AttemptBody>, transaction: &str, addresses: &[String]) {
+pub(super) async fn release(pool: &Pool<AttemptBody>, transaction: &str, addresses: &[String]) -> bool {
     if addresses.is_empty() {
         warn!(transaction; "release: no server to ask for the release of what is held");
     }
@@ -70,7 +70,7 @@
         let start = Instant::now();
         if start >= end {
             warn!(transaction; "release: no server took the release of what is held");
-            return;
+            return false;
         }
         let (pool, transaction, address) = (pool.clone(), transaction.to_owned(), address.clone());
         tries.spawn(async move {
@@ -78,9 +78,10 @@
         });
         // One that refuses at once must not be asked in a tight loop: its step is waited for all the same.
         if timeout_at(start + STEP, any_released(&mut tries)).await.is_ok() {
-            return;
+            return true;
         }
     }
+    false
 }
 
 /// Waits until a server has released what it held.
--- a/src/main.rs
+++ b/src/main.rs
@@ -11,6 +11,7 @@
 
 use dewladder::edge::clients::chat;
 use dewladder::edge::dispatcher::Dispatcher;
+use dewladder::edge::driver::Message;
 use dewladder::edge::settings::{Config, ConfigError, Fronts};
 use dewladder::edge::transient::{self, is_transient, outlast};
 use pico_args::Arguments;
@@ -139,6 +140,13 @@
             reloader.reload_with_retries(&config_path, environment).await;
         }
     });
+    let mut user_signal = signal(SignalKind::user_defined1())?;
+    let driver = dispatcher.driver();
+    tokio::spawn(async move {
+        while user_signal.recv().await.is_some() {
+            driver.send(Message::LogRequests);
+        }
+    });
     let end = async move {
         term.recv().await;
     };
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -139,9 +139,9 @@
     for (line, says) in [
         ("\n", "ERR the line is empty\n"),
         ("\r\n", "ERR the line is empty\n"),
-        ("READY NOW\n", "ERR not known; READY and STATS are\n"),
-        ("ready\n", "ERR not known; READY and STATS are\n"),
-        ("\0\u{1}\n", "ERR not known; READY and STATS are\n"),
+        ("READY NOW\n", "ERR not known; READY, STATS, HELD and REQUESTS are\n"),
+        ("ready\n", "ERR not known; READY, STATS, HELD and REQUESTS are\n"),
+        ("\0\u{1}\n", "ERR not known; READY, STATS, HELD and REQUESTS are\n"),
         (&"x".repeat(5_000), "ERR the line is too long\n"),
         ("READY\nSTATS\n", "OK ready\n"),
     ] {
