Play servers that stand still at each moment of an exchange, and go on or die

Real processes of the program before real processes of readers and writers, which are stopped, let go on and killed, or stop themselves, before the request, with its connection, with its bytes, within an answer and after it; one, most and all of a role; objectives over and under the time that a state may be held; each effect.

--- a/tests/bin/test_server.rs
+++ b/tests/bin/test_server.rs
@@ -1,9 +1,9 @@
 //! A reader or a writer in a process of its own, so that a test can stop it, let it go on and kill it: its machine goes on
 //! taking connections and bytes while the process stands still. For the tests only.
 //!
-//! `dewladder-test-server reader|writer LEDGER [STOP]`: it prints the address on which it listens, and reports each step to
-//! the ledger before it acts on it. With STOP it stops itself (SIGSTOP) the first time that it comes to that moment:
-//! `accepted`, `received`, `answering` or `answered`.
+//! `dewladder-test-server reader|writer LEDGER WORK_MS [STOP]`: it prints the address on which it listens, and reports each
+//! step to the ledger before it acts on it. A read, and the time until a writer's first event, take WORK_MS. With STOP it
+//! stops itself (SIGSTOP) the first time that it comes to that moment: `accepted`, `received`, `answering` or `answered`.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -15,8 +15,6 @@
 
 type Failure = Box<dyn std::error::Error + Send + Sync>;
 
-/// A read, and the time until a writer's first event.
-const WORK_TIME: Duration = Duration::from_millis(10);
 /// Stops and goes on are seen by then.
 const STOPPED_AFTER: Duration = Duration::from_millis(50);
 const STREAM_HEAD: &str =
@@ -26,15 +24,22 @@
 struct Server {
     is_reader: bool,
     ledger: SocketAddr,
+    work_time: Duration,
     stop: Option<String>,
 }
 
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> Result<(), Failure> {
     let words: Vec<String> = std::env::args().skip(1).collect();
-    let [role, ledger, stop @ ..] = &words[..] else { return Err("reader|writer LEDGER [STOP]".into()) };
-    let mut server =
-        Server { is_reader: role == "reader", ledger: ledger.parse()?, stop: stop.first().cloned() };
+    let [role, ledger, work_ms, stop @ ..] = &words[..] else {
+        return Err("reader|writer LEDGER WORK_MS [STOP]".into());
+    };
+    let mut server = Server {
+        is_reader: role == "reader",
+        ledger: ledger.parse()?,
+        work_time: Duration::from_millis(work_ms.parse()?),
+        stop: stop.first().cloned(),
+    };
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     println!("{}", listener.local_addr()?);
     loop {
@@ -92,15 +97,17 @@
             return Ok(true);
         }
         let id = field(head, "x-txn").unwrap_or_default();
-        self.report(if self.is_reader { "reader_has" } else { "writer_has" }, &id).await?;
+        let [has, over] =
+            if self.is_reader { ["reader_has", "reader_over"] } else { ["writer_has", "writer_over"] };
+        self.report(has, &id).await?;
         self.stop_at("received").await?;
         let goes_on = self.work(stream, read, &id).await;
-        self.report("over", &id).await?;
+        self.report(over, &id).await?;
         goes_on
     }
 
     async fn work(&mut self, stream: &mut TcpStream, read: &mut Vec<u8>, id: &str) -> Result<bool, Failure> {
-        if is_closed_within(stream, read, WORK_TIME).await {
+        if is_closed_within(stream, read, self.work_time).await {
             return Ok(false);
         }
         if !self.is_reader && !self.report("take", id).await? {
--- a/tests/server_processes/mod.rs
+++ b/tests/server_processes/mod.rs
@@ -19,6 +19,10 @@
 
 /// Far longer than anything here takes.
 const LONG: Duration = Duration::from_secs(10);
+/// Servers drop repeats of a note for so long.
+pub const REPEATS_DROPPED_FOR: Duration = Duration::from_secs(1);
+/// A read takes so long.
+const READ_TIME: Duration = Duration::from_millis(10);
 /// `domain.release_within_s`, the 300 ms that sockets have more, and the 50 ms that each time limit has.
 pub const HELD_AT_MOST: Duration = Duration::from_millis(850);
 
@@ -37,8 +41,10 @@
     NoState,
     /// A release has come.
     Released,
-    /// An attempt is not out any more.
-    Over,
+    /// An attempt is not out any more at a reader.
+    ReaderOver,
+    /// The same at a writer.
+    WriterOver,
 }
 
 /// What the servers did, and the states that they hold.
@@ -57,7 +63,8 @@
             "take" if self.held.contains(id) => Step::Taken,
             "take" => Step::NoState,
             "release" => Step::Released,
-            _ => Step::Over,
+            "reader_over" => Step::ReaderOver,
+            _ => Step::WriterOver,
         };
         match step {
             Step::Read => drop(self.held.insert(id.to_owned())),
@@ -75,13 +82,26 @@
         for (_, step) in self.steps.get(id).into_iter().flatten() {
             match step {
                 Step::WriterHas => waiting = true,
-                Step::Over | Step::Taken => waiting = false,
+                Step::WriterOver | Step::Taken => waiting = false,
                 _ => {}
             }
         }
         waiting
     }
 
+    /// The time between the first and the last time that a step was done for a request.
+    pub fn time_between(&self, id: &str, step: Step) -> Duration {
+        let steps = self.steps.get(id).into_iter().flatten();
+        let mut done = steps.filter(|(_, done)| *done == step).map(|(at, _)| *at);
+        let Some(first) = done.next() else { return Duration::ZERO };
+        done.next_back().map_or(Duration::ZERO, |last| last.duration_since(first))
+    }
+
+    /// Requests of which a state is held.
+    pub fn held(&self) -> Vec<String> {
+        self.held.iter().cloned().collect()
+    }
+
     /// How often a step was done for a request.
     pub fn count(&self, id: &str, step: Step) -> usize {
         self.steps.get(id).into_iter().flatten().filter(|(_, done)| *done == step).count()
@@ -98,7 +118,7 @@
             }
             match step {
                 Some(Step::ReaderHas | Step::WriterHas) => out += 1,
-                Some(Step::Over) => out = out.saturating_sub(1),
+                Some(Step::ReaderOver | Step::WriterOver) => out = out.saturating_sub(1),
                 Some(Step::Read) => is_held = true,
                 Some(Step::Taken | Step::Released) => is_held = false,
                 _ => {}
@@ -117,9 +137,9 @@
 }
 
 impl ServerProcess {
-    async fn start(role: &str, ledger: SocketAddr, stop: Option<&str>) -> Self {
+    async fn start(role: &str, ledger: SocketAddr, work: Duration, stop: Option<&str>) -> Self {
         let mut program = Command::new(env!("CARGO_BIN_EXE_dewladder-test-server"));
-        program.arg(role).arg(ledger.to_string()).args(stop);
+        program.arg(role).arg(ledger.to_string()).arg(work.as_millis().to_string()).args(stop);
         let mut child = program.stdout(Stdio::piped()).kill_on_drop(true).spawn().unwrap();
         let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
         let line = timeout(LONG, lines.next_line()).await.expect("a line").unwrap().expect("an address");
@@ -155,6 +175,10 @@
     pub readers_stop: Option<&'static str>,
     /// The moment at which the writers stop themselves.
     pub writers_stop: Option<&'static str>,
+    /// So many of the writers do; the others never stop.
+    pub stopping_writers: usize,
+    /// The time until a writer's first event.
+    pub write_time: Duration,
     /// The latency objective of all classes (s).
     pub objective_s: f64,
     /// The longest that clients wait (s).
@@ -168,6 +192,8 @@
             writers: 3,
             readers_stop: None,
             writers_stop: None,
+            stopping_writers: usize::MAX,
+            write_time: READ_TIME,
             objective_s: 2.0,
             deadline_s: 3.0,
         }
@@ -200,11 +226,12 @@
         let books = keep_ledger(ledger.clone()).await;
         let (mut readers, mut writers, mut members) = (Vec::new(), Vec::new(), Vec::new());
         for at in 0..layout.readers {
-            readers.push(ServerProcess::start("reader", books, layout.readers_stop).await);
+            readers.push(ServerProcess::start("reader", books, READ_TIME, layout.readers_stop).await);
             members.push(member(readers[at].address, at as u32 + 1, "prefill", "up"));
         }
         for at in 0..layout.writers {
-            writers.push(ServerProcess::start("writer", books, layout.writers_stop).await);
+            let stop = layout.writers_stop.filter(|_| at < layout.stopping_writers);
+            writers.push(ServerProcess::start("writer", books, layout.write_time, stop).await);
             members.push(member(writers[at].address, at as u32 + 101, "decode", "up"));
         }
         let list = json!({"revision": 1, "complete": true, "members": members});
@@ -295,7 +322,7 @@
     let mut settings: Value = serde_json::from_str(&config(agent.address, list)).unwrap();
     let class = |name: &str, effect: &str| {
         json!({"name": name, "aim_s": layout.objective_s, "give_up_s": layout.deadline_s, "effect": effect,
-            "group": "all", "worth": 2.0, "dedup_window_s": 1.0})
+            "group": "all", "worth": 2.0, "dedup_window_s": REPEATS_DROPPED_FOR.as_secs_f64()})
     };
     let lanes = [class("ask", "idempotent"), class("book", "at_most_once"), class("note", "deduplicated")];
     settings["settings"]["lanes"] = json!(lanes);
