Let go of what earlier attempts may have left before a prompt is read again

Change: what an attempt may have left is released before the next read of the prompt, which begins once that release is answered, 0.1 s later at the latest, and goes over any connection again; no release is asked for during a read. After a release that was asked for during a writer's attempt, the state is not counted on any more, answered or not.

The models hold that no release is asked for while a read is out.

--- a/src/edge/core/held_state.rs
+++ b/src/edge/core/held_state.rs
@@ -12,7 +12,8 @@
 /// A server has seen the close of a connection by then (us). A release goes over another one and may overtake it.
 pub const CLOSE_SEEN: Micros = 100_000;
 
-/// How far a release has come that was asked for while an attempt was in flight.
+/// How far the release of what is held has come. Until the request has ended, what was released is kept in mind: an attempt
+/// may have kept it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ReleaseProgress {
     NotRequested,
@@ -21,7 +22,7 @@
         /// Its number.
         release: u64,
     },
-    /// A server has answered: what is still held waits for the attempt that is in flight.
+    /// A server has answered: what is still held waits for the attempt that was in flight.
     Answered,
 }
 
@@ -47,6 +48,8 @@
     /// The timer that is started for it.
     timer: Option<Micros>,
     release: ReleaseProgress,
+    /// Something may be held that no release was asked for since an attempt last ended.
+    needs_release: bool,
     /// When something was first held of what is held now (us).
     since: Micros,
     /// When an attempt was last given up, or broke off, that its server may still work on (us).
@@ -62,6 +65,7 @@
             deadline: None,
             timer: None,
             release: ReleaseProgress::NotRequested,
+            needs_release: false,
             since: 0,
             given_up_at: None,
         }
@@ -89,12 +93,18 @@
         self.deadline
     }
 
-    /// Whether a release was asked for during the attempt that is in flight.
+    /// Whether a release was asked for since a server last answered that the state is there.
     #[must_use]
     pub fn is_release_requested(&self) -> bool {
         self.release != ReleaseProgress::NotRequested
     }
 
+    /// Whether something may be held that no release was asked for since an attempt last ended.
+    #[must_use]
+    pub fn needs_release(&self) -> bool {
+        self.needs_release
+    }
+
     /// A reader has answered that it has read the prompt.
     pub fn read_answered(&mut self, server: ServerId, now: Micros, max_hold_time: Micros) {
         self.add_holder(server, now);
@@ -105,42 +115,27 @@
     pub fn read_unanswered(&mut self, server: ServerId, now: Micros, max_hold_time: Micros) {
         self.add_holder(server, now);
         self.given_up_at = Some(now);
-        self.release = ReleaseProgress::NotRequested;
         self.deadline.get_or_insert(now + max_hold_time);
     }
 
-    /// A server has answered an attempt: what is held has its whole time from now on.
-    pub fn attempt_answered(&mut self, now: Micros, max_hold_time: Micros) -> HeldStateAfter {
-        if self.is_held() {
-            self.restart(now, max_hold_time);
-        }
-        HeldStateAfter::TimeBeginsAnew
-    }
-
-    /// An attempt has ended without an answer after some of it was written. Where a release was asked for meanwhile and is
-    /// not answered, it has to be asked for again: the server may have kept the state for the attempt until now.
-    pub fn attempt_unanswered(&mut self, now: Micros, max_hold_time: Micros) -> HeldStateAfter {
+    /// An attempt that may have waited for what is held has ended. Where a release was asked for meanwhile, only that
+    /// attempt can have kept the state: it can't be counted on any more. Else an answer gives it its whole time once more.
+    pub fn write_ended(&mut self, answered: bool, now: Micros, max_hold_time: Micros) -> HeldStateAfter {
         if !self.is_held() {
             return HeldStateAfter::TimeGoesOn;
         }
-        self.given_up_at = Some(now);
-        match self.release {
-            ReleaseProgress::NotRequested => HeldStateAfter::TimeGoesOn,
-            ReleaseProgress::Answered => {
-                self.restart(now, max_hold_time);
-                HeldStateAfter::TimeBeginsAnew
-            }
-            ReleaseProgress::Requested { .. } => HeldStateAfter::Released,
+        self.needs_release = true;
+        if !answered {
+            self.given_up_at = Some(now);
         }
-    }
-
-    /// An attempt has ended of which no server has anything. A release that was asked for meanwhile lets go of all that is
-    /// held, as nobody waits for it.
-    pub fn attempt_not_sent(&mut self) -> HeldStateAfter {
         if self.is_release_requested() {
-            self.clear();
+            return HeldStateAfter::Released;
         }
-        HeldStateAfter::TimeGoesOn
+        if !answered {
+            return HeldStateAfter::TimeGoesOn;
+        }
+        self.restart(now, max_hold_time);
+        HeldStateAfter::TimeBeginsAnew
     }
 
     /// A writer has taken the state: with the first token all that is held is let go of by itself.
@@ -148,21 +143,23 @@
         self.clear();
     }
 
-    /// Takes what is to be released, if anything; `release` numbers it. Where an attempt may wait for what is held, it is
-    /// kept in mind until that attempt has ended.
-    pub fn request_release(&mut self, release: u64, is_awaited: bool, now: Micros) -> Option<ReleaseOrder> {
+    /// Takes what is to be released, if anything; `release` numbers it. Only where the request has ended, `is_final`, is it
+    /// not kept in mind any longer.
+    pub fn request_release(&mut self, release: u64, is_final: bool, now: Micros) -> Option<ReleaseOrder> {
         if !self.is_held() {
             return None;
         }
         let (held, deadline) = (self.age(now), self.deadline.take());
-        let again = self.given_up_at.is_some_and(|at| now < at + CLOSE_SEEN);
         let holders = self.holders.clone();
-        if is_awaited {
-            self.release = ReleaseProgress::Requested { release };
-        } else {
+        let was_just_given_up = self.given_up_at.is_some_and(|at| now < at + CLOSE_SEEN);
+        if is_final {
             self.clear();
+        } else {
+            self.release = ReleaseProgress::Requested { release };
+            self.needs_release = false;
         }
-        Some(ReleaseOrder { holders, again, held, deadline })
+        // A second release would let go of what a further read leaves.
+        Some(ReleaseOrder { holders, again: is_final && was_just_given_up, held, deadline })
     }
 
     /// A release has come to its end. One that nobody answered is asked for once more after so long.
@@ -174,6 +171,7 @@
             self.release = ReleaseProgress::Answered;
         } else {
             self.release = ReleaseProgress::NotRequested;
+            self.needs_release = true;
             self.deadline = Some(now + max_hold_time);
         }
     }
@@ -196,6 +194,7 @@
         self.holders.clear();
         self.deadline = None;
         self.release = ReleaseProgress::NotRequested;
+        self.needs_release = false;
         self.given_up_at = None;
     }
 
@@ -204,6 +203,7 @@
             self.since = now;
         }
         self.holders.push(server);
+        self.needs_release = true;
     }
 
     fn restart(&mut self, now: Micros, max_hold_time: Micros) {
--- a/src/edge/core/request_table.rs
+++ b/src/edge/core/request_table.rs
@@ -123,6 +123,23 @@
         step.events.push_back(Event::RequestArrived(info));
     }
 
+    /// Has all requests that wait answered by a time (us), whatever their clients would wait.
+    pub fn cap_deadlines(&mut self, at: Micros, step: &mut Step) {
+        for (&id, request) in &mut self.requests {
+            if request.client != Client::Waiting {
+                continue;
+            }
+            request.not_after = request.not_after.min(at);
+            for (&number, attempt) in &mut request.in_flight {
+                if attempt.until > at {
+                    step.timers.stop(attempt.until, Timer::Attempt(id, number));
+                    step.timers.start(at, Timer::Attempt(id, number));
+                    attempt.until = at;
+                }
+            }
+        }
+    }
+
     /// Cancels the sends to servers that take no new work any more, as far as nothing of them has been written: a drain
     /// that comes between the choice of a server and the first byte stops that send.
     pub fn cancel_unwritten_to_unready(&self, endpoints: &Endpoints, step: &mut Step) {
@@ -313,7 +330,8 @@
         request.attempts += 1;
         let (now, reads) = (step.now, rules.endpoints.is_reader(server));
         let until = request.not_after.min(now + attempt_timeout);
-        let taken_by = request.held.deadline();
+        // What is held waits for writers; before a read it is let go of.
+        let taken_by = if reads { None } else { request.held.deadline() };
         let runs_again_by = if reads { None } else { runs_again_by(request, rules, until, self.resolution) };
         let check = SendCheck {
             now,
@@ -330,6 +348,10 @@
             step.events.push_back(Event::AttemptFinished(never_sent(id, attempt, server, last)));
             return;
         }
+        if reads {
+            self.release_before_read(id, step);
+        }
+        let Some(request) = self.requests.get_mut(&id) else { return };
         let in_flight = InFlight { server, reads, sent: now, until, written: false, cancelled_as: None };
         Transitions::sends(in_flight.label(id, attempt), reads, until - now);
         request.history.add(now, Transition::Sent { attempt, server, reads, timeout: until - now });
--- a/src/edge/core/request_table/held.rs
+++ b/src/edge/core/request_table/held.rs
@@ -29,38 +29,38 @@
         if held.is_release_requested() {
             self.held_statistics.ended_after_release(outcome);
         }
-        let after = match outcome {
-            Outcome::Read => {
-                held.read_answered(attempt.server, now, max_hold_time);
-                HeldStateAfter::TimeBeginsAnew
-            }
-            Outcome::Served | Outcome::Full | Outcome::NoState => held.attempt_answered(now, max_hold_time),
-            Outcome::Error => {
-                if attempt.reads {
-                    held.read_unanswered(attempt.server, now, max_hold_time);
-                }
-                held.attempt_answered(now, max_hold_time)
-            }
-            Outcome::ConnectFailed | Outcome::NotSent => held.attempt_not_sent(),
-            // A machine that took the bytes, reset the connection or stayed silent says nothing of the server's process.
+        // A machine that took the bytes, reset the connection or stayed silent says nothing of the server's process.
+        let answered = match outcome {
+            Outcome::ConnectFailed | Outcome::NotSent => return HeldStateAfter::TimeGoesOn,
+            Outcome::Read | Outcome::Served | Outcome::Full | Outcome::NoState | Outcome::Error => true,
             Outcome::Timeout
             | Outcome::Reset
             | Outcome::Unacknowledged
             | Outcome::Cancelled
-            | Outcome::Unknown => {
-                if attempt.reads {
-                    held.read_unanswered(attempt.server, now, max_hold_time);
-                    HeldStateAfter::TimeGoesOn
-                } else {
-                    held.attempt_unanswered(now, max_hold_time)
-                }
+            | Outcome::Unknown => false,
+        };
+        let after = if !attempt.reads {
+            held.write_ended(answered, now, max_hold_time)
+        } else if outcome == Outcome::Read {
+            held.read_answered(attempt.server, now, max_hold_time);
+            HeldStateAfter::TimeBeginsAnew
+        } else {
+            if outcome.may_have_run() {
+                held.read_unanswered(attempt.server, now, max_hold_time);
             }
+            HeldStateAfter::TimeGoesOn
         };
         held.sync_timer(id, &mut step.timers);
-        if after == HeldStateAfter::Released {
+        after
+    }
+
+    /// Before a prompt is read once more, what earlier attempts may have left of it is let go of: asked for later, the
+    /// release would let go of the new read's state too.
+    pub(super) fn release_before_read(&mut self, id: RequestId, step: &mut Step) {
+        let needs_release = self.requests.get(&id).is_some_and(|request| request.held.needs_release());
+        if needs_release {
             self.release_held_state(id, step);
         }
-        after
     }
 
     /// What is held for a request has not been taken in its time, or no server has said so: it is let go of, whatever is in
@@ -76,8 +76,8 @@
     /// Has servers release all that they hold, or may hold, for a request.
     pub fn release_held_state(&mut self, id: RequestId, step: &mut Step) {
         let Some(request) = self.requests.get_mut(&id) else { return };
-        let (release, is_awaited) = (self.last_release + 1, request.awaits_held_state());
-        let order = request.held.request_release(release, is_awaited, step.now);
+        let (release, is_final) = (self.last_release + 1, request.is_completed());
+        let order = request.held.request_release(release, is_final, step.now);
         request.held.sync_timer(id, &mut step.timers);
         let Some(ReleaseOrder { holders, again, held, deadline }) = order else { return };
         let in_flight = !request.in_flight.is_empty();
--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -26,6 +26,7 @@
 use crate::edge::driver::clients::{Client, Clients};
 pub use crate::edge::driver::handle::DriverHandle;
 pub use crate::edge::driver::messages::{Message, Reply};
+pub use crate::edge::driver::releases::UnansweredReleases;
 use crate::edge::driver::releases::{ReleaseRequest, Releases};
 use crate::edge::driver::summary::Summary;
 use crate::edge::gossip_transport::GossipTransport;
@@ -293,7 +294,8 @@
                 };
                 let (address, payload) = (address.clone(), payload.clone());
                 let (until, begin_by) = (self.clock.instant(until), self.clock.instant(begin_by));
-                let request = Attempt { address, payload, reads, until, begin_by, new_connection };
+                let after = reads.then(|| self.releases.unanswered(id));
+                let request = Attempt { address, payload, reads, until, begin_by, new_connection, after };
                 self.attempts.send(id, attempt, request);
             }
             Effect::CancelUnwritten { id, attempt } => return self.attempts.cancel_unwritten(id, attempt),
--- a/src/edge/driver/releases.rs
+++ b/src/edge/driver/releases.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
@@ -24,6 +25,21 @@
     holder: ServerId,
     /// The task that asks for the release; without one, the holder is still to be asked.
     task: Option<JoinHandle<()>>,
+    /// Closed once a server has answered, or the task has ended.
+    unanswered: watch::Receiver<()>,
+}
+
+/// Releases of a request that no server has answered yet.
+#[derive(Clone, Debug)]
+pub struct UnansweredReleases(Vec<watch::Receiver<()>>);
+
+impl UnansweredReleases {
+    /// Waits until all of them are answered, or have ended.
+    pub async fn answered(self) {
+        for mut release in self.0 {
+            while release.changed().await.is_ok() {}
+        }
+    }
 }
 
 /// A release that is asked for.
@@ -49,6 +65,12 @@
         Self { servers, driver, figures, by_request: HashMap::new() }
     }
 
+    /// The releases of a request that are not answered yet.
+    pub(super) fn unanswered(&self, id: RequestId) -> UnansweredReleases {
+        let releases = self.by_request.get(&id).into_iter().flatten();
+        UnansweredReleases(releases.map(|release| release.unanswered.clone()).collect())
+    }
+
     /// A request is completed: its releases end by themselves.
     pub(super) fn forget(&mut self, id: RequestId) {
         self.by_request.remove(&id);
@@ -91,8 +113,10 @@
             let (servers, transaction) = (self.servers.clone(), transaction.to_owned());
             let counted = CountedRelease::new(self.figures.clone());
             let driver = self.driver.clone();
+            let (until_answered, unanswered) = watch::channel(());
             let task = tokio::spawn(async move {
                 let answered = servers.release(&transaction, &asked).await;
+                drop(until_answered);
                 driver.send(Message::Input(Input::ReleaseFinished { id, release, answered }));
                 if again {
                     sleep(Duration::from_micros(CLOSE_SEEN)).await;
@@ -100,7 +124,7 @@
                 }
                 drop(counted);
             });
-            releases.push(Release { holder, task: Some(task) });
+            releases.push(Release { holder, task: Some(task), unanswered });
         }
     }
 }
--- a/src/edge/servers.rs
+++ b/src/edge/servers.rs
@@ -21,9 +21,10 @@
 use hyper::{Method, Request, Response};
 use log::debug;
 use tokio::sync::oneshot;
-use tokio::time::{sleep_until, Instant};
+use tokio::time::{sleep_until, timeout_at, Instant};
 
 use crate::edge::connections::{Connection, Handle, IdleChoice, Pool};
+use crate::edge::driver::UnansweredReleases;
 use crate::edge::servers::answer::read_answer;
 pub use crate::edge::servers::answer::{AttemptOutcome, Opened};
 pub use crate::edge::servers::last_answers::LastAnswers;
@@ -40,6 +41,9 @@
 /// The header by which a repeat is known, from clients and at servers.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 
+/// A read waits so long for the release of what earlier attempts may have left.
+const RELEASE_WAIT: Duration = Duration::from_millis(100);
+
 /// One sending of a request.
 #[derive(Clone, Debug)]
 pub struct Attempt {
@@ -55,6 +59,8 @@
     pub begin_by: Instant,
     /// It may go over a new connection only, which is not used again.
     pub new_connection: bool,
+    /// It begins once these are answered, or have had their time: a release that comes later would let go of what it reads.
+    pub after: Option<UnansweredReleases>,
 }
 
 /// The servers, as attempts reach them.
@@ -102,6 +108,11 @@
     }
 
     async fn send(&self, attempt: &Attempt, progress: &Arc<Progress>) -> AttemptOutcome {
+        if let Some(after) = &attempt.after {
+            // One that nobody answers is not waited for.
+            let until = attempt.begin_by.min(Instant::now() + RELEASE_WAIT);
+            let _ = timeout_at(until, after.clone().answered()).await;
+        }
         let address = &attempt.address;
         let mut ready = match self.connect(attempt).await {
             Ok(ready) => ready,
--- a/tests/crossings_handover.rs
+++ b/tests/crossings_handover.rs
@@ -725,6 +725,8 @@
             }
             Asks::Fail { .. } => self.answered(),
             Asks::ReleaseHeldState { holders, release, .. } => {
+                let reads = self.out.as_ref().is_some_and(|out| Self::reads(out.server));
+                assert!(!reads, "a release would let go of what the read leaves that is out");
                 let holders: BTreeSet<_> = holders.into_iter().collect();
                 assert!(holders.is_superset(&self.held) && holders.is_subset(&self.ever_held));
                 // What an attempt waits for stays.
--- a/tests/silent_releases.rs
+++ b/tests/silent_releases.rs
@@ -70,6 +70,7 @@
         until,
         begin_by: until,
         new_connection: false,
+        after: None,
     };
     let (_keep, stopped) = oneshot::channel();
     let result = servers.attempt(attempt, Arc::default(), stopped).await;
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -217,6 +217,7 @@
         until,
         begin_by: until,
         new_connection: false,
+        after: None,
     };
     servers.attempt(attempt, Arc::default(), stop)
 }
