Answer what is open, and let go of what is held, before the earliest kill

Cause: a process that was told to end may be killed 0.7 s after the longest deadline of its classes (3 s at most). The program waited for each client's own time, which may be longer, closed idle connections 0.6 s after it had announced its end to a process beside it, however long that took, and took requests until the connection closed, whose streams the kill would cut.

Change: the times of a shutdown follow from the settings (ShutdownTimes). All open requests have their answer 0.1 s before the earliest kill, and what is held for them is released then; requests that are read later than 0.7 s after the signal, and the 0.15 s for which a process may be held up, are refused (answered.leaving). The close of idle connections counts from the signal.

--- a/crates/router/src/end_reason.rs
+++ b/crates/router/src/end_reason.rs
@@ -26,11 +26,13 @@
     TooManyOpen,
     /// Its class is not there any more.
     ClassGone,
+    /// This process was told to end, and the request came too late to be served to its end.
+    Leaving,
 }
 
 impl EndReason {
     /// All of them, in the order of counts.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::Deadline,
         Self::AttemptsSpent,
         Self::NoServers,
@@ -41,6 +43,7 @@
         Self::NotAllowed,
         Self::TooManyOpen,
         Self::ClassGone,
+        Self::Leaving,
     ];
 
     /// Its name in the metrics (`STATS`).
@@ -57,6 +60,7 @@
             Self::NotAllowed => "not_allowed",
             Self::TooManyOpen => "too_many_open",
             Self::ClassGone => "class_gone",
+            Self::Leaving => "leaving",
         }
     }
 }
--- a/crates/router/src/interface/messages.rs
+++ b/crates/router/src/interface/messages.rs
@@ -49,6 +49,8 @@
     /// The part of this dispatcher that this process is from now on, while another process takes over from
     /// it: of what both may send, it may send so much (0 to 1).
     LimitShareChanged(f64),
+    /// Every open request has to be answered by then (us), whatever its client would wait.
+    DeadlinesCapped(Micros),
     /// An event that changes nothing here, such as a probe's end; timers and gossip go on.
     Ignored,
 }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -48,7 +48,7 @@
 pub struct Router {
     state: RoutingState,
     rng: Pcg64Mcg,
-    /// Looked up, never iterated.
+    /// Looked up; never iterated where the order matters.
     requests: HashMap<RequestId, RequestState>,
     /// Requests whose state waits for a writer.
     awaiting_writer: BTreeSet<RequestId>,
@@ -100,6 +100,7 @@
             }
             Event::StateImported(handover) => handover.import(&mut self.state),
             Event::LimitShareChanged(part) => self.state.limit_share = part,
+            Event::DeadlinesCapped(at) => self.on_deadlines_capped(at),
             Event::TimerFired(_) | Event::Ignored => {}
         }
         self.state.gossip.publish(now, actions);
@@ -219,6 +220,13 @@
         state.settings = settings;
     }
 
+    /// Open requests have to be answered by a time, in whatever order they are gone through.
+    fn on_deadlines_capped(&mut self, at: Micros) {
+        for request in self.requests.values_mut() {
+            request.info.not_after = request.info.not_after.min(at);
+        }
+    }
+
     /// What no event brings up: the list to ask for, the medians, states that wait for a writer, readers that
     /// have become unresponsive.
     fn sweep(&mut self, actions: &mut Vec<Action>) {
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -220,12 +220,24 @@
     }
 
     pub fn end_with(&mut self, id: RequestId, outcome: Outcome, cached_tokens: u64) {
+        self.end_as(id, outcome, HeldStateAfter::of_arrived(outcome), cached_tokens);
+    }
+
+    /// The same, with what it means for the state that is held.
+    pub fn end_as(
+        &mut self,
+        id: RequestId,
+        outcome: Outcome,
+        held_state: HeldStateAfter,
+        cached_tokens: u64,
+    ) {
         let Some(known) = self.known.get_mut(&id) else { return };
         let Some(out) = known.out.take() else { return };
         let last = known.ended || outcome == Outcome::Served || out.begun;
         match outcome {
             Outcome::Read => known.held = Some((out.server, self.now)),
             // A reader that is cut off from the writer still holds the state.
+            _ if held_state == HeldStateAfter::Released => known.held = None,
             _ => known.held = known.held.map(|(server, _)| (server, self.now)),
         }
         let proven = matches!(
@@ -242,7 +254,7 @@
             server: out.server,
             taken: self.now - out.at,
             outcome,
-            held_state: HeldStateAfter::of_arrived(outcome),
+            held_state,
             cached_tokens,
             last,
             report: None,
--- a/crates/router/tests/full_scan/oracle/mod.rs
+++ b/crates/router/tests/full_scan/oracle/mod.rs
@@ -97,6 +97,11 @@
                 self.on_settings_reloaded(*settings, &class_renumbering);
             }
             Event::StateImported(_) => unreachable!("a hand-over is not played here"),
+            Event::DeadlinesCapped(at) => {
+                self.requests
+                    .values_mut()
+                    .for_each(|request| request.info.not_after = request.info.not_after.min(at));
+            }
             Event::LimitShareChanged(limit_share) => self.limit_share = limit_share,
             Event::TimerFired(_) | Event::Ignored => {}
         }
--- a/crates/router/tests/rules.rs
+++ b/crates/router/tests/rules.rs
@@ -197,3 +197,33 @@
     world.pass(250_000);
     assert_eq!(world.count(|action| *action == Action::ReleaseHeldState(id)), 1);
 }
+
+/// A write ends unanswered after its state was released: the prompt is read again. Where the time of the state goes on
+/// instead and is over, no writer is tried with it.
+#[test]
+fn a_released_state_is_read_again_and_one_whose_time_is_over_goes_nowhere() {
+    for (held_state, reads_again) in [(HeldStateAfter::Released, true), (HeldStateAfter::TimeGoesOn, false)] {
+        let mut world = World::new(settings(), fleet(false));
+        let id = world.simple(1);
+        world.end(id, Outcome::Read);
+        assert!(!world.is_reader(world.out(id).expect("a write").server));
+        world.now += world.settings.max_hold_time + 10_000;
+        world.end_as(id, Outcome::Timeout, held_state, 0);
+        let next = world.out(id).map(|out| world.is_reader(out.server));
+        assert_eq!(next, reads_again.then_some(true), "{held_state:?}");
+    }
+}
+
+/// The process will be killed: what its client would wait for longer is answered by then, and not sent again.
+#[test]
+fn a_request_is_answered_by_the_time_that_all_deadlines_are_capped_at() {
+    let mut world = World::new(settings(), fleet(false));
+    let id = world.simple(1);
+    let capped = world.now + 50_000;
+    assert!(world.known[&id].info.not_after > capped + SECOND);
+    world.tell(Event::DeadlinesCapped(capped));
+    world.now = capped;
+    world.end(id, Outcome::Timeout);
+    assert!(world.out(id).is_none(), "not sent again");
+    assert_eq!(world.count(|action| *action == Action::Fail(id)), 1);
+}
--- a/crates/router/tests/written_forms.rs
+++ b/crates/router/tests/written_forms.rs
@@ -130,6 +130,7 @@
         "not_allowed",
         "too_many_open",
         "class_gone",
+        "leaving",
     ];
     assert_eq!(EndReason::ALL.map(EndReason::name), names);
 }
--- a/src/edge/core.rs
+++ b/src/edge/core.rs
@@ -23,6 +23,7 @@
 use crate::edge::core::request_table::{RequestTable, SendRules};
 use crate::edge::core::step::{Step, Timer};
 use crate::edge::guard::Guard;
+use crate::edge::shutdown_times::ShutdownTimes;
 use crate::edge::transitions::Transitions;
 use crate::interface::{
     Action, AttemptFinished, Class, Event, ListUpdateKind, Micros, Outcome, RequestId, RequestInfo,
@@ -40,6 +41,8 @@
     start_times: StartTimes,
     requests: RequestTable,
     max_open_requests: usize,
+    /// Once the process was told to end.
+    shutdown: Option<ShutdownTimes>,
     /// What a client is told that is rejected for want of room (us).
     retry_in: Micros,
     step: Step,
@@ -55,6 +58,7 @@
             start_times: StartTimes::default(),
             requests: RequestTable::new(&settings),
             max_open_requests,
+            shutdown: None,
             retry_in: settings.max_retry_after,
             step: Step { now, ..Step::default() },
             router: Router::new(settings, seed, now),
@@ -192,6 +196,7 @@
                 step.events.push_back(Event::LimitShareChanged(part));
             }
             Input::GossipReceived(bytes) => step.events.push_back(Event::GossipReceived(bytes)),
+            Input::Leaving(times) => self.leave(times),
             Input::Tick => {}
         }
     }
@@ -215,7 +220,14 @@
         self.step.events.push_back(Event::SettingsReloaded { settings, class_renumbering });
     }
 
-    fn admit(&mut self, info: RequestInfo) {
+    /// The process will be killed: what is open is answered before that.
+    fn leave(&mut self, times: ShutdownTimes) {
+        self.shutdown = Some(times);
+        self.requests.cap_deadlines(times.answer_by, &mut self.step);
+        self.step.events.push_back(Event::DeadlinesCapped(times.answer_by));
+    }
+
+    fn admit(&mut self, mut info: RequestInfo) {
         let id = info.id;
         if self.requests.contains(id) {
             return;
@@ -227,6 +239,12 @@
         if !self.classes.contains(info.class) {
             return self.reject_at_once(id, EndReason::ClassGone);
         }
+        if let Some(times) = self.shutdown {
+            if self.step.now >= times.refuse_from {
+                return self.reject_at_once(id, EndReason::Leaving);
+            }
+            info.not_after = info.not_after.min(times.answer_by);
+        }
         self.requests.open(info, &mut self.step);
     }
 
--- a/src/edge/core/messages.rs
+++ b/src/edge/core/messages.rs
@@ -1,6 +1,7 @@
 //! What goes into the reducer and what comes out of it: [`Input`] tells what has happened outside, [`Effect`] what is to be
 //! done there. All times are in microseconds of the program's clock.
 
+use crate::edge::shutdown_times::ShutdownTimes;
 use crate::interface::{
     ListUpdateKind, Micros, Outcome, Report, RequestId, RequestInfo, ServerEntry, ServerId, Settings,
 };
@@ -76,6 +77,8 @@
         /// Requests that are open at once.
         max_open_requests: usize,
     },
+    /// The process was told to end.
+    Leaving(ShutdownTimes),
     /// Time has passed: what is due is dealt with.
     Tick,
 }
--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -58,6 +58,7 @@
 /// A dispatcher that listens and is ready to run.
 pub struct Dispatcher {
     config: Config,
+    clock: Clock,
     driver: Driver,
     to_driver: DriverHandle,
     figures: Figures,
@@ -110,6 +111,7 @@
             config.admin.map(|at| start_admin(at, &health, cluster.as_ref(), &to_driver)).transpose()?;
         Ok(Self {
             config,
+            clock,
             driver,
             to_driver,
             figures,
--- a/src/edge/dispatcher/running.rs
+++ b/src/edge/dispatcher/running.rs
@@ -9,12 +9,15 @@
 use thiserror::Error;
 use tokio::sync::{oneshot, watch};
 use tokio::task::{JoinError, JoinHandle};
+use tokio::time::{sleep_until, timeout_at};
 
 use crate::edge::admin::Admin;
 use crate::edge::balancers;
 use crate::edge::clients::connection_limits::ConnectionLimits;
 use crate::edge::clients::listener;
+use crate::edge::clock::Clock;
 use crate::edge::cluster::Cluster;
+use crate::edge::core::Input;
 use crate::edge::discovery;
 use crate::edge::discovery::listing;
 use crate::edge::dispatcher::listeners::listen_while_running;
@@ -23,12 +26,11 @@
 use crate::edge::hot_restart::HotRestartTask;
 use crate::edge::phase::Phase;
 use crate::edge::settings::Config;
+use crate::edge::shutdown_times::ShutdownTimes;
 use crate::edge::stats::Figures;
 use crate::interface::ListUpdateKind;
 use dewladder_hot_restart::{RestartStatus, Stage};
 
-/// After SIGTERM new connections go on coming for up to 0.4 s; only then are idle ones closed.
-const LEAVE_TIME: Duration = Duration::from_millis(600);
 /// Time between two looks at whether anything is still held.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
@@ -56,7 +58,7 @@
         discovery: watch::Receiver<SocketAddr>,
         end: impl Future<Output = ()>,
     ) -> Result<(), RunError> {
-        let Self { config, driver, to_driver, figures, phase, .. } = self;
+        let Self { config, driver, to_driver, figures, phase, clock, .. } = self;
         let known = listing::entries(&config.known, &config.names);
         let servers_known = known.len();
         if let Some(admin) = &self.admin {
@@ -71,7 +73,7 @@
         let health = self.health;
         let agent = self.agent.map(|listener| tokio::spawn(balancers::agent_check(listener, health)));
         let cluster = self.cluster.map(ClusterTask::spawn);
-        let shared = Shared { config, limits, to_driver, figures, phase };
+        let shared = Shared { config, limits, to_driver, figures, phase, clock };
         let mut hot_restart = self.hot_restart.map(|task| RestartFollower::spawn(task, &shared));
 
         let mut end = std::pin::pin!(end);
@@ -88,7 +90,7 @@
             ended = &mut watching => return Err(RunError::WatchEnded(format!("{ended:?}"))),
         }
 
-        leave(&shared.phase, hot_restart.as_mut()).await;
+        leave(&shared, hot_restart.as_mut()).await;
         finish(serving, &shared.figures).await;
         let hot_restart = hot_restart.map(|follower| follower.task);
         for task in [agent, gossip, hot_restart].into_iter().flatten() {
@@ -112,6 +114,7 @@
     to_driver: DriverHandle,
     figures: Figures,
     phase: watch::Sender<Phase>,
+    clock: Clock,
 }
 
 /// The hot restart's task, and both processes as it sees them.
@@ -123,7 +126,7 @@
 impl RestartFollower {
     fn spawn(task: HotRestartTask, shared: &Shared) -> Self {
         let (sender, status) = watch::channel(Some(task.status()));
-        let Shared { config, limits, to_driver, figures, phase } = shared;
+        let Shared { config, limits, to_driver, figures, phase, .. } = shared;
         let (limits, to_driver, figures) = (limits.clone(), to_driver.clone(), figures.clone());
         let run = task.run(config.clone(), limits, to_driver, figures, phase.subscribe(), sender);
         Self { task: tokio::spawn(run), status }
@@ -182,11 +185,18 @@
 }
 
 /// Has clients leave, or leaves new ones to the process that has replaced this one; then listeners close.
-async fn leave(phase: &watch::Sender<Phase>, follower: Option<&mut RestartFollower>) {
+async fn leave(shared: &Shared, follower: Option<&mut RestartFollower>) {
+    let Shared { clock, to_driver, phase, .. } = shared;
+    let times = ShutdownTimes::new(&to_driver.settings(), clock.now());
+    let close_at = clock.instant(times.close_at);
+    to_driver.send(Message::Input(Input::Leaving(times)));
     phase.send_replace(Phase::Leaving);
     // The platform tells this one to end as soon as the other says yes: its announcement is looked at once more.
     let status = match follower {
-        Some(follower) => follower.wait_for(|stage| stage == Stage::Leaving).await,
+        Some(follower) => {
+            let announced = follower.wait_for(|stage| stage == Stage::Leaving);
+            timeout_at(close_at, announced).await.ok().flatten()
+        }
         None => None,
     };
     if status.is_some_and(|status| status.is_replaced()) {
@@ -195,7 +205,7 @@
     } else {
         info!("told to end: clients are asked to leave");
     }
-    tokio::time::sleep(LEAVE_TIME).await;
+    sleep_until(close_at).await;
     phase.send_replace(Phase::Closing);
 }
 
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -20,6 +20,7 @@
 pub mod phase;
 pub mod servers;
 pub mod settings;
+pub mod shutdown_times;
 pub mod stats;
 pub mod tcp;
 pub mod transient;
--- a/tests/server_processes/mod.rs
+++ b/tests/server_processes/mod.rs
@@ -97,6 +97,11 @@
         done.next_back().map_or(Duration::ZERO, |last| last.duration_since(first))
     }
 
+    /// Whether any server had a request.
+    pub fn is_known(&self, id: &str) -> bool {
+        self.steps.contains_key(id)
+    }
+
     /// Requests of which a state is held.
     pub fn held(&self) -> Vec<String> {
         self.held.iter().cloned().collect()
@@ -248,6 +253,11 @@
             .expect("an answer")
     }
 
+    /// Where clients connect.
+    pub fn front(&self) -> SocketAddr {
+        self.program.front
+    }
+
     pub fn ledger(&self) -> MutexGuard<'_, Ledger> {
         self.ledger.lock().unwrap()
     }
