Soak the program with servers that stand still, series of signals and early kills

The soak's servers never stood still, no plan named a deadline under 3 s, and processes that were told to end had 8 s. New plans (--silent) have servers that stand still and go on at any moment of an exchange, answers that are lost, most of a role silent together, series of SIGHUP, SIGTERM, SIGSTOP and SIGCONT, SIGTERM in the first 0.1 s, a crowd that fills the descriptors, deadlines of 0.3 to 3 s, and a kill as early as the platform may do it, while clients go on sending on open connections; what the kill finds is judged by the platform's terms. A release during a read lets go of what the read leaves, as seen with the real ones. A false dispatcher that does not let go of what a silent writer has not taken is seen, and one that does breaks nothing. Plans of known seeds are drawn as before.

--- a/crates/soak/src/bin/false_dispatcher.rs
+++ b/crates/soak/src/bin/false_dispatcher.rs
@@ -10,7 +10,7 @@
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 /// The rule that it breaks, and the servers that it knows.
 #[derive(Clone)]
@@ -30,6 +30,8 @@
 const ENDS_AFTER: Duration = Duration::from_secs(2);
 /// All others after this, when no play lasts any longer.
 const LASTS: Duration = Duration::from_secs(3_600);
+/// What is held for a writer that is silent is released after this.
+const RELEASES_AFTER: Duration = Duration::from_millis(500);
 /// Descriptors that the leaking dispatcher opens for each connection.
 const LEAKED_DESCRIPTORS: usize = 4;
 
@@ -170,9 +172,39 @@
     }
     let mut writer = TcpStream::connect(behavior.writer(txn, 0)).await?;
     writer.write_all(request.as_bytes()).await?;
+    if !answers_in_time(behavior, &mut writer, request, txn).await? {
+        drop(writer);
+        return Ok(client.write_all(plain(502, "", "").as_bytes()).await?);
+    }
     relay(client, behavior, &mut writer, txn).await
 }
 
+/// Whether a writer says anything within the client's time. What is held for a writer that is silent is released.
+async fn answers_in_time(
+    behavior: &Behavior,
+    writer: &mut TcpStream,
+    request: &str,
+    txn: &str,
+) -> Result<bool, Failure> {
+    let remaining = field(request, "x-remaining").and_then(|text| text.parse().ok()).unwrap_or(1.0);
+    let end = Instant::now() + Duration::from_secs_f64(remaining);
+    let releases_at = end.min(Instant::now() + RELEASES_AFTER);
+    if timeout_at(releases_at, writer.readable()).await.is_ok() {
+        return Ok(true);
+    }
+    if !behavior.breaks("held_for_silent_writer") {
+        release(behavior, txn).await?;
+    }
+    Ok(timeout_at(end, writer.readable()).await.is_ok())
+}
+
+/// Has a reader let go of what is held.
+async fn release(behavior: &Behavior, txn: &str) -> Result<(), Failure> {
+    let release = format!("DELETE /kv/leases/{txn} HTTP/1.1\r\nHost: s\r\n\r\n");
+    let mut holder = TcpStream::connect(behavior.readers[0]).await?;
+    Ok(holder.write_all(release.as_bytes()).await?)
+}
+
 /// Has a reader read the prompt; whether it did.
 async fn read_prompt(behavior: &Behavior, request: &str, txn: &str) -> Result<bool, Failure> {
     let mut reader = TcpStream::connect(behavior.reader(txn)).await?;
@@ -201,9 +233,7 @@
         }
         all.extend_from_slice(&piece[..length]);
         if all.starts_with(b"HTTP/1.1 4") || all.starts_with(b"HTTP/1.1 5") {
-            let release = format!("DELETE /kv/leases/{txn} HTTP/1.1\r\nHost: s\r\n\r\n");
-            let mut holder = TcpStream::connect(behavior.readers[0]).await?;
-            holder.write_all(release.as_bytes()).await?;
+            release(behavior, txn).await?;
             return refuse(client).await;
         }
         if !behavior.breaks("stream") {
--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -166,6 +166,7 @@
             true => 1_000 + rng.next_u64() % 49_000,
             false => 500_000 + rng.next_u64() % 1_500_000,
         };
+        let timeout = timeout.min(self.plan.deadline_ms * 1_000);
         let leaving_in_ten = match self.has(|kind| matches!(kind, FaultKind::ClientsLeave { .. })) {
             true => 8,
             false => 1,
--- a/crates/soak/src/event_log.rs
+++ b/crates/soak/src/event_log.rs
@@ -105,6 +105,18 @@
         /// The dispatcher that it belongs to.
         dispatcher: usize,
     },
+    /// The processes of a dispatcher that run were told to end.
+    ToldToEnd {
+        /// The dispatcher.
+        dispatcher: usize,
+    },
+    /// A process that was told to end was killed at the earliest time.
+    KilledAtEnd {
+        /// The dispatcher.
+        dispatcher: usize,
+        /// When it had been told.
+        told_at: Micros,
+    },
     /// A process was killed or stopped as the plan says: time rules do not bind it until `until`.
     Excused {
         /// The dispatcher.
--- a/crates/soak/src/harness/dispatcher.rs
+++ b/crates/soak/src/harness/dispatcher.rs
@@ -9,16 +9,23 @@
 use serde_json::{json, Value};
 use socket2::{Domain, Socket, Type};
 use tokio::sync::Mutex;
-use tokio::time::{sleep, sleep_until};
+use tokio::time::{sleep, sleep_until, Instant};
 
 use super::Options;
 use crate::event_log::{EventLog, Observation};
-use crate::plan::{Fault, FaultKind, Plan};
-use crate::process::{signal_to, Launch, Process, ResourceUsage};
+use crate::plan::{Fault, FaultKind, Plan, SignalSeries};
+use crate::process::{signal_to, EndError, Launch, Process, ResourceUsage};
 
 /// A process that was told to end does so within the longest deadline (taken as 3 s), what a release may take, and a
 /// second more.
 const ENDS_WITHIN: Duration = Duration::from_secs(8);
+/// The platform counts deadlines as this at most, and kills so long after the longest one.
+const MAX_DEADLINE: Duration = Duration::from_secs(3);
+const GRACE_PERIOD: Duration = Duration::from_millis(700);
+/// A process that is stopped as it is told to end goes on after this.
+const STOPPED_FOR: Duration = Duration::from_millis(150);
+/// A process that is told to end at its start has run for less than this (ms).
+const MAX_UNREADY_MS: u64 = 100;
 /// Descriptors that a process may hold more after a play than when it was ready: connections kept to servers.
 const MAX_MORE_DESCRIPTORS: usize = 40;
 /// The memory that the configuration allows.
@@ -163,6 +170,14 @@
         for process in &processes {
             process.signal("-TERM");
         }
+        self.await_end(processes).await;
+    }
+
+    /// Waits for the end of processes that have just been told to.
+    async fn await_end(&self, processes: Vec<Process>) {
+        if self.plan.kills_at_earliest {
+            return self.kill_at_earliest(processes).await;
+        }
         for mut process in processes {
             let ended = process.ends_within(ENDS_WITHIN).await;
             let was_to_run = self.is_to_run(process.id);
@@ -175,6 +190,75 @@
         }
     }
 
+    /// Kills those that still run at the earliest time at which the platform may do so.
+    async fn kill_at_earliest(&self, processes: Vec<Process>) {
+        let (told_at, dispatcher) = (self.event_log.now(), self.number);
+        self.log(Observation::ToldToEnd { dispatcher });
+        let deadline = Duration::from_millis(self.plan.deadline_ms).min(MAX_DEADLINE);
+        let kill_at = Instant::now() + deadline + GRACE_PERIOD;
+        for mut process in processes {
+            let left = kill_at.saturating_duration_since(Instant::now());
+            let ended = process.ends_within(left).await;
+            let was_to_run = self.is_to_run(process.id);
+            self.forget(process.id);
+            match ended {
+                Err(EndError::Timeout(_)) => {
+                    process.kill().await;
+                    self.log(Observation::KilledAtEnd { dispatcher, told_at });
+                }
+                Err(error) if was_to_run => self.log_bad_exit(error.to_string()),
+                _ => {}
+            }
+        }
+    }
+
+    /// Sends a series of signals by which processes are told to end, and starts a new one.
+    async fn signal_series(&self, series: SignalSeries) {
+        let _lifecycle = self.lifecycle.lock().await;
+        let mut old = self.take_processes().await;
+        if series == SignalSeries::TermAtStart {
+            self.end(std::mem::take(&mut old)).await;
+            old.extend(self.start_unready().await);
+        }
+        let tell = |signal: &str| old.iter().for_each(|process| process.signal(signal));
+        match series {
+            SignalSeries::HupHupTerm => {
+                tell("-HUP");
+                tell("-HUP");
+            }
+            SignalSeries::StopTermCont => {
+                self.log_outage(self.event_log.now() + STOPPED_FOR.as_micros() as u64, false);
+                tell("-STOP");
+            }
+            SignalSeries::TermTerm | SignalSeries::TermHup | SignalSeries::TermAtStart => {}
+        }
+        tell("-TERM");
+        match series {
+            SignalSeries::TermTerm => tell("-TERM"),
+            SignalSeries::TermHup => {
+                sleep(RELOAD_INTERVAL).await;
+                tell("-HUP");
+            }
+            SignalSeries::StopTermCont => {
+                sleep(STOPPED_FOR).await;
+                tell("-CONT");
+            }
+            SignalSeries::HupHupTerm | SignalSeries::TermAtStart => {}
+        }
+        self.await_end(old).await;
+        self.start().await;
+    }
+
+    /// Starts a process and lets it run for a moment, less than it needs to be ready.
+    async fn start_unready(&self) -> Option<Process> {
+        let count = self.starts.fetch_add(1, Ordering::Relaxed);
+        let log_file = self.folder.join(format!("log-{count}"));
+        let process = self.launch.start("", &log_file).ok()?;
+        self.running().push(process.id);
+        sleep(Duration::from_millis(self.event_log.now() % MAX_UNREADY_MS)).await;
+        Some(process)
+    }
+
     async fn take_processes(&self) -> Vec<Process> {
         std::mem::take(&mut *self.processes.lock().await)
     }
@@ -223,6 +307,7 @@
             FaultKind::Kill { .. } => self.kill().await,
             FaultKind::Stop { .. } => self.pause(fault.to_ms.min(fault.from_ms + MAX_PAUSE_MS)).await,
             FaultKind::Reload { broken, .. } => self.reload(broken).await,
+            FaultKind::Signals { series, .. } => self.signal_series(series).await,
             _ => {}
         }
     }
@@ -346,8 +431,9 @@
 /// A dispatcher's configuration.
 fn settings(agent: SocketAddr, listen: SocketAddr, number: usize, plan: &Plan, known: &Value) -> Value {
     let (dispatchers, objective_s) = (plan.processes, plan.objective_ms as f64 / 1e3);
+    let deadline_s = plan.deadline_ms as f64 / 1e3;
     let class = |name: &str, effect: &str| {
-        json!({"name": name, "aim_s": objective_s, "give_up_s": 3.0, "effect": effect, "group": "all",
+        json!({"name": name, "aim_s": objective_s, "give_up_s": deadline_s, "effect": effect, "group": "all",
             "worth": 2.0, "dedup_window_s": 0.4})
     };
     json!({"name": format!("n{number}"), "listen": listen, "discovery": agent, "admin_addr": "127.0.0.1:0",
--- a/crates/soak/src/options.rs
+++ b/crates/soak/src/options.rs
@@ -15,6 +15,7 @@
 usage: dewladder-soak [options]
 
   --seeds A..B        plans to draw and play (1..10), both included
+  --silent            draw plans of servers that stand still, series of signals and early kills instead
   --processes N       dispatchers of a play (12)
   --seconds N         length of a play (20)
   --parallel N        plays at once (4)
@@ -41,6 +42,8 @@
 pub struct Settings {
     /// Seeds of the plans to draw.
     pub seeds: RangeInclusive<u64>,
+    /// Whether plans of servers that stand still are drawn instead of the others.
+    pub silent: bool,
     /// Dispatchers of a play.
     pub processes: usize,
     /// The length of a play (s).
@@ -104,6 +107,7 @@
         let shim: PathBuf = arguments.opt_value_from_str("--shim")?.unwrap_or_else(|| DEFAULT_SHIM.into());
         let folder = arguments.opt_value_from_str("--folder")?.unwrap_or_else(|| DEFAULT_FOLDER.into());
         let shrink = arguments.contains("--shrink");
+        let silent = arguments.contains("--silent");
         if let Some(unknown) = arguments.finish().first() {
             return Err(OptionsError::Unknown(unknown.to_string_lossy().into_owned()));
         }
@@ -117,6 +121,7 @@
         };
         Ok(Self {
             seeds: seeds.as_deref().map_or(Ok(DEFAULT_SEEDS), seed_range)?,
+            silent,
             processes: processes.max(1) as usize,
             seconds,
             parallel: parallel.max(1) as usize,
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -1,6 +1,7 @@
 //! The oracle: checks a play against the rules, by its event log alone.
 
 mod outages;
+mod planned_kills;
 mod request;
 
 use std::collections::BTreeMap;
@@ -10,6 +11,7 @@
 use crate::event_log::{ClientOutcome, LogEntry, Micros, Observation};
 use crate::plan::Plan;
 use outages::PlannedOutages;
+use planned_kills::PlannedKills;
 use request::RequestHistory;
 
 const MS: Micros = 1_000;
@@ -125,6 +127,7 @@
 #[must_use]
 pub fn check(plan: &Plan, entries: &[LogEntry], limits: &Limits) -> Vec<Violation> {
     let outages = PlannedOutages::new(plan, entries);
+    let kills = PlannedKills::new(entries);
     let mut by_request: BTreeMap<u64, Vec<&LogEntry>> = BTreeMap::new();
     for entry in entries.iter().filter(|entry| entry.id != 0) {
         by_request.entry(entry.id).or_default().push(entry);
@@ -132,7 +135,7 @@
     let mut violations = Vec::new();
     for (id, entries) in by_request {
         if let Some(history) = RequestHistory::new(id, entries) {
-            history.check(plan, &outages, limits, &mut violations);
+            history.check(plan, &Excuses { outages: &outages, kills: &kills }, limits, &mut violations);
         }
     }
     violations.extend(entries.iter().filter_map(|entry| check_process(entry, &outages)));
@@ -140,6 +143,12 @@
     violations
 }
 
+/// Times in which a dispatcher could not keep the rules, as the plan has it.
+struct Excuses<'a> {
+    outages: &'a PlannedOutages,
+    kills: &'a PlannedKills,
+}
+
 /// The violation that an observation about a process, or about no request, is by itself.
 fn check_process(entry: &LogEntry, outages: &PlannedOutages) -> Option<Violation> {
     let (rule, dispatcher, what) = match &entry.observation {
--- a/crates/soak/src/oracle/request.rs
+++ b/crates/soak/src/oracle/request.rs
@@ -1,7 +1,7 @@
 //! The rules about one request, from the first byte that its client sent to the last release.
 
 use super::outages::PlannedOutages;
-use super::{Limits, Rule, Violation, MS, TOLERANCE};
+use super::{Excuses, Limits, Rule, Violation, MS, TOLERANCE};
 use crate::event_log::{Class, ClientOutcome, LogEntry, Micros, Observation};
 use crate::plan::{FaultKind, Plan};
 use crate::servers::EVENTS;
@@ -16,6 +16,8 @@
 const MAX_EXCESS_REMAINING: Micros = 150 * MS;
 /// An event reaches its client within this.
 const MAX_EVENT_DELAY: Micros = 300 * MS;
+/// A server whose process stood still has read by then what was sent meanwhile.
+const CATCH_UP: Micros = 100 * MS;
 /// A change counts as reported so long after a watch fell silent.
 const SILENT_WATCH_DETECTED: Micros = 6_000 * MS;
 
@@ -45,15 +47,16 @@
     pub(super) fn check(
         &self,
         plan: &Plan,
-        outages: &PlannedOutages,
+        excuses: &Excuses,
         limits: &Limits,
         violations: &mut Vec<Violation>,
     ) {
-        self.check_answer(plan, outages, violations);
+        let outages = excuses.outages;
+        self.check_answer(plan, excuses, violations);
         self.check_runs(limits, violations);
-        self.check_attempts_after_leaving(outages, violations);
-        self.check_held_states(outages, limits, violations);
-        self.check_deadlines(outages, violations);
+        self.check_attempts_after_leaving(plan, outages, violations);
+        self.check_held_states(excuses, limits, violations);
+        self.check_deadlines(plan, outages, violations);
         self.check_stream(plan, outages, violations);
         self.check_draining(plan, outages, limits, violations);
     }
@@ -79,13 +82,16 @@
         })
     }
 
-    fn check_answer(&self, plan: &Plan, outages: &PlannedOutages, violations: &mut Vec<Violation>) {
+    fn check_answer(&self, plan: &Plan, excuses: &Excuses, violations: &mut Vec<Violation>) {
+        let Excuses { outages, kills } = excuses;
         let left = self.first(|seen| *seen == Observation::Left);
         let outcome = self.outcome();
         let over = outcome.map(|(at, _)| at).or(left).unwrap_or(Micros::MAX);
         let first_event = self.first(|seen| matches!(seen, Observation::EventCame(0))).unwrap_or(over);
         let due = self.deadline.max(self.accepted_by(outages)) + MAX_LATE_ANSWER + TOLERANCE;
-        if outages.any_within(self.dispatcher, self.asked_at, over.min(due)) {
+        if outages.any_within(self.dispatcher, self.asked_at, over.min(due))
+            || kills.excuse(self.dispatcher, self.asked_at, over.min(due))
+        {
             return;
         }
         if let Some((at, ClientOutcome::Closed)) = outcome {
@@ -162,10 +168,18 @@
         }
     }
 
-    fn check_attempts_after_leaving(&self, outages: &PlannedOutages, violations: &mut Vec<Violation>) {
+    fn check_attempts_after_leaving(
+        &self,
+        plan: &Plan,
+        outages: &PlannedOutages,
+        violations: &mut Vec<Violation>,
+    ) {
         let Some(left) = self.first(|seen| *seen == Observation::Left) else { return };
         for entry in &self.entries {
             let Observation::AttemptBegan { server } = entry.observation else { continue };
+            if stood_still(plan, server, entry.at) {
+                continue;
+            }
             let late = entry.at.saturating_sub(left);
             if late > MAX_AFTER_LEAVING + TOLERANCE && !outages.any_within(self.dispatcher, left, entry.at) {
                 let what =
@@ -175,13 +189,13 @@
         }
     }
 
-    fn check_held_states(&self, outages: &PlannedOutages, limits: &Limits, violations: &mut Vec<Violation>) {
+    fn check_held_states(&self, excuses: &Excuses, limits: &Limits, violations: &mut Vec<Violation>) {
         let mut in_flight: usize = 0;
         let mut is_held = false;
         // Since when a state has been held with no attempt in flight.
         let mut idle_since: Option<Micros> = None;
         for entry in &self.entries {
-            violations.extend(self.held_too_long(idle_since, entry.at, outages, limits));
+            violations.extend(self.held_too_long(idle_since, entry.at, excuses, limits));
             match entry.observation {
                 Observation::ReadEnded { .. } => is_held = true,
                 Observation::WriteBegan { .. } | Observation::Released => is_held = false,
@@ -192,30 +206,37 @@
             let is_idle = is_held && in_flight == 0;
             idle_since = if is_idle { idle_since.or(Some(entry.at)) } else { None };
         }
-        violations.extend(self.held_too_long(idle_since, Micros::MAX / 2, outages, limits));
+        violations.extend(self.held_too_long(idle_since, Micros::MAX / 2, excuses, limits));
     }
 
     fn held_too_long(
         &self,
         idle_since: Option<Micros>,
         now: Micros,
-        outages: &PlannedOutages,
+        excuses: &Excuses,
         limits: &Limits,
     ) -> Option<Violation> {
+        let Excuses { outages, kills } = excuses;
         let since = idle_since?;
         let due = since + limits.release_within + MAX_HELD_BEYOND_SETTING + TOLERANCE;
-        if now <= due || outages.any_within(self.dispatcher, since, now) {
+        if now <= due
+            || outages.any_within(self.dispatcher, since, now)
+            || kills.any_within(self.dispatcher, since, due)
+        {
             return None;
         }
         let what = format!("a state was held for {} ms with nothing out", (now - since) / MS);
         Some(self.violation(Rule::Held, due, what))
     }
 
-    fn check_deadlines(&self, outages: &PlannedOutages, violations: &mut Vec<Violation>) {
+    fn check_deadlines(&self, plan: &Plan, outages: &PlannedOutages, violations: &mut Vec<Violation>) {
         for entry in &self.entries {
             let Observation::AttemptArrived { server, remaining: Some(told), .. } = entry.observation else {
                 continue;
             };
+            if stood_still(plan, server, entry.at) {
+                continue;
+            }
             let left = self.deadline.saturating_sub(entry.at);
             let is_excessive = told > left + MAX_EXCESS_REMAINING + TOLERANCE;
             if is_excessive && !outages.any_within(self.dispatcher, self.asked_at, entry.at) {
@@ -268,6 +289,9 @@
     ) {
         for entry in &self.entries {
             let Observation::AttemptBegan { server } = entry.observation else { continue };
+            if stood_still(plan, server, entry.at) {
+                continue;
+            }
             let Some(drained) = drained_at(plan, server) else { continue };
             let reported = self.drain_reported_at(plan, drained, entry.at);
             let due = reported + limits.stop_sending + TOLERANCE;
@@ -300,6 +324,14 @@
     }
 }
 
+/// Whether a server reads, at a time, what may have been sent while its process stood still.
+fn stood_still(plan: &Plan, server: usize, at: Micros) -> bool {
+    plan.faults.iter().any(|fault| {
+        let is_of_server = matches!(fault.kind, FaultKind::StandStill { server: of } if of == server);
+        is_of_server && (fault.from_ms * MS..fault.to_ms * MS + CATCH_UP).contains(&at)
+    })
+}
+
 /// When a server begins to drain, if it does.
 fn drained_at(plan: &Plan, server: usize) -> Option<Micros> {
     let drains = plan
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -23,6 +23,12 @@
     /// The latency objective: by when first tokens are wanted (ms). Dispatchers wait so long at least for an attempt.
     #[serde(rename = "aim_ms", default = "default_objective_ms")]
     pub objective_ms: u64,
+    /// The longest that clients wait for a first token (ms).
+    #[serde(default = "default_deadline_ms", skip_serializing_if = "is_default_deadline")]
+    pub deadline_ms: u64,
+    /// Processes that were told to end are killed as early as the platform may do so.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub kills_at_earliest: bool,
     /// What goes wrong.
     #[serde(rename = "troubles")]
     pub faults: Vec<Fault>,
@@ -33,6 +39,31 @@
     400
 }
 
+/// The deadline of plans that name none (ms).
+fn default_deadline_ms() -> u64 {
+    3_000
+}
+
+fn is_default_deadline(deadline_ms: &u64) -> bool {
+    *deadline_ms == default_deadline_ms()
+}
+
+/// A series of signals to a process; at its end the process was told to end, and another one is started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum SignalSeries {
+    /// SIGHUP twice, then SIGTERM.
+    HupHupTerm,
+    /// SIGTERM twice.
+    TermTerm,
+    /// SIGTERM, and SIGHUP within the shutdown.
+    TermHup,
+    /// SIGSTOP, SIGTERM, SIGCONT.
+    StopTermCont,
+    /// SIGTERM in the first 0.1 s of a process.
+    TermAtStart,
+}
+
 /// Something that goes wrong for a while.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Fault {
@@ -104,6 +135,23 @@
         /// The server.
         server: usize,
     },
+    /// Its process stands still, and goes on at the end: its machine takes connections and bytes.
+    StandStill {
+        /// The server.
+        server: usize,
+    },
+    /// Its answers are lost on the way: it has done what was asked, and nobody is told.
+    LoseAnswers {
+        /// The server.
+        server: usize,
+    },
+    /// A series of signals.
+    Signals {
+        /// The dispatcher.
+        dispatcher: usize,
+        /// Which signals.
+        series: SignalSeries,
+    },
     /// It takes requests and answers none.
     Hang {
         /// The server.
@@ -204,6 +252,7 @@
             | Self::Kill { dispatcher }
             | Self::Stop { dispatcher }
             | Self::Reload { dispatcher, .. }
+            | Self::Signals { dispatcher, .. }
             | Self::AgentDown { dispatcher }
             | Self::WatchSilent { dispatcher }
             | Self::ClientsLeave { dispatcher }
@@ -221,6 +270,8 @@
     pub fn server(&self) -> Option<usize> {
         match *self {
             Self::Cut { server }
+            | Self::StandStill { server }
+            | Self::LoseAnswers { server }
             | Self::Silence { server }
             | Self::Reset { server }
             | Self::Refuse { server }
--- a/crates/soak/src/plan/draw.rs
+++ b/crates/soak/src/plan/draw.rs
@@ -3,7 +3,7 @@
 use rand_core::{RngCore as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
 
-use super::{default_objective_ms, Fault, FaultKind, Plan};
+use super::{default_deadline_ms, default_objective_ms, Fault, FaultKind, Plan, SignalSeries};
 
 /// Errnos of each call that the program makes on its sockets, as their man pages document them for what it does. A
 /// reset of the stream itself is not among them: peers make those, and the event log shows them.
@@ -40,6 +40,8 @@
 const QUIET_MS: u64 = 2_000;
 /// Faults come in groups, one in so many milliseconds.
 const GROUP_INTERVAL_MS: u64 = 5_000;
+/// Of plans of servers that stand still, one group in so many milliseconds.
+const SILENT_GROUP_INTERVAL_MS: u64 = 3_000;
 /// A fault lasts at least so long (ms).
 const MIN_LENGTH_MS: u64 = 20;
 /// Rules for the time after a start end then (ms since the start of the process).
@@ -155,6 +157,41 @@
         faults
     }
 
+    /// One server that stands still or whose answers are lost, or most of a role together.
+    fn silent_servers(&mut self, from_ms: u64, servers_per_role: usize) -> Vec<Fault> {
+        let role = self.index(2) * servers_per_role;
+        let count = self.one_of(&[1, 1, servers_per_role - 1, servers_per_role]);
+        let to_ms = from_ms + self.one_of(&[200, 700, 1_200, 2_000]);
+        let loses_answers = self.below(4) == 0;
+        let first = self.index(servers_per_role);
+        let server = |at: usize| role + (first + at) % servers_per_role;
+        let kind = |at: usize| match loses_answers {
+            true => FaultKind::LoseAnswers { server: server(at) },
+            false => FaultKind::StandStill { server: server(at) },
+        };
+        (0..count).map(|at| Fault { from_ms, to_ms, kind: kind(at) }).collect()
+    }
+
+    /// Signals to a dispatcher's process, or what its clients do meanwhile.
+    fn process_fault(&mut self, dispatcher: usize) -> FaultKind {
+        match self.below(8) {
+            0 => FaultKind::Upgrade { dispatcher },
+            1 => FaultKind::Idlers { dispatcher, count: 700 },
+            2 => FaultKind::Pieces { dispatcher },
+            3 => FaultKind::ClientsLeave { dispatcher },
+            _ => {
+                let series = self.one_of(&[
+                    SignalSeries::HupHupTerm,
+                    SignalSeries::TermTerm,
+                    SignalSeries::TermHup,
+                    SignalSeries::StopTermCont,
+                    SignalSeries::TermAtStart,
+                ]);
+                FaultKind::Signals { dispatcher, series }
+            }
+        }
+    }
+
     /// One fault of exchanges on a connection: a reader's answers, or clients' requests.
     fn exchange_fault(&mut self, length_ms: u64, dispatchers: usize, readers: usize) -> Fault {
         let from_ms = QUIET_MS + self.below(length_ms.saturating_sub(2 * QUIET_MS));
@@ -181,6 +218,48 @@
         let objective_ms = draws.one_of(&[default_objective_ms(), 1_500]);
         // Drawn last: it was added later, and a seed's other faults were to stay as they were.
         faults.push(draws.exchange_fault(length_ms, processes, servers_per_role));
-        Self { seed, processes, length_ms, servers_per_role, requests_per_second, objective_ms, faults }
+        Self {
+            seed,
+            processes,
+            length_ms,
+            servers_per_role,
+            requests_per_second,
+            objective_ms,
+            deadline_ms: default_deadline_ms(),
+            kills_at_earliest: false,
+            faults,
+        }
+    }
+
+    /// Draws a plan of servers that stand still, series of signals and short deadlines, under which processes are killed
+    /// as early as the platform may do so. It is played for so many seconds.
+    #[must_use]
+    pub fn draw_silent(seed: u64, processes: usize, seconds: u64) -> Self {
+        let mut draws = Draws(Pcg64Mcg::seed_from_u64(seed.wrapping_mul(0xd134_2543_de82_ef95)));
+        let length_ms = seconds * 1_000;
+        let servers_per_role = draws.one_of(&[2, 3, 4]);
+        let deadline_ms = draws.one_of(&[300, 500, 1_000, 2_000, 3_000]);
+        let objective_ms = draws.one_of(&[default_objective_ms(), 1_500]).min(deadline_ms);
+        let requests_per_second = draws.one_of(&[10, 20]);
+        let mut faults = Vec::new();
+        for group in 0..(length_ms / SILENT_GROUP_INTERVAL_MS).max(1) {
+            let from_ms = QUIET_MS / 2 + group * SILENT_GROUP_INTERVAL_MS + draws.below(600);
+            faults.extend(draws.silent_servers(from_ms, servers_per_role));
+            let dispatcher = draws.index(processes);
+            let kind = draws.process_fault(dispatcher);
+            let at_ms = from_ms + draws.below(1_500);
+            faults.push(Fault { from_ms: at_ms, to_ms: at_ms + 300, kind });
+        }
+        Self {
+            seed,
+            processes,
+            length_ms,
+            servers_per_role,
+            requests_per_second,
+            objective_ms,
+            deadline_ms,
+            kills_at_earliest: true,
+            faults,
+        }
     }
 }
--- a/crates/soak/src/servers.rs
+++ b/crates/soak/src/servers.rs
@@ -40,8 +40,37 @@
     is_reader: bool,
     plan: Arc<Plan>,
     event_log: EventLog,
-    /// Ids of requests whose states wait at readers.
-    states: Arc<Mutex<HashSet<u64>>>,
+    /// Ids of requests whose states wait at readers, or are being read and will.
+    states: Arc<Mutex<States>>,
+}
+
+/// States of requests, by their ids, at all readers.
+#[derive(Debug, Default)]
+struct States {
+    held: HashSet<u64>,
+    /// Being read. A release while a prompt is being read lets go of what that read leaves too.
+    being_read: HashSet<u64>,
+}
+
+impl States {
+    fn read_begins(&mut self, id: u64) {
+        self.being_read.insert(id);
+    }
+
+    /// A read has ended well; whether its state is held.
+    fn read_ends(&mut self, id: u64) -> bool {
+        self.being_read.remove(&id) && self.held.insert(id)
+    }
+
+    /// A writer takes a state; whether it was there.
+    fn take(&mut self, id: u64) -> bool {
+        self.held.remove(&id)
+    }
+
+    fn release(&mut self, id: u64) {
+        self.held.remove(&id);
+        self.being_read.remove(&id);
+    }
 }
 
 impl Servers {
@@ -98,6 +127,7 @@
         } else if listener.is_none() {
             listener = listen(address).ok();
         }
+        shared.stand_still().await;
         let is_cut_off = shared.is_cut_off_soon();
         let Some(listening) = listener.as_ref().filter(|_| !is_cut_off) else {
             if is_cut_off && fillers.is_empty() {
@@ -143,6 +173,16 @@
         self.plan.has(self.now_ms(), |kind| is_kind(kind) && kind.server() == Some(self.server))
     }
 
+    /// Waits while the server's process stands still; whether it did.
+    async fn stand_still(&self) -> bool {
+        let mut stood = false;
+        while self.has(|kind| matches!(kind, FaultKind::StandStill { .. })) {
+            stood = true;
+            sleep(LOOK_INTERVAL).await;
+        }
+        stood
+    }
+
     /// Whether no connection may come up: from a moment before the server is cut off on.
     fn is_cut_off_soon(&self) -> bool {
         let is_cut = |kind: &FaultKind| matches!(kind, FaultKind::Cut { server } if *server == self.server);
@@ -190,7 +230,7 @@
         resets.map(|fault| fault.from_ms).min()
     }
 
-    fn states(&self) -> MutexGuard<'_, HashSet<u64>> {
+    fn states(&self) -> MutexGuard<'_, States> {
         self.states.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/soak/src/servers/connection.rs
+++ b/crates/soak/src/servers/connection.rs
@@ -116,15 +116,20 @@
 
     /// Reads the next request.
     async fn message(&mut self) -> Result<Message, ConnectionEnd> {
+        let mut stood_still = false;
         let mut first_byte = (!self.read.is_empty()).then(|| self.shared.event_log.now());
         loop {
             if let Some((line, head)) = self.take_message() {
+                if stood_still {
+                    self.end_if_closed()?;
+                }
                 let first_byte = first_byte.unwrap_or_else(|| self.shared.event_log.now());
                 return Ok(Message { line, head, first_byte });
             }
             if self.stream.readable().await.is_err() {
                 return Err(ConnectionEnd::Closed);
             }
+            stood_still |= self.shared.stand_still().await;
             self.end_if_silent().await?;
             if first_byte.is_none() && self.closes_on_use() {
                 return Err(ConnectionEnd::Closed);
@@ -154,13 +159,25 @@
         Some((line, head))
     }
 
+    /// Ends where the other side has closed already: a process that stood still sees the request and the close at once.
+    fn end_if_closed(&mut self) -> Result<(), ConnectionEnd> {
+        match self.stream.try_read_buf(&mut self.read) {
+            Ok(0) => Err(ConnectionEnd::Closed),
+            _ => Ok(()),
+        }
+    }
+
     fn closes_on_use(&self) -> bool {
         let is_old = self.shared.now_ms() > self.opened_ms + MIN_AGE_TO_CLOSE_MS;
         is_old && self.shared.has(|kind| matches!(kind, FaultKind::CloseOnUse { .. }))
     }
 
     async fn write(&mut self, text: &str) -> Result<(), ConnectionEnd> {
+        self.shared.stand_still().await;
         self.end_if_silent().await?;
+        if self.shared.has(|kind| matches!(kind, FaultKind::LoseAnswers { .. })) {
+            return self.wait(FOR_EVER).await;
+        }
         self.stream.write_all(text.as_bytes()).await.map_err(|_| ConnectionEnd::Closed)
     }
 
@@ -173,7 +190,12 @@
                 read = self.stream.read_buf(&mut self.read) => if matches!(read, Ok(0) | Err(_)) {
                     return Err(ConnectionEnd::Closed);
                 },
-                () = sleep_until(end) => return self.end_if_silent().await,
+                () = sleep_until(end) => {
+                    if self.shared.stand_still().await {
+                        self.end_if_closed()?;
+                    }
+                    return self.end_if_silent().await;
+                }
             }
         }
     }
@@ -190,7 +212,7 @@
 
     /// Releases the state of a request.
     async fn release(&mut self, id: u64) -> Result<(), ConnectionEnd> {
-        self.shared.states().remove(&id);
+        self.shared.states().release(id);
         self.log(id, Observation::Released);
         self.hang().await?;
         self.write(&plain(204, "", "")).await
@@ -206,12 +228,16 @@
         self.hang().await?;
         let delay = self.shared.delay();
         if self.shared.is_reader {
+            self.shared.states().read_begins(id);
             self.wait(READ_TIME + delay).await?;
-            self.shared.states().insert(id);
-            self.log(id, Observation::ReadEnded { server: self.shared.server });
+            let is_held = self.shared.states().read_ends(id);
+            if is_held {
+                self.log(id, Observation::ReadEnded { server: self.shared.server });
+            }
             return self.write_read_answer().await;
         }
-        if !self.shared.states().remove(&id) {
+        let has_state = self.shared.states().take(id);
+        if !has_state {
             return self.turn_away(id, 410).await;
         }
         self.log(id, Observation::WriteBegan { server: self.shared.server });
--- a/crates/soak/tests/sees_each_rule.rs
+++ b/crates/soak/tests/sees_each_rule.rs
@@ -15,6 +15,8 @@
         servers_per_role: 2,
         requests_per_second: 20,
         objective_ms: 400,
+        deadline_ms: 3_000,
+        kills_at_earliest: false,
         faults,
     }
 }
@@ -66,6 +68,17 @@
     assert!(rules_broken_by("held", 6, Vec::new()).await.contains(&Rule::Held));
 }
 
+/// Writers stand still with their connections and bytes taken: who does not let go of what they have not taken is seen,
+/// and who does breaks nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_state_that_is_held_for_a_writer_that_stands_still_is_seen() {
+    let stand_still = |server| Fault { from_ms: 1_000, to_ms: 2_400, kind: FaultKind::StandStill { server } };
+    let writers = || vec![stand_still(2), stand_still(3)];
+    let broken = rules_broken_by("held_for_silent_writer", 14, writers()).await;
+    assert_eq!(broken, BTreeSet::from([Rule::Held]));
+    assert_eq!(rules_broken_by("none", 15, writers()).await, BTreeSet::new());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_longer_deadline_is_seen() {
     assert_eq!(rules_broken_by("deadline_told", 7, Vec::new()).await, BTreeSet::from([Rule::DeadlineTold]));
--- a/crates/soak/tests/written_plans.rs
+++ b/crates/soak/tests/written_plans.rs
@@ -2,7 +2,7 @@
 //! as a file is read by later versions, and a seed that failed once gives the same play again.
 
 use dewladder_soak::failed_seeds;
-use dewladder_soak::plan::{Fault, FaultKind, Plan};
+use dewladder_soak::plan::{Fault, FaultKind, Plan, SignalSeries};
 
 const EVERY: &str = include_str!("golden/every_trouble.json");
 const DRAWN: &str = include_str!("golden/drawn.jsonl");
@@ -37,6 +37,13 @@
         FaultKind::ShortTime { dispatcher },
         FaultKind::Shim { dispatcher, rule: rule.clone() },
         FaultKind::ShimLater { dispatcher, rule },
+        FaultKind::StandStill { server },
+        FaultKind::LoseAnswers { server },
+        FaultKind::Signals { dispatcher, series: SignalSeries::HupHupTerm },
+        FaultKind::Signals { dispatcher, series: SignalSeries::TermTerm },
+        FaultKind::Signals { dispatcher, series: SignalSeries::TermHup },
+        FaultKind::Signals { dispatcher, series: SignalSeries::StopTermCont },
+        FaultKind::Signals { dispatcher, series: SignalSeries::TermAtStart },
     ];
     let faults = kinds.into_iter().enumerate().map(|(at, kind)| Fault {
         from_ms: 100 * at as u64,
@@ -50,6 +57,8 @@
         servers_per_role: 2,
         requests_per_second: 10,
         objective_ms: 1_500,
+        deadline_ms: 3_000,
+        kills_at_earliest: false,
         faults: faults.collect(),
     }
 }
@@ -61,6 +70,21 @@
     assert_eq!(serde_json::from_str::<Plan>(EVERY).expect("a plan"), every_fault());
 }
 
+#[test]
+fn a_plan_of_silent_servers_is_drawn_alike_from_its_seed_and_read_as_written() {
+    for seed in 1..100 {
+        let plan = Plan::draw_silent(seed, 3, 12);
+        assert_eq!(plan, Plan::draw_silent(seed, 3, 12));
+        let text = serde_json::to_string(&plan).expect("a plan can be written");
+        assert!(text.contains("\"kills_at_earliest\":true"), "{text}");
+        assert_eq!(serde_json::from_str::<Plan>(&text).expect("a plan"), plan);
+        let is_silent = |fault: &Fault| {
+            matches!(fault.kind, FaultKind::StandStill { .. } | FaultKind::LoseAnswers { .. })
+        };
+        assert!(plan.faults.iter().filter(|fault| is_silent(fault)).count() >= 4, "{plan:?}");
+    }
+}
+
 #[test]
 fn a_plan_that_names_no_latency_objective_has_the_default() {
     let without = EVERY.replace("  \"aim_ms\": 1500,\n", "");
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -44,6 +44,8 @@
         servers_per_role: 2,
         requests_per_second,
         objective_ms: 400,
+        deadline_ms: 3_000,
+        kills_at_earliest: false,
         faults,
     }
 }
