Break four small circles of imports, and split the start of a release

The order of starts and ranges have files of their own, gossip is handed to whoever takes it, and what a read waits for belongs to the servers. A release asks each holder once, however often it is named.

--- a/crates/hot-restart/src/lib.rs
+++ b/crates/hot-restart/src/lib.rs
@@ -16,8 +16,10 @@
 mod generation;
 mod process;
 mod share;
+mod start_order;
 
 pub use announcement::{Announcement, Stage};
-pub use generation::{next_generation, Generation};
+pub use generation::Generation;
 pub use process::{HotRestart, Micros, Peer, RestartStatus};
 pub use share::{share_of, share_used, LimitShare, FULL_SHARE, HALF_SHARE, STARTUP_SHARE};
+pub use start_order::next_generation;
--- a/src/edge/dispatcher/running.rs
+++ b/src/edge/dispatcher/running.rs
@@ -23,6 +23,7 @@
 use crate::edge::dispatcher::listeners::listen_while_running;
 use crate::edge::dispatcher::{Dispatcher, Front};
 use crate::edge::driver::{DriverHandle, Message};
+use crate::edge::gossip_transport::GossipTransport;
 use crate::edge::hot_restart::HotRestartTask;
 use crate::edge::phase::Phase;
 use crate::edge::settings::Config;
@@ -66,7 +67,7 @@
         }
         let how = ListUpdateKind::StaleCopy;
         to_driver.send(Message::EndpointsUpdated { how, entries: known });
-        let gossip = self.gossip.map(|gossip| tokio::spawn(gossip.receive(to_driver.clone())));
+        let gossip = self.gossip.map(|gossip| receive_gossip(gossip, to_driver.clone()));
         let mut driver = tokio::spawn(driver.run());
         let mut watching = tokio::spawn(discovery::watch(config.clone(), discovery, to_driver.clone()));
         let limits = ConnectionLimits::new(config.max_client_connections());
@@ -107,6 +108,12 @@
     }
 }
 
+/// Hands what other dispatchers say to the driver, for ever.
+fn receive_gossip(gossip: GossipTransport, driver: DriverHandle) -> JoinHandle<()> {
+    let deliver = move |bytes| driver.send(Message::Input(Input::GossipReceived(bytes)));
+    tokio::spawn(gossip.receive(deliver))
+}
+
 /// What the tasks of a dispatcher go by.
 struct Shared {
     config: Config,
--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -27,7 +27,6 @@
 pub use crate::edge::driver::handle::DriverHandle;
 pub use crate::edge::driver::messages::{Message, Reply};
 use crate::edge::driver::releases::{ReleaseRequest, Releases};
-pub use crate::edge::driver::releases::{UnansweredReleases, BEFORE_READ};
 use crate::edge::driver::summary::Summary;
 use crate::edge::gossip_transport::GossipTransport;
 use crate::edge::servers::{Attempt, Payload, Servers};
--- a/src/edge/driver/releases.rs
+++ b/src/edge/driver/releases.rs
@@ -11,12 +11,10 @@
 use crate::edge::driver::addresses::Addresses;
 use crate::edge::driver::handle::DriverHandle;
 use crate::edge::driver::messages::Message;
-use crate::edge::servers::Servers;
+use crate::edge::servers::{Servers, UnansweredReleases, BEFORE_READ};
 use crate::edge::stats::Figures;
 use crate::interface::{RequestId, ServerId};
 
-/// A release before a read is given up after this: where no server answers it, none would read.
-pub const BEFORE_READ: Duration = Duration::from_millis(100);
 /// Servers that a release turns to where the holders don't answer.
 const FALLBACK_SERVERS: usize = 8;
 /// They are the ones of so many that answered last.
@@ -31,19 +29,6 @@
     unanswered: watch::Receiver<()>,
 }
 
-/// Releases of a request that no server has answered yet.
-#[derive(Clone, Debug)]
-pub struct UnansweredReleases(Vec<watch::Receiver<()>>);
-
-impl UnansweredReleases {
-    /// Waits until all of them are answered, or have ended.
-    pub async fn answered(self) {
-        for mut release in self.0 {
-            while release.changed().await.is_ok() {}
-        }
-    }
-}
-
 /// A release that is asked for.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ReleaseRequest {
@@ -72,7 +57,7 @@
     /// The releases of a request that are not answered yet.
     pub(super) fn unanswered(&self, id: RequestId) -> UnansweredReleases {
         let releases = self.by_request.get(&id).into_iter().flatten();
-        UnansweredReleases(releases.map(|release| release.unanswered.clone()).collect())
+        UnansweredReleases::new(releases.map(|release| release.unanswered.clone()).collect())
     }
 
     /// A request is completed: its releases end by themselves.
@@ -102,8 +87,8 @@
         holders: &[ServerId],
         addresses: &Addresses,
     ) {
-        let ReleaseRequest { id, number, again, before_read } = request;
-        if before_read {
+        let id = request.id;
+        if request.before_read {
             self.abort(id); // what is still under way is asked for together with this one
         }
         let releases = self.by_request.entry(id).or_default();
@@ -111,33 +96,47 @@
         holders
             .extend(releases.iter().filter(|release| release.task.is_none()).map(|release| release.holder));
         releases.retain(|release| release.task.is_some());
+        holders.sort_unstable();
+        holders.dedup();
         let mut fallbacks = addresses.ready_but(&holders, id, FALLBACK_CANDIDATES);
         self.servers.last_answers().sort(&mut fallbacks);
         fallbacks.truncate(FALLBACK_SERVERS);
         for holder in holders {
             let first = addresses.get(holder);
             let asked: Vec<String> = first.into_iter().chain(fallbacks.clone()).cloned().collect();
-            let (servers, transaction) = (self.servers.clone(), transaction.to_owned());
-            let counted = CountedRelease::new(self.figures.clone());
-            let driver = self.driver.clone();
-            let (until_answered, unanswered) = watch::channel(());
-            let task = tokio::spawn(async move {
-                let asking = servers.release(&transaction, &asked);
-                let answered = match before_read {
-                    true => timeout(BEFORE_READ, asking).await.unwrap_or(false),
-                    false => asking.await,
-                };
-                drop(until_answered);
-                driver.send(Message::Input(Input::ReleaseFinished { id, number, answered }));
-                if again {
-                    sleep(Duration::from_micros(CLOSE_SEEN)).await;
-                    servers.release(&transaction, &asked).await;
-                }
-                drop(counted);
-            });
-            releases.push(Release { holder, task: Some(task), unanswered });
+            let release = self.spawn(request, holder, transaction.to_owned(), asked);
+            self.by_request.entry(id).or_default().push(release);
         }
     }
+
+    /// Starts the task that asks these servers, the holder first.
+    fn spawn(
+        &self,
+        request: ReleaseRequest,
+        holder: ServerId,
+        transaction: String,
+        asked: Vec<String>,
+    ) -> Release {
+        let ReleaseRequest { id, number, again, before_read } = request;
+        let (servers, driver) = (self.servers.clone(), self.driver.clone());
+        let counted = CountedRelease::new(self.figures.clone());
+        let (until_answered, unanswered) = watch::channel(());
+        let task = tokio::spawn(async move {
+            let asking = servers.release(&transaction, &asked);
+            let answered = match before_read {
+                true => timeout(BEFORE_READ, asking).await.unwrap_or(false),
+                false => asking.await,
+            };
+            drop(until_answered);
+            driver.send(Message::Input(Input::ReleaseFinished { id, number, answered }));
+            if again {
+                sleep(Duration::from_micros(CLOSE_SEEN)).await;
+                servers.release(&transaction, &asked).await;
+            }
+            drop(counted);
+        });
+        Release { holder, task: Some(task), unanswered }
+    }
 }
 
 /// A release under way, as the figures count it until it is dropped.
--- a/src/edge/gossip_transport.rs
+++ b/src/edge/gossip_transport.rs
@@ -9,9 +9,6 @@
 use socket2::{Domain, Socket, Type};
 use tokio::net::UdpSocket;
 
-use crate::edge::core::Input;
-use crate::edge::driver::{DriverHandle, Message};
-
 /// A longer datagram is none of ours; one byte more is read, so that it is seen to be longer.
 const MAX_BYTES: usize = 256;
 /// A socket that fails at once must not be asked in a tight loop.
@@ -60,15 +57,13 @@
         }
     }
 
-    /// Receives messages for ever.
-    pub async fn receive(self, driver: DriverHandle) {
+    /// Receives messages for ever, and hands each one to `deliver`.
+    pub async fn receive(self, deliver: impl Fn(Vec<u8>)) {
         let Some(Peers { socket, .. }) = self.0 else { return };
         let mut bytes = [0; MAX_BYTES + 1];
         loop {
             match socket.recv_from(&mut bytes).await {
-                Ok((length, _)) => {
-                    driver.send(Message::Input(Input::GossipReceived(bytes[..length].to_vec())));
-                }
+                Ok((length, _)) => deliver(bytes[..length].to_vec()),
                 // An earlier datagram that could not be delivered may be told of here.
                 Err(error) => {
                     warn!(reason:% = error; "gossip: receive failed");
--- a/src/edge/servers.rs
+++ b/src/edge/servers.rs
@@ -12,6 +12,7 @@
 mod release;
 mod report;
 mod send_error;
+mod unanswered_releases;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -24,7 +25,6 @@
 use tokio::time::{sleep_until, timeout_at, Instant};
 
 use crate::edge::connections::{Connection, Handle, IdleChoice, Pool};
-use crate::edge::driver::{UnansweredReleases, BEFORE_READ};
 use crate::edge::servers::answer::read_answer;
 pub use crate::edge::servers::answer::{AttemptOutcome, Opened};
 pub use crate::edge::servers::last_answers::LastAnswers;
@@ -33,6 +33,7 @@
 pub use crate::edge::servers::progress::Progress;
 pub use crate::edge::servers::relay::{Cut, Relay, StreamEnd};
 use crate::edge::servers::send_error::SendError;
+pub use crate::edge::servers::unanswered_releases::{UnansweredReleases, BEFORE_READ};
 use crate::edge::settings::Config;
 use crate::edge::stats::Figures;
 use crate::edge::transient::is_transient;
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -5,6 +5,7 @@
 mod error;
 mod fronts;
 mod key_values;
+mod ranges;
 mod reload;
 mod repeats;
 mod resume;
--- a/src/edge/settings/fronts.rs
+++ b/src/edge/settings/fronts.rs
@@ -8,6 +8,7 @@
 use crate::edge::cluster::Table;
 use crate::edge::settings::config::Limits;
 use crate::edge::settings::error::{ConfigError, FieldError, Problem};
+use crate::edge::settings::ranges::in_range;
 use crate::edge::settings::repeats::RepeatSettings;
 use crate::edge::settings::resume::ResumeSettings;
 
@@ -110,14 +111,6 @@
     }
 }
 
-/// A field's value, if it lies in its range.
-pub(super) fn in_range(field: String, value: f64, min: f64, max: f64) -> Result<f64, FieldError> {
-    if (min..=max).contains(&value) {
-        return Ok(value);
-    }
-    Err(FieldError::OutOfRange { field, value, min, max })
-}
-
 /// The agent check's settings.
 #[derive(Clone, Debug, Deserialize)]
 pub struct AgentSettings {
--- a/src/edge/settings/repeats.rs
+++ b/src/edge/settings/repeats.rs
@@ -6,7 +6,7 @@
 
 use crate::edge::settings::config::Limits;
 use crate::edge::settings::error::FieldError;
-use crate::edge::settings::fronts::in_range;
+use crate::edge::settings::ranges::in_range;
 use crate::interface::Micros;
 
 /// How repeats are known, and within which bounds. Off, a repeat is a request like any other.
--- a/src/edge/settings/resume.rs
+++ b/src/edge/settings/resume.rs
@@ -4,7 +4,7 @@
 use serde::Deserialize;
 
 use crate::edge::settings::error::FieldError;
-use crate::edge::settings::fronts::in_range;
+use crate::edge::settings::ranges::in_range;
 use crate::interface::Micros;
 
 /// How answers go on elsewhere. Off, a break ends the answer with an error.
--- a/tests/short_shutdowns.rs
+++ b/tests/short_shutdowns.rs
@@ -105,6 +105,17 @@
     exchanges.lock().unwrap().push(Exchange { id, sent_at, is_first_on_connection: true, status });
 }
 
+/// Would wait for longer than any class of the settings says, and for longer than the process may live.
+async fn patient_client(front: SocketAddr, asks_at: Instant, exchanges: Exchanges) {
+    sleep_until(asks_at).await;
+    let id = format!("{:016x}", 0xbeef);
+    let mut stream = TcpStream::connect(front).await.unwrap();
+    stream.write_all(platform(&id, "ask", "6.000").as_bytes()).await.unwrap();
+    let sent_at = Instant::now();
+    let status = read_answer(&mut stream).await;
+    exchanges.lock().unwrap().push(Exchange { id, sent_at, is_first_on_connection: true, status });
+}
+
 async fn shut_down(deadline_s: f64, silent: Silent) {
     let name = format!("short-{deadline_s}-{silent:?}");
     let layout = Layout { readers: 2, objective_s: deadline_s / 2.0, deadline_s, ..Layout::default() };
@@ -124,6 +135,7 @@
     }
     let rest_at = told_at + GRACE_PERIOD + Duration::from_millis(170);
     clients.spawn(slow_client(site.front(), deadline_s, rest_at, exchanges.clone()));
+    clients.spawn(patient_client(site.front(), told_at - Duration::from_millis(50), exchanges.clone()));
     sleep_until(told_at).await;
     site.signal("-TERM");
     sleep_until(killed_at).await;
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -9,6 +9,7 @@
 
 use dewladder::edge::clock::Clock;
 use dewladder::edge::connections::idle_timeout;
+use dewladder::edge::core::Input;
 use dewladder::edge::discovery::listing::{entries, Listing, Names};
 use dewladder::edge::driver::{Driver, Message, Reply};
 use dewladder::edge::gossip_transport::GossipTransport;
@@ -686,7 +687,8 @@
     driver.set_gossip_transport(peers.clone());
     let counts = driver.figures();
     tokio::spawn(driver.run());
-    tokio::spawn(peers.clone().receive(sender));
+    let deliver = move |bytes| sender.send(Message::Input(Input::GossipReceived(bytes)));
+    tokio::spawn(peers.clone().receive(deliver));
     for junk in [&b""[..], b"x", &[0; 10], &[1; 10], &[7; 256], &[7; 1_400]] {
         word.send_to(junk, at).unwrap();
     }
