--- /dev/null
+++ b/review/3/case.py
@@ -0,0 +1,88 @@
+"""A planned restart: SIGTERM, then SIGKILL as early as the page allows. Clients that write slowly finish their
+requests over 0.7 s after SIGTERM; each must get its answer whole, or a refusal, before the kill."""
+
+import asyncio
+import pathlib
+import signal
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "common"))
+from standins import (Agent, Answer, Server, States, main, member, new_txn, platform_request,  # noqa: E402
+                      read_answer, second_settings)
+
+CONNECTS_AT = 0.3        # after SIGTERM; the page: new connections keep arriving for 0.2 to 0.4 s
+LAST_BYTE_AT = 0.79      # after SIGTERM: over 0.7 s, and over the 50 ms that every limit has on sockets
+KILLED_AT = 3.75         # the longest deadline, taken as 3 s, plus 0.7 s; and the same 50 ms
+CLIENTS = 6
+
+
+LANES = {"lukema-kysely": 5.0, "vertailu": 15.0, "asetus-muutos": 6.0}
+
+
+async def slow_client(record, port, name, lane, start):
+    answer = Answer()
+    txn = new_txn()
+    text = platform_request(txn, lane, LANES[lane])
+    loop = asyncio.get_running_loop()
+    await asyncio.sleep(max(0.0, start + CONNECTS_AT - loop.time()))
+    try:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        record.add(name, "connects and writes a part", id=txn, lane=lane)
+        pieces = 6
+        size = (len(text) + pieces - 1) // pieces
+        parts = [text[at:at + size] for at in range(0, len(text), size)]
+        for number, part in enumerate(parts):
+            due = start + CONNECTS_AT + (LAST_BYTE_AT - CONNECTS_AT) * number / (len(parts) - 1)
+            await asyncio.sleep(max(0.0, due - loop.time()))
+            writer.write(part)
+            await writer.drain()
+        answer.sent_at = loop.time() - start
+        record.add(name, "wrote the last byte", id=txn, after_sigterm=f"{answer.sent_at:.3f}")
+        await read_answer(reader, answer)
+        writer.close()
+    except (ConnectionError, OSError) as error:
+        record.add(name, "connection", id=txn, error=repr(error))
+    answer.ended_at = loop.time() - start
+    record.add(name, "answered", id=txn, status=answer.status, whole=answer.whole, bytes=len(answer.data),
+               after_sigterm=f"{answer.ended_at:.3f}")
+    return txn, answer
+
+
+async def case(record, platform, trouble):
+    states = States()
+    readers = [await Server(record, states, f"reader{n}", "read").start() for n in (1, 2)]
+    # 140 tokens at 60 ms: an answer of usual length, 8.4 s.
+    writers = [await Server(record, states, f"writer{n}", "write", events=140, interval_s=0.06).start() for n in (1, 2)]
+    members = [member(server, n + 1, zone="sali-a", kinds=("esi", "jatko")) for n, server in enumerate(readers + writers)]
+    agent = await Agent(members).start()
+    process = await platform.start(platform.write_config(agent, second_settings()))
+    await platform.wait_ready()
+    await asyncio.sleep(2.0)
+    loop = asyncio.get_running_loop()
+    start = loop.time()
+    if trouble:
+        platform.signal(process, signal.SIGTERM)
+    clients = [asyncio.create_task(slow_client(record, platform.port, f"client{n}", list(LANES)[n % 3], start))
+               for n in range(CLIENTS)]
+    if trouble:
+        await asyncio.sleep(max(0.0, start + KILLED_AT - loop.time()))
+        if process.returncode is None:
+            platform.signal(process, signal.SIGKILL)
+        else:
+            record.add("platform", "the dispatcher has ended by itself", code=process.returncode)
+    answers = await asyncio.gather(*clients)
+    broken = []
+    forwarded = {run[1] for writer in writers for run in writer.runs}
+    for txn, answer in answers:
+        # Taken: its last byte was written. A refusal (429, 503) or any other whole answer is a final answer.
+        # A connection that ends with nothing sent on may have crossed the close: the client sends that request again.
+        late = answer.sent_at is not None and answer.sent_at > 0.75
+        if late and txn in forwarded and not answer.whole:
+            broken.append(f"lost: request {txn}, taken {answer.sent_at:.3f} s after SIGTERM, was sent to a writer, and its "
+                          f"stream was cut by SIGKILL after {len(answer.data)} bytes")
+        if not trouble and not answer.whole:
+            broken.append(f"lost: request {txn} has no whole answer")
+    return broken
+
+
+main(pathlib.Path(__file__).resolve().parent, case)
--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/case.py"
