Review case 1: send the bad client's ids after SIGTERM, when only the new version listens

Cause: while both versions listened, the kernel gave the other process only half of the bad requests, and the signal came seconds later than a platform sends it. Change: the bookings are sent before the new version is started, and the bad client comes 0.5 s after SIGTERM, which follows the yes at once; SIGKILL 3.75 s later.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""A new version is started beside the old one. A bad client sends the id of another client's open booking."""
+"""A new version takes over. A bad client sends the ids of bookings that are still open at the dispatcher."""
 
 import asyncio
 import pathlib
@@ -6,11 +6,15 @@
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "common"))
-from standins import (Agent, Server, States, ask, free_port, main, member, new_txn, platform_request, settings,  # noqa: E402
-                      CannotRun)
+from standins import (Agent, CannotRun, Server, States, ask, free_port, main, member, new_txn,  # noqa: E402
+                      platform_request, settings)
+
+BOOKINGS = 6
+KILLED_AT = 3.75   # after SIGTERM: the longest deadline, taken as 3 s, plus 0.7 s, and 50 ms more
 
 
 async def admin(port, line):
+    """What the second address answers to a line."""
     try:
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         writer.write(line.encode() + b"\n")
@@ -24,13 +28,27 @@
 async def case(record, platform, trouble):
     states = States()
     readers = [await Server(record, states, f"reader{n}", "read").start() for n in (1, 2)]
-    writers = [await Server(record, states, f"writer{n}", "write", events=100, interval_s=0.06).start() for n in (1, 2)]
+    # 140 tokens at 60 ms: bookings that are under way for 8.4 s.
+    writers = [await Server(record, states, f"writer{n}", "write", events=140, interval_s=0.06).start() for n in (1, 2)]
     agent = await Agent([member(server, n + 1) for n, server in enumerate(readers + writers)]).start()
     config = platform.write_config(agent, settings())
     admin1, admin2 = free_port(), free_port()
     old = await platform.start(config, admin=admin1)
     await platform.wait_ready()
     await asyncio.sleep(1.0)
+
+    txns = [new_txn() for _ in range(BOOKINGS)]
+    for txn in txns:
+        record.add("clients", "send a booking", id=txn)
+    bookings = [asyncio.create_task(ask(platform.port, platform_request(txn, "book", 8.0))) for txn in txns]
+    await asyncio.sleep(0.5)
+
+    async def kill_later():
+        await asyncio.sleep(KILLED_AT)
+        if old.returncode is None:
+            platform.signal(old, signal.SIGKILL)
+
+    killing = None
     if trouble:
         await platform.start(config, admin=admin2)
         for _ in range(120):
@@ -40,20 +58,29 @@
         else:
             raise CannotRun("the new version did not become ready")
         record.add("platform", "the new version says yes")
-    txns = [new_txn() for _ in range(6)]
-    victims = [asyncio.create_task(ask(platform.port, platform_request(txn, "book", 8.0))) for txn in txns]
-    await asyncio.sleep(0.5)
-    bad = await asyncio.gather(*(ask(platform.port, platform_request(txn, "book", 8.0, 4_000)) for txn in txns for _ in (1, 2)))
-    if trouble:
         platform.signal(old, signal.SIGTERM)
-    answers = await asyncio.gather(*victims)
+        killing = asyncio.create_task(kill_later())
+    await asyncio.sleep(0.5)
+
+    open_at_bad = [not booking.done() for booking in bookings]
+    record.add("bad client", "sends the ids of the open bookings", open=sum(open_at_bad))
+    bad = await asyncio.gather(*(ask(platform.port, platform_request(txn, "book", 8.0, 4_000)) for txn in txns))
+    answers = await asyncio.gather(*bookings)
+    if killing is not None:
+        await killing
+    if not all(open_at_bad):
+        raise CannotRun("a booking had ended before the bad client came")
+
     runs = [run[1] for writer in writers for run in writer.runs]
     broken = []
-    for n, (txn, answer) in enumerate(zip(txns, answers)):
-        served = [b.status for b in bad[2 * n:2 * n + 2]]
-        record.add("script", "booking", id=txn, status=answer.status, whole=answer.whole, runs=runs.count(txn), bad=served)
+    for txn, answer, bad_answer in zip(txns, answers, bad):
+        record.add("script", "booking", id=txn, status=answer.status, whole=answer.whole, runs=runs.count(txn),
+                   bad_client_was_answered=bad_answer.status)
         if runs.count(txn) > 1:
-            broken.append(f"duplicate: booking {txn} ran {runs.count(txn)} times; the bad client was answered {served}")
+            broken.append(f"duplicate: booking {txn} ran {runs.count(txn)} times, the second time while the first was open; "
+                          f"the bad client was answered {bad_answer.status}")
+        elif bad_answer.status == 200:
+            broken.append(f"lost: the bad client was served under the id of booking {txn}")
     return broken
 
 
