Review case 3: spread the slow clients' last bytes over 0.45 to 1.0 s after SIGTERM

Cause: with all requests ending at one moment the case looked like a race, which it is not: each restart has a span of 0.15 s in which what becomes whole is taken and can't be finished. Change: 24 clients that write for 0.05 to 0.8 s; those that end over 0.75 s after SIGTERM are judged.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,5 +1,5 @@
-"""A planned restart: SIGTERM, then SIGKILL as early as the page allows. Clients that write slowly finish their
-requests over 0.7 s after SIGTERM; each must get its answer whole, or a refusal, before the kill."""
+"""A planned restart: SIGTERM, then SIGKILL as early as the page allows. Some clients write slowly. A request that is
+whole over 0.7 s after SIGTERM has to get its answer whole, or a refusal, before the kill."""
 
 import asyncio
 import pathlib
@@ -10,29 +10,31 @@
 from standins import (Agent, Answer, Server, States, main, member, new_txn, platform_request,  # noqa: E402
                       read_answer, second_settings)
 
-CONNECTS_AT = 0.3        # after SIGTERM; the page: new connections keep arriving for 0.2 to 0.4 s
-LAST_BYTE_AT = 0.79      # after SIGTERM: over 0.7 s, and over the 50 ms that every limit has on sockets
-KILLED_AT = 3.75         # the longest deadline, taken as 3 s, plus 0.7 s; and the same 50 ms
-CLIENTS = 6
-
-
+CLIENTS = 24
+CONNECT_AT = (0.2, 0.4)     # after SIGTERM: the page: new connections keep arriving for 0.2 to 0.4 s
+LAST_BYTE_AT = (0.45, 1.0)  # after SIGTERM: spread evenly over the clients; a request takes 0.8 s at most
+LATE = 0.75                 # after SIGTERM: 0.7 s, and the 50 ms that every limit has on sockets
+KILLED_AT = 3.75            # after SIGTERM: the longest deadline, taken as 3 s, plus 0.7 s; and the same 50 ms
 LANES = {"lukema-kysely": 5.0, "vertailu": 15.0, "asetus-muutos": 6.0}
 
 
-async def slow_client(record, port, name, lane, start):
+async def slow_client(record, port, number, start):
+    name, lane = f"client{number}", list(LANES)[number % 3]
+    connect_at = CONNECT_AT[0] + (CONNECT_AT[1] - CONNECT_AT[0]) * (number % 4) / 3
+    last_byte_at = LAST_BYTE_AT[0] + (LAST_BYTE_AT[1] - LAST_BYTE_AT[0]) * number / (CLIENTS - 1)
     answer = Answer()
     txn = new_txn()
     text = platform_request(txn, lane, LANES[lane])
     loop = asyncio.get_running_loop()
-    await asyncio.sleep(max(0.0, start + CONNECTS_AT - loop.time()))
+    await asyncio.sleep(max(0.0, start + connect_at - loop.time()))
     try:
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         record.add(name, "connects and writes a part", id=txn, lane=lane)
         pieces = 6
         size = (len(text) + pieces - 1) // pieces
         parts = [text[at:at + size] for at in range(0, len(text), size)]
-        for number, part in enumerate(parts):
-            due = start + CONNECTS_AT + (LAST_BYTE_AT - CONNECTS_AT) * number / (len(parts) - 1)
+        for piece, part in enumerate(parts):
+            due = start + connect_at + (last_byte_at - connect_at) * piece / (len(parts) - 1)
             await asyncio.sleep(max(0.0, due - loop.time()))
             writer.write(part)
             await writer.drain()
@@ -62,8 +64,7 @@
     start = loop.time()
     if trouble:
         platform.signal(process, signal.SIGTERM)
-    clients = [asyncio.create_task(slow_client(record, platform.port, f"client{n}", list(LANES)[n % 3], start))
-               for n in range(CLIENTS)]
+    clients = [asyncio.create_task(slow_client(record, platform.port, n, start)) for n in range(CLIENTS)]
     if trouble:
         await asyncio.sleep(max(0.0, start + KILLED_AT - loop.time()))
         if process.returncode is None:
@@ -76,7 +77,7 @@
     for txn, answer in answers:
         # Taken: its last byte was written. A refusal (429, 503) or any other whole answer is a final answer.
         # A connection that ends with nothing sent on may have crossed the close: the client sends that request again.
-        late = answer.sent_at is not None and answer.sent_at > 0.75
+        late = answer.sent_at is not None and answer.sent_at > LATE
         if late and txn in forwarded and not answer.whole:
             broken.append(f"lost: request {txn}, taken {answer.sent_at:.3f} s after SIGTERM, was sent to a writer, and its "
                           f"stream was cut by SIGKILL after {len(answer.data)} bytes")
