Review case 3: one dispatcher's share of requests, connections up to 0.36 s

Change: 7 clients, one every 0.09 s, each writing for 0.6 s; the last connects 0.36 s after SIGTERM, the one that is cut 0.18 s after it.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -10,9 +10,11 @@
 from standins import (Agent, Answer, Server, States, main, member, new_txn, platform_request,  # noqa: E402
                       read_answer, second_settings)
 
-CLIENTS = 12                # in 0.55 s: 22 a second; the page: about 24 requests a second
-CONNECT_AT = (0.2, 0.4)     # after SIGTERM: the page: new connections keep arriving for 0.2 to 0.4 s
-LAST_BYTE_AT = (0.43, 0.98)  # after SIGTERM: spread evenly over the clients; a request takes 0.8 s at most
+CLIENTS = 7
+CLIENT_EACH = 0.09          # s: 11 a second; the page: about 24 requests a second for 2 to 3 dispatchers, 8 to 12 for each
+FIRST_ENDS_AT = 0.42        # after SIGTERM: the last byte of the first client; of the last one 0.96 s
+WRITES_FOR = 0.6            # s: the page: "some over 2 s". So they connect from 0.18 s before SIGTERM to 0.36 s after it;
+#                             the page: new connections keep arriving for 0.2 to 0.4 s
 LATE = 0.75                 # after SIGTERM: 0.7 s, and the 50 ms that every limit has on sockets
 KILLED_AT = 3.75            # after SIGTERM: the longest deadline, taken as 3 s, plus 0.7 s; and the same 50 ms
 LANES = {"lukema-kysely": 5.0, "vertailu": 15.0, "asetus-muutos": 6.0}
@@ -22,8 +24,8 @@
 
 async def slow_client(record, port, number, start):
     name, lane = f"client{number}", list(LANES)[number % 3]
-    connect_at = CONNECT_AT[0] + (CONNECT_AT[1] - CONNECT_AT[0]) * (number % 4) / 3
-    last_byte_at = LAST_BYTE_AT[0] + (LAST_BYTE_AT[1] - LAST_BYTE_AT[0]) * number / (CLIENTS - 1)
+    last_byte_at = FIRST_ENDS_AT + CLIENT_EACH * number
+    connect_at = last_byte_at - WRITES_FOR
     answer = Answer()
     txn = new_txn()
     text = platform_request(txn, lane, LANES[lane])
@@ -62,11 +64,11 @@
     await platform.wait_ready()
     await asyncio.sleep(2.0)
     loop = asyncio.get_running_loop()
-    start = loop.time()
-    if trouble:
-        platform.signal(process, signal.SIGTERM)
+    start = loop.time() + 0.5  # when SIGTERM is sent
     clients = [asyncio.create_task(slow_client(record, platform.port, n, start)) for n in range(CLIENTS)]
+    await asyncio.sleep(start - loop.time())
     if trouble:
+        platform.signal(process, signal.SIGTERM)
         await asyncio.sleep(max(0.0, start + KILLED_AT - loop.time()))
         if process.returncode is None:
             platform.signal(process, signal.SIGKILL)
