--- a/crates/chat/src/lib.rs
+++ b/crates/chat/src/lib.rs
@@ -8,7 +8,7 @@
 //!   into a whole response ([`StreamWriter::response`]); [`CollectedAnswer`] builds whole chat and completion answers.
 //! - [`ResponseStore`] keeps the responses that later requests continue through `previous_response_id`.
 //!
-//! Modules by dependency, lowest first: `request_error`; `body`, `event_parser` and `fields`; `request`, `sampling` and
+//! Modules by dependency, lowest first: `request_error` and `value_size`; `body`, `event_parser` and `fields`; `request`, `sampling` and
 //! `tools`; `messages`; the requests of each kind (`chat_request`, `completion_request`, `response_request`) and
 //! `server_body`. Answers: `answer_metadata`, `collected_answer`, `response_stream`, `stream_writer`. `response_store`
 //! depends on none of them.
@@ -30,9 +30,10 @@
 mod server_body;
 mod stream_writer;
 mod tools;
+mod value_size;
 
 pub use answer_metadata::AnswerMetadata;
-pub use body::parse_body;
+pub use body::{parse_body, parsed_bytes};
 pub use collected_answer::CollectedAnswer;
 pub use event_parser::{EventParser, ServerEvent};
 pub use request::{Limits, Message, Request, RequestKind};
--- a/crates/chat/src/response_store.rs
+++ b/crates/chat/src/response_store.rs
@@ -6,10 +6,10 @@
 
 use serde_json::Value;
 
+use crate::value_size::value_bytes;
+
 /// Estimated memory of an entry besides its id and JSON values (bytes).
 const ENTRY_OVERHEAD_BYTES: usize = 256;
-/// Estimated memory of a field of a JSON object besides its name and value (bytes).
-const FIELD_OVERHEAD_BYTES: usize = 64;
 
 /// A response in the store.
 #[derive(Clone, Debug, PartialEq)]
@@ -21,6 +21,14 @@
     pub items: Vec<Value>,
 }
 
+impl StoredResponse {
+    /// An upper estimate of the memory of the items (bytes).
+    #[must_use]
+    pub fn item_bytes(&self) -> usize {
+        self.items.iter().map(value_bytes).sum()
+    }
+}
+
 #[derive(Debug)]
 struct Entry {
     stored: StoredResponse,
@@ -140,21 +148,5 @@
 
 /// The estimated memory of an entry. Its id counts twice, as both `entries` and `by_last_use` hold it.
 fn stored_bytes(id: &str, stored: &StoredResponse) -> usize {
-    let items: usize = stored.items.iter().map(value_bytes).sum();
-    ENTRY_OVERHEAD_BYTES + 2 * id.len() + value_bytes(&stored.response) + items
-}
-
-/// The estimated memory of a JSON value: its own size, and what it allocates.
-fn value_bytes(value: &Value) -> usize {
-    let allocated = match value {
-        Value::String(text) => text.len(),
-        Value::Array(items) => items.iter().map(value_bytes).sum(),
-        Value::Object(fields) => {
-            let field_bytes =
-                |(name, value): (&String, &Value)| FIELD_OVERHEAD_BYTES + name.len() + value_bytes(value);
-            fields.iter().map(field_bytes).sum()
-        }
-        _ => 0,
-    };
-    size_of::<Value>() + allocated
+    ENTRY_OVERHEAD_BYTES + 2 * id.len() + value_bytes(&stored.response) + stored.item_bytes()
 }
--- a/src/edge/clients/chat/answer_source.rs
+++ b/src/edge/clients/chat/answer_source.rs
@@ -12,6 +12,7 @@
 use tokio::sync::OwnedSemaphorePermit;
 
 use crate::edge::clients::answer_reader::AnswerReader;
+use crate::edge::clients::memory_budget::Reservation;
 use crate::edge::servers::{Cut, Relay};
 
 /// Maximum size of the text of an answer that is collected in memory (bytes): for clients that want no stream, and of
@@ -80,6 +81,8 @@
     pub(super) id: String,
     /// The items of the request's input, which are stored before the output items.
     pub(super) input_items: Vec<Value>,
+    /// The memory of the items.
+    pub(super) _memory: Arc<Reservation>,
 }
 
 impl ResponseSaver {
--- a/src/edge/clients/chat/mod.rs
+++ b/src/edge/clients/chat/mod.rs
@@ -32,6 +32,7 @@
 use crate::edge::clients::chat::endpoint::{method_list, preflight, Endpoint, EXPOSED_HEADERS};
 use crate::edge::clients::chat::state::{ChatFront, Tenant};
 use crate::edge::clients::error_response::{json_response, ErrorResponse};
+use crate::edge::clients::memory_budget::MemoryBudget;
 use crate::edge::clock::Clock;
 use crate::edge::cluster::quorum::Quorum;
 use crate::edge::driver::DriverHandle;
@@ -52,7 +53,7 @@
     }
 }
 
-/// Creates the router that serves the chat front.
+/// Creates the router that serves the chat front, which takes the memory for requests from `memory`.
 ///
 /// # Errors
 /// See [`check`].
@@ -61,10 +62,11 @@
     config: &Config,
     clock: Clock,
     driver: DriverHandle,
+    memory: MemoryBudget,
     quorum: Option<Quorum>,
 ) -> Result<Router, FieldError> {
     check(chat, config)?;
-    let front = ChatFront::new(chat, config, clock, driver, quorum)?;
+    let front = ChatFront::new(chat, config, clock, driver, memory, quorum)?;
     Ok(Router::new().fallback(serve).with_state(Arc::new(front)))
 }
 
--- a/src/edge/clients/chat/requests.rs
+++ b/src/edge/clients/chat/requests.rs
@@ -7,7 +7,7 @@
 use axum::http::request::Parts;
 use axum::http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode};
 use bytes::Bytes;
-use dewladder_chat::{parse_body, AnswerMetadata, Request, RequestKind, StreamWriter};
+use dewladder_chat::{parse_body, parsed_bytes, AnswerMetadata, Request, RequestKind, StreamWriter};
 use dewladder_idempotency::{IncomingRequest, Outcome};
 use dewladder_replica::RecordId;
 use serde_json::Value;
@@ -21,8 +21,9 @@
 use crate::edge::clients::chat::whole_answer;
 use crate::edge::clients::error_response::{json_response, not_admitted, set_request_id, ErrorResponse};
 use crate::edge::clients::idempotency::{Decision, Idempotency, TenantRef};
+use crate::edge::clients::memory_budget::Reservation;
 use crate::edge::clients::recorder::Run;
-use crate::edge::clients::request_body::read_body;
+use crate::edge::clients::request_body::{read_body, BodyError};
 use crate::edge::cluster::quorum::Quorum;
 use crate::edge::driver::Reply;
 use crate::edge::servers::header;
@@ -30,6 +31,8 @@
 
 /// Maximum nesting depth of a JSON body.
 const MAX_JSON_DEPTH: usize = 64;
+/// How often what a body is parsed to is held: as a value, and as prompts and input items.
+const PARSED_COPIES: usize = 2;
 /// How often a repeat is submitted at most, if each run that it joins is canceled or its record is dropped before the
 /// answer begins.
 const MAX_SUBMISSIONS: usize = 8;
@@ -63,13 +66,14 @@
         check_media_type(&head.headers)?;
         let body = read_body(body, &head.extensions).await;
         let arrived_us = self.clock.now();
-        let body = body
-            .map_err(|error| ErrorResponse::new(error.status(), "invalid_request_error", error.message()))?;
+        let body = body.map_err(|error| self.unread_body(error))?;
+        let mut memory = self.request_memory(&body)?;
         let mut request = self.parse_request(kind, body)?;
         let model = &self.model(&request.model)?;
         check_single_answer(&request, model)?;
-        self.prepend_previous(&mut request, tenant)?;
-        let accepted = AcceptedRequest { request: &request, model, tenant, arrived_us };
+        self.prepend_previous(&mut request, tenant, &mut memory)?;
+        let memory = &Arc::new(memory);
+        let accepted = AcceptedRequest { request: &request, model, tenant, arrived_us, memory };
         let Some(idempotency) = self.idempotency.as_ref().filter(|_| request.choice_count() == 1) else {
             return self.run_unrecorded(&accepted).await;
         };
@@ -84,6 +88,30 @@
         self.run_idempotently(idempotency, &incoming, &accepted, replica).await
     }
 
+    /// Reserves the memory of what this body is parsed to: the parsed value, and the prompts and input items that are
+    /// taken from it.
+    fn request_memory(&self, body: &Bytes) -> Result<Reservation, ErrorResponse> {
+        let bytes = PARSED_COPIES * parsed_bytes(body);
+        if bytes > self.memory.largest_reservation() {
+            let message = "the body has too many parts to be handled";
+            return Err(ErrorResponse::new(StatusCode::PAYLOAD_TOO_LARGE, "invalid_request_error", message));
+        }
+        self.memory.reserve(bytes).map_err(|_| self.no_room())
+    }
+
+    /// The response to a request for which there is no memory now.
+    fn no_room(&self) -> ErrorResponse {
+        ErrorResponse::refused(self.driver.settings().max_retry_after)
+    }
+
+    /// The response to a request whose body could not be read.
+    fn unread_body(&self, error: BodyError) -> ErrorResponse {
+        match error {
+            BodyError::NoRoom => self.no_room(),
+            _ => ErrorResponse::new(error.status(), "invalid_request_error", error.message()),
+        }
+    }
+
     /// Parses and checks a request's body.
     fn parse_request(&self, kind: RequestKind, body: Bytes) -> Result<Request, ErrorResponse> {
         let value = parse_body(&body, MAX_JSON_DEPTH)?;
@@ -96,14 +124,22 @@
         Ok(request?)
     }
 
-    /// Puts the items of the stored response that the request continues before the request's own input.
-    fn prepend_previous(&self, request: &mut Request, tenant: &Tenant) -> Result<(), ErrorResponse> {
+    /// Puts the items of the stored response that the request continues before the request's own input, and adds them
+    /// to the request's memory.
+    fn prepend_previous(
+        &self,
+        request: &mut Request,
+        tenant: &Tenant,
+        memory: &mut Reservation,
+    ) -> Result<(), ErrorResponse> {
         let Some(previous) = request.previous_response_id.clone() else { return Ok(()) };
         let mut responses = self.responses();
         let stored = responses.get(tenant.number, &previous).ok_or_else(|| {
             ErrorResponse::bad_request("previous_response_not_found", "no response with this id is kept")
                 .with_param("previous_response_id")
         })?;
+        let with_items = memory.bytes() + PARSED_COPIES * stored.item_bytes();
+        memory.grow_to(with_items).map_err(|_| self.no_room())?;
         request.prepend_items(&stored.items);
         Ok(())
     }
@@ -116,7 +152,7 @@
         let mut pending_choices = Vec::new();
         for choice in 0..accepted.request.choice_count() {
             let permit = self.permit(accepted.tenant)?;
-            let (info, payload) = self.server_request(accepted, choice);
+            let (info, payload) = self.server_request(accepted, choice).map_err(|_| self.no_room())?;
             pending_choices.push((info.id, permit, Box::pin(self.driver.submit(info, payload).0)));
         }
         let id = pending_choices[0].0;
@@ -186,7 +222,10 @@
         let permit = self.permit(accepted.tenant).inspect_err(|_| {
             idempotency.refuse(reader, self.driver.settings().max_retry_after);
         })?;
-        let (request, payload) = self.server_request(accepted, 0);
+        let (request, payload) = self.server_request(accepted, 0).map_err(|_| {
+            idempotency.refuse(reader, self.driver.settings().max_retry_after);
+            self.no_room()
+        })?;
         idempotency.run(reader, &self.driver, Run { request, payload, replica }, permit);
         Ok(())
     }
@@ -215,6 +254,7 @@
             tenant: accepted.tenant.number,
             id: format!("resp_{}", metadata.id),
             input_items: accepted.request.input_items.clone(),
+            _memory: accepted.memory.clone(),
         }
     }
 
--- a/src/edge/clients/chat/server_request.rs
+++ b/src/edge/clients/chat/server_request.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
 use dewladder_chat::{Message, Request};
 use dewladder_resume::{ChoiceTraits, Mode, Policy};
 use serde_json::{json, Value};
@@ -12,6 +11,7 @@
 use crate::edge::clients::chat::endpoint::CHAT_PATH;
 use crate::edge::clients::chat::resumption::{ResumeError, ResumeFn, ResumeRequest, Resumption};
 use crate::edge::clients::chat::state::{ChatFront, Model, Tenant};
+use crate::edge::clients::memory_budget::{NoRoom, Reservation, ReservedBytes};
 use crate::edge::driver::Reply;
 use crate::edge::servers::Payload;
 use crate::interface::{Key, Micros, RequestId, RequestInfo};
@@ -29,18 +29,30 @@
     pub(super) tenant: &'a Tenant,
     /// When its body had been received completely (us).
     pub(super) arrived_us: Micros,
+    /// The memory of what the request was parsed to. Whoever keeps a part of the request keeps a clone.
+    pub(super) memory: &'a Arc<Reservation>,
 }
 
 impl ChatFront {
     /// The description for the router and the payload for servers of one choice, under a new request id.
+    ///
+    /// # Errors
+    /// There is no memory for the payload.
     pub(super) fn server_request(
         &self,
         accepted: &AcceptedRequest<'_>,
         choice: usize,
-    ) -> (RequestInfo, Arc<Payload>) {
+    ) -> Result<(RequestInfo, Arc<Payload>), NoRoom> {
         let id = self.next_id();
         let info = self.request_info(id, accepted, accepted.request.prompt_of(choice));
-        (info, payload(id, &accepted.request.server_body(choice)))
+        Ok((info, self.payload(id, &accepted.request.server_body(choice))?))
+    }
+
+    /// The payload that carries this body to servers. Servers know the request by its id in hex.
+    fn payload(&self, id: RequestId, body: &Value) -> Result<Arc<Payload>, NoRoom> {
+        let (txn, target) = (format!("{:016x}", id.0), CHAT_PATH.to_owned());
+        let body = ReservedBytes::from_vec(body.to_string().into_bytes(), &self.memory)?.into_bytes();
+        Ok(Arc::new(Payload { txn, target, key: None, body }))
     }
 
     /// The description of a request for the router. Lengths are estimated at four characters per token. A leading
@@ -48,7 +60,7 @@
     /// is made of the tenant, the model, that message and the first other message, so that all requests of a
     /// conversation have the same key.
     fn request_info(&self, id: RequestId, accepted: &AcceptedRequest<'_>, prompt: &[Message]) -> RequestInfo {
-        let AcceptedRequest { request, model, tenant, arrived_us } = *accepted;
+        let AcceptedRequest { request, model, tenant, arrived_us, .. } = *accepted;
         let prompt_tokens = prompt.iter().map(|message| estimated_tokens(&message.text)).sum();
         let system_prompt =
             prompt.first().filter(|message| is_system_prompt(message)).map(|message| message.text.as_str());
@@ -89,14 +101,20 @@
         let request = Arc::new(accepted.request.clone());
         let model = Model { at_most_once: false, ..accepted.model.clone() };
         let (front, tenant) = (self.clone(), accepted.tenant.clone());
+        let memory = accepted.memory.clone();
         let resume_choice: ResumeFn = Arc::new(move |resume_request: ResumeRequest| {
             let (front, request) = (front.clone(), request.clone());
-            let (model, tenant) = (model.clone(), tenant.clone());
+            let (model, tenant, memory) = (model.clone(), tenant.clone(), memory.clone());
             Box::pin(async move {
                 sleep_until(front.clock.instant(front.clock.now() + resume_request.wait_us)).await;
                 let arrived_us = front.clock.now();
-                let accepted =
-                    AcceptedRequest { request: &request, model: &model, tenant: &tenant, arrived_us };
+                let accepted = AcceptedRequest {
+                    request: &request,
+                    model: &model,
+                    tenant: &tenant,
+                    arrived_us,
+                    memory: &memory,
+                };
                 front.resume_choice(&accepted, &resume_request).await
             })
         });
@@ -127,7 +145,10 @@
         let info = self.request_info(id, accepted, &prompt);
         let not_after = info.not_after.min(resume_request.deadline_us);
         let info = RequestInfo { max_tokens: resume_request.max_tokens, not_after, ..info };
-        match self.driver.submit_and_wait(info, payload(id, &body)).await {
+        let payload = self
+            .payload(id, &body)
+            .map_err(|_| ResumeError::Refused { retry_after_us: self.driver.settings().max_retry_after })?;
+        match self.driver.submit_and_wait(info, payload).await {
             Reply::Stream(relay) => Ok(AnswerSource::Relay { relay: Box::new(relay), _permit: permit }),
             Reply::Rejected { retry_in } => Err(ResumeError::Refused { retry_after_us: retry_in }),
             Reply::Failed { .. } | Reply::DuplicateId => Err(ResumeError::Failed),
@@ -145,12 +166,6 @@
     prompt.push(Message { role: "assistant".to_owned(), text: text.to_owned() });
 }
 
-/// The payload that carries this body to servers. Servers know the request by its id in hex.
-fn payload(id: RequestId, body: &Value) -> Arc<Payload> {
-    let (txn, target) = (format!("{:016x}", id.0), CHAT_PATH.to_owned());
-    Arc::new(Payload { txn, target, key: None, body: Bytes::from(body.to_string()) })
-}
-
 /// Whether the message instructs the model rather than being part of the conversation.
 fn is_system_prompt(message: &Message) -> bool {
     matches!(message.role.as_str(), "system" | "developer")
--- a/src/edge/clients/chat/state.rs
+++ b/src/edge/clients/chat/state.rs
@@ -15,6 +15,7 @@
 
 use crate::edge::clients::error_response::ErrorResponse;
 use crate::edge::clients::idempotency::Idempotency;
+use crate::edge::clients::memory_budget::MemoryBudget;
 use crate::edge::clock::Clock;
 use crate::edge::cluster::quorum::Quorum;
 use crate::edge::driver::DriverHandle;
@@ -67,6 +68,8 @@
     pub(super) response_store: Arc<Mutex<ResponseStore>>,
     /// Recognizes repeated requests; `None` if that is off.
     pub(super) idempotency: Option<Arc<Idempotency>>,
+    /// The budget for the requests that are being handled.
+    pub(super) memory: MemoryBudget,
     /// Replicates the records of at-most-once requests to other instances; `None` if that is off.
     pub(super) quorum: Option<Quorum>,
 }
@@ -94,6 +97,7 @@
         config: &Config,
         clock: Clock,
         driver: DriverHandle,
+        memory: MemoryBudget,
         quorum: Option<Quorum>,
     ) -> Result<Self, FieldError> {
         let policy = chat.repeats.policy(&config.limits)?;
@@ -121,6 +125,7 @@
             ids: IdGenerator { base: mix(config.seed ^ mix(clock.now())), next: AtomicU64::new(0) },
             response_store: Arc::new(Mutex::new(ResponseStore::new(store_bytes, tenant_bytes))),
             idempotency,
+            memory,
             quorum,
         })
     }
--- a/src/edge/clients/client_stream.rs
+++ b/src/edge/clients/client_stream.rs
@@ -57,7 +57,7 @@
     /// connection has ended, after a lingering close.
     #[must_use]
     pub fn new(stream: TcpStream, guard: SlotGuard, shutdown_complete_tx: mpsc::Sender<()>) -> Self {
-        let read_ahead = ReadAhead::new(guard.limits.read_ahead_bytes.clone());
+        let read_ahead = ReadAhead::new(&guard.limits.memory);
         let (stream, guard) = (Some(UninterruptedStream(stream)), Some(guard));
         Self { stream, guard, read_ahead, has_checked_socket: false, shutdown_complete_tx }
     }
--- a/src/edge/clients/connection.rs
+++ b/src/edge/clients/connection.rs
@@ -24,8 +24,9 @@
 use crate::edge::clients::client_stream::ClientStream;
 use crate::edge::clients::connection_slot::{ConnectionSlot, TakenRequest};
 use crate::edge::clients::framing::{BodyFraming, MAX_HEAD_BYTES};
+use crate::edge::clients::memory_budget::MemoryBudget;
 use crate::edge::clients::plain_response::{over_capacity_response, plain_response};
-use crate::edge::clients::request_timing::{AcceptDelay, ReceiveDeadline};
+use crate::edge::clients::request_timing::{AcceptDelay, BodyMemory, ReceiveDeadline};
 use crate::edge::phase::Phase;
 use crate::edge::servers::header;
 use crate::edge::stats::{End, Figures};
@@ -38,22 +39,24 @@
 pub struct RequestHandler {
     front: Router,
     slot: Arc<ConnectionSlot>,
+    memory: MemoryBudget,
     figures: Figures,
     phase: watch::Receiver<Phase>,
 }
 
 impl RequestHandler {
-    /// Passes requests to `front`, except those that are refused here; refusals for want of a slot are
-    /// counted in `figures`. During shutdown, as `phase` tells, each answer asks the client to close the
+    /// Passes requests to `front`, except those that are refused here. The memory for their bodies is taken from
+    /// `memory`; refusals for want of a slot are counted in `figures`. During shutdown, as `phase` tells, each answer asks the client to close the
     /// connection.
     #[must_use]
     pub fn new(
         front: Router,
         slot: Arc<ConnectionSlot>,
+        memory: MemoryBudget,
         figures: Figures,
         phase: watch::Receiver<Phase>,
     ) -> Self {
-        Self { front, slot, figures, phase }
+        Self { front, slot, memory, figures, phase }
     }
 
     /// Starts to handle a request whose head has been received. The future resolves to its response.
@@ -65,6 +68,7 @@
         let accept_delay = self.slot.take_accept_delay();
         let open_request = OpenRequest(self.slot.clone());
         let (mut front, figures, phase) = (self.front.clone(), self.figures.clone(), self.phase.clone());
+        let memory = self.memory.clone();
         async move {
             let over_capacity = open_request.0.over_capacity;
             let mut response = if framing == BodyFraming::Ambiguous {
@@ -77,6 +81,7 @@
             } else {
                 request.extensions_mut().insert(ReceiveDeadline(receive_deadline));
                 request.extensions_mut().insert(AcceptDelay(accept_delay));
+                request.extensions_mut().insert(BodyMemory(memory));
                 front.call(request).await?
             };
             let is_shutting_down = *phase.borrow() > Phase::Serving;
--- a/src/edge/clients/connection_limits.rs
+++ b/src/edge/clients/connection_limits.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use crate::edge::clients::connection_slot::{lock, Activity, ConnectionSlot};
+use crate::edge::clients::memory_budget::MemoryBudget;
 
 /// Connections over capacity that are kept open until their request has been refused; any more are closed at
 /// once.
@@ -80,20 +81,17 @@
 #[derive(Clone, Debug)]
 pub struct ConnectionLimits {
     max_connections: Arc<AtomicUsize>,
-    /// Bytes buffered behind open requests, over all connections.
-    pub read_ahead_bytes: Arc<AtomicUsize>,
+    /// The budget for what clients make the process hold, over all connections.
+    pub memory: MemoryBudget,
     slots: Arc<Mutex<Slots>>,
 }
 
 impl ConnectionLimits {
-    /// Creates `max_connections` slots for connections whose requests are served.
+    /// Creates `max_connections` slots for connections whose requests are served. What these connections hold is
+    /// taken from `memory`.
     #[must_use]
-    pub fn new(max_connections: usize) -> Self {
-        Self {
-            max_connections: Arc::new(AtomicUsize::new(max_connections)),
-            read_ahead_bytes: Arc::default(),
-            slots: Arc::default(),
-        }
+    pub fn new(max_connections: usize, memory: MemoryBudget) -> Self {
+        Self { max_connections: Arc::new(AtomicUsize::new(max_connections)), memory, slots: Arc::default() }
     }
 
     /// Sets the limit from now on. Connections beyond it stay until [`evict_excess`](Self::evict_excess).
@@ -135,7 +133,7 @@
         }
         let id = slots.next_id;
         slots.next_id += 1;
-        let slot = Arc::new(ConnectionSlot::new(now, over_capacity));
+        let slot = Arc::new(ConnectionSlot::new(now, over_capacity, &self.memory));
         slots.taken.insert(id, slot.clone());
         Some(SlotGuard { id, slot, limits: self.clone() })
     }
--- a/src/edge/clients/connection_slot.rs
+++ b/src/edge/clients/connection_slot.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use crate::edge::clients::framing::{BodyFraming, RequestFraming};
+use crate::edge::clients::memory_budget::{MemoryBudget, Reservation};
 
 /// A client must get an error or a close within 3 s of connecting, so a request whose head and body are not
 /// complete after this time is given up. On a connection that has been served before, the time counts from
@@ -30,6 +31,11 @@
 /// evicted while pieces of its request keep coming.
 const MIN_STALLED: Duration = Duration::from_millis(400);
 
+/// The part of a head for which the memory of its connection is enough (bytes).
+const FREE_HEAD_BYTES: usize = 4 << 10;
+/// How often a head is held while it is received: by hyper and by the framing.
+const HEAD_COPIES: usize = 2;
+
 /// The progress of a connection's requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum RequestState {
@@ -57,6 +63,10 @@
 #[derive(Debug)]
 struct State {
     framing: RequestFraming,
+    /// The memory for the head that is being received, beyond [`FREE_HEAD_BYTES`].
+    head_memory: Reservation,
+    /// There was no memory for a head: the connection is to be closed.
+    has_no_room: bool,
     request: RequestState,
     close: CloseState,
     /// Since when the connection has waited for its next request, or for its last answer to be written.
@@ -131,9 +141,11 @@
 }
 
 impl ConnectionSlot {
-    pub(crate) fn new(now: Instant, over_capacity: bool) -> Self {
+    pub(crate) fn new(now: Instant, over_capacity: bool, memory: &MemoryBudget) -> Self {
         let state = State {
             framing: RequestFraming::default(),
+            head_memory: memory.reservation(),
+            has_no_room: false,
             request: RequestState::Waiting,
             close: CloseState::Open,
             waiting_since: now,
@@ -162,6 +174,7 @@
     pub fn received(&self, now: Instant, bytes: &[u8]) -> usize {
         let mut state = self.state();
         let consumed = state.framing.push_until_request_end(bytes);
+        state.reserve_head();
         state.received_at = now;
         if state.request == RequestState::Waiting && !bytes.is_empty() {
             let since = if state.was_served { now } else { state.waiting_since };
@@ -224,11 +237,14 @@
         self.state().answered_waker = Some(waker.clone());
     }
 
-    /// When the connection is to be closed because a request has not begun or is not complete; `None` while a
-    /// request is open or its answer is being written.
+    /// When the connection is to be closed because a request has not begun or is not complete, or because there is
+    /// no memory for its head; `None` while a request is open or its answer is being written.
     #[must_use]
     pub fn deadline(&self) -> Option<Instant> {
         let state = self.state();
+        if state.has_no_room && !state.is_serving() {
+            return Some(state.received_at);
+        }
         if state.is_write_blocked {
             return None;
         }
@@ -322,6 +338,16 @@
 }
 
 impl State {
+    /// Takes the memory for a long head that is not complete, which hyper and the framing both hold.
+    fn reserve_head(&mut self) {
+        let head_bytes = self.framing.incomplete_head_bytes();
+        if head_bytes <= FREE_HEAD_BYTES {
+            self.head_memory.shrink_to(0);
+        } else if self.head_memory.grow_to(HEAD_COPIES * head_bytes).is_err() {
+            self.has_no_room = true;
+        }
+    }
+
     fn is_serving(&self) -> bool {
         matches!(self.request, RequestState::Serving { .. })
     }
--- a/src/edge/clients/framing.rs
+++ b/src/edge/clients/framing.rs
@@ -114,6 +114,15 @@
         self.body_framings.pop_front().unwrap_or(BodyFraming::Ambiguous)
     }
 
+    /// The length of the head that is being received, as far as it has come (bytes); 0 if none is.
+    #[must_use]
+    pub fn incomplete_head_bytes(&self) -> usize {
+        match &self.position {
+            Position::Head(head) => head.len(),
+            Position::Body(_) | Position::Unframed => 0,
+        }
+    }
+
     /// Whether a request has begun and is not complete.
     #[must_use]
     pub fn is_within_request(&self) -> bool {
--- a/src/edge/clients/listener.rs
+++ b/src/edge/clients/listener.rs
@@ -82,11 +82,11 @@
             debug!("listener: connection closed: too many connections, including those over capacity");
             return;
         };
-        let slot = guard.slot.clone();
+        let (slot, memory) = (guard.slot.clone(), guard.limits.memory.clone());
         slot.set_accept_delay(accept_delay);
         let stream = ClientStream::new(stream, guard, self.shutdown_complete_tx.clone());
-        let handler =
-            RequestHandler::new(self.front.clone(), slot.clone(), self.figures.clone(), self.phase.clone());
+        let (front, figures, phase) = (self.front.clone(), self.figures.clone(), self.phase.clone());
+        let handler = RequestHandler::new(front, slot.clone(), memory, figures, phase);
         let task = tokio::spawn(serve_connection(stream, handler, self.phase.clone()));
         slot.set_task(task.abort_handle());
     }
--- a/src/edge/clients/mod.rs
+++ b/src/edge/clients/mod.rs
@@ -3,7 +3,8 @@
 //!
 //! A connection passes through these modules: `listener` accepts it (`accept_queue`), `connection_limits`
 //! gives it a slot (`connection_slot`), `client_stream` reads and writes it (`framing`, `read_ahead`), and
-//! `connection` hands its requests to a front.
+//! `connection` hands its requests to a front. What clients make the process hold on this way is taken from one
+//! `memory_budget`.
 //!
 //! The fronts are `platform` and `chat`. The chat front also handles repeated requests: `idempotency` decides
 //! what to do with one, `recorder` records the answer of a run in the `shared_store`, and an `answer_reader`
@@ -20,6 +21,7 @@
 pub mod framing;
 pub mod idempotency;
 pub mod listener;
+pub mod memory_budget;
 pub mod plain_response;
 pub mod platform;
 mod read_ahead;
--- a/src/edge/clients/platform.rs
+++ b/src/edge/clients/platform.rs
@@ -13,7 +13,7 @@
 use serde::de::IgnoredAny;
 
 use crate::edge::clients::plain_response::plain_response;
-use crate::edge::clients::request_body::read_body;
+use crate::edge::clients::request_body::{read_body, BodyError};
 use crate::edge::clients::request_timing::AcceptDelay;
 use crate::edge::clock::{micros, Clock};
 use crate::edge::driver::{DriverHandle, Reply};
@@ -59,6 +59,10 @@
     };
     let body = match read_body(body, &head.extensions).await {
         Ok(body) => body,
+        Err(BodyError::NoRoom) => {
+            front.figures.answered_by_front(header(&head.headers, "x-lane"), End::Rejected);
+            return refusal(front.driver.settings().max_retry_after);
+        }
         Err(error) => return plain_response(error.status(), error.message()),
     };
     // Servers turn away a body that they can't parse, which looks as if they were at capacity, so a malformed
@@ -91,19 +95,22 @@
             response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
             response
         }
-        Reply::Rejected { retry_in } => {
-            let mut response = plain_response(StatusCode::SERVICE_UNAVAILABLE, "refused");
-            let seconds = format!("{:.3}", Duration::from_micros(retry_in).as_secs_f64());
-            if let Ok(value) = HeaderValue::from_str(&seconds) {
-                response.headers_mut().insert(RETRY_AFTER, value);
-            }
-            response
-        }
+        Reply::Rejected { retry_in } => refusal(retry_in),
         Reply::Failed { .. } => plain_response(StatusCode::BAD_GATEWAY, "failed"),
         Reply::DuplicateId => plain_response(StatusCode::CONFLICT, "a request with this X-Txn is open"),
     }
 }
 
+/// The response that refuses a request, with the time after which the client may send it again (us).
+fn refusal(retry_in: Micros) -> Response<Body> {
+    let mut response = plain_response(StatusCode::SERVICE_UNAVAILABLE, "refused");
+    let seconds = format!("{:.3}", Duration::from_micros(retry_in).as_secs_f64());
+    if let Ok(value) = HeaderValue::from_str(&seconds) {
+        response.headers_mut().insert(RETRY_AFTER, value);
+    }
+    response
+}
+
 /// Why the headers of a request can't be used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum HeaderError {
--- a/src/edge/clients/request_body.rs
+++ b/src/edge/clients/request_body.rs
@@ -1,13 +1,14 @@
-//! Reads a request's body within limits on length and time.
+//! Reads a request's body within limits on length, time and memory.
 
 use axum::body::Body;
 use axum::http::{Extensions, StatusCode};
 use bytes::Bytes;
 use http_body::Body as _;
-use http_body_util::{BodyExt as _, LengthLimitError, Limited};
+use http_body_util::BodyExt as _;
 use tokio::time::{timeout_at, Instant};
 
-use crate::edge::clients::request_timing::ReceiveDeadline;
+use crate::edge::clients::memory_budget::{MemoryBudget, NoRoom, ReservedBytes};
+use crate::edge::clients::request_timing::{BodyMemory, ReceiveDeadline};
 
 /// Maximum length of a request body.
 pub const MAX_BODY_BYTES: usize = 256 << 10;
@@ -21,6 +22,14 @@
     Unreadable,
     /// It was not complete at the request's [`ReceiveDeadline`].
     TimedOut,
+    /// There is no memory for it now; the client may send it again later.
+    NoRoom,
+}
+
+impl From<NoRoom> for BodyError {
+    fn from(_: NoRoom) -> Self {
+        Self::NoRoom
+    }
 }
 
 impl BodyError {
@@ -31,6 +40,7 @@
             Self::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Unreadable => StatusCode::BAD_REQUEST,
             Self::TimedOut => StatusCode::REQUEST_TIMEOUT,
+            Self::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
@@ -41,26 +51,39 @@
             Self::TooLong => "the body is longer than 256 KiB",
             Self::Unreadable => "the body can't be read",
             Self::TimedOut => "the body came too late",
+            Self::NoRoom => "no memory is free for the body",
         }
     }
 }
 
 /// Reads a request's body until the [`ReceiveDeadline`] in its extensions; without one, only a body that is
-/// there already is read.
+/// there already is read. Its memory is taken from the [`BodyMemory`] in the extensions until the last clone of the
+/// returned bytes is dropped; without one, only its length is limited.
 ///
 /// # Errors
-/// The body is too long, late or malformed.
+/// The body is too long, late or malformed, or there is no memory for it.
 pub async fn read_body(body: Body, extensions: &Extensions) -> Result<Bytes, BodyError> {
     if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
         return Err(BodyError::TooLong); // the declared length is already too long: none of the body is read
     }
-    let collected = Limited::new(body, MAX_BODY_BYTES).collect();
     let receive_deadline =
         extensions.get().map_or_else(Instant::now, |&ReceiveDeadline(receive_deadline)| receive_deadline);
-    match timeout_at(receive_deadline, collected).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(BodyError::TooLong),
-        Ok(Err(_)) => Err(BodyError::Unreadable),
-        Err(_) => Err(BodyError::TimedOut),
+    let memory =
+        extensions.get().map_or_else(|| MemoryBudget::new(usize::MAX), |BodyMemory(memory)| memory.clone());
+    timeout_at(receive_deadline, collect(body, &memory)).await.unwrap_or(Err(BodyError::TimedOut))
+}
+
+/// Copies the frames of a body into one buffer. A frame is dropped at once: it refers to the buffer in which it was
+/// received, so that many small ones would hold far more memory than their bytes.
+async fn collect(mut body: Body, memory: &MemoryBudget) -> Result<Bytes, BodyError> {
+    let expected = body.size_hint().exact().and_then(|length| usize::try_from(length).ok()).unwrap_or(0);
+    let mut buffer = ReservedBytes::with_capacity(expected.min(MAX_BODY_BYTES), memory);
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| BodyError::Unreadable)?.into_data() else { continue };
+        if data.len() > MAX_BODY_BYTES - buffer.len() {
+            return Err(BodyError::TooLong);
+        }
+        buffer.push(&data)?;
     }
+    Ok(buffer.into_bytes())
 }
--- a/src/edge/discovery/client.rs
+++ b/src/edge/discovery/client.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, Empty, Limited};
+use http_body_util::Empty;
 use hyper::{Request, StatusCode};
 use thiserror::Error;
 use tokio::time::{timeout_at, Instant};
 
 use crate::edge::connections::{no_retry_client, NoRetryClient};
+use crate::edge::contiguous_body::{collect, CollectError};
 use crate::edge::discovery::listing::{Answer, Listing, NoReadableEntry};
 use crate::edge::settings::Config;
 
@@ -30,7 +31,7 @@
     Status(StatusCode),
     /// The body of the answer broke off, or exceeds [`MAX_ANSWER_BYTES`].
     #[error("{0}")]
-    Body(#[source] Box<dyn std::error::Error + Send + Sync>),
+    Body(#[from] CollectError),
     /// The body is not JSON, or not in the form of [`Answer`].
     #[error("{0}")]
     Malformed(#[from] serde_json::Error),
@@ -77,8 +78,7 @@
         if !response.status().is_success() {
             return Err(CallError::Status(response.status()));
         }
-        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await;
-        let body = body.map_err(CallError::Body)?.to_bytes();
+        let body = collect(response.into_body(), MAX_ANSWER_BYTES).await?;
         let answer: Answer = serde_json::from_slice(&body)?;
         Ok(answer.listing()?)
     }
--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -18,6 +18,7 @@
 
 use crate::edge::admin::{Admin, Sources};
 use crate::edge::balancers::{self, Health};
+use crate::edge::clients::memory_budget::MemoryBudget;
 use crate::edge::clients::{chat, platform};
 use crate::edge::clock::Clock;
 use crate::edge::cluster::{BindError, Cluster};
@@ -64,6 +65,7 @@
     to_driver: DriverHandle,
     figures: Figures,
     phase: watch::Sender<Phase>,
+    client_memory: MemoryBudget,
     fronts: Vec<Front>,
     agent: Option<TcpListener>,
     gossip: Option<GossipTransport>,
@@ -87,6 +89,7 @@
         let gossip = open_gossip_transport(&config, shared);
         driver.set_gossip_transport(gossip.clone().unwrap_or_default());
         let figures = driver.figures();
+        let client_memory = MemoryBudget::new(config.client_memory());
         // Without an admin address, no new process can be started beside this one: hot restart is off.
         let folder = std::env::var("TMPDIR").ok().filter(|_| shared);
         let hot_restart = folder.map(|folder| HotRestartTask::start(&config, &folder, clock));
@@ -105,7 +108,8 @@
         let mut fronts = vec![open_front(config.listen, platform)?];
         if let Some(chat) = settings.chat.as_ref().filter(|chat| chat.enabled) {
             let quorum = cluster.as_ref().and_then(Cluster::quorum);
-            let routes = chat::router(chat, &config, clock, to_driver.clone(), quorum)?;
+            let routes =
+                chat::router(chat, &config, clock, to_driver.clone(), client_memory.clone(), quorum)?;
             fronts.push(open_front(chat.listen, routes)?);
         }
         let agent = settings.agent_check.as_ref().filter(|agent| agent.enabled);
@@ -119,6 +123,7 @@
             to_driver,
             figures,
             phase,
+            client_memory,
             fronts,
             agent,
             gossip,
--- a/src/edge/dispatcher/running.rs
+++ b/src/edge/dispatcher/running.rs
@@ -71,7 +71,7 @@
         let gossip = self.gossip.map(|gossip| receive_gossip(gossip, to_driver.clone()));
         let mut driver = tokio::spawn(driver.run());
         let mut list_task = tokio::spawn(discovery::watch(config.clone(), discovery, to_driver.clone()));
-        let limits = ConnectionLimits::new(config.max_client_connections());
+        let limits = ConnectionLimits::new(config.max_client_connections(), self.client_memory);
         let health = self.health;
         let agent = self.agent.map(|listener| tokio::spawn(balancers::agent_check(listener, health)));
         let cluster = self.cluster.map(ClusterTask::spawn);
--- a/src/edge/hot_restart.rs
+++ b/src/edge/hot_restart.rs
@@ -254,9 +254,10 @@
     }
 }
 
-/// Limits the client connections and open requests to a share of the configured limits.
+/// Limits the client connections, their memory and the open requests to a share of the configured limits.
 fn apply_share(share: LimitShare, config: &Config, limits: &ConnectionLimits, driver: &DriverHandle) {
     limits.set_max_connections(share_of(config.max_client_connections(), share));
+    limits.memory.set_limit(share_of(config.client_memory(), share));
     let max_open_requests = share_of(config.max_open_requests(), share);
     let share = f64::from(share) / f64::from(FULL_SHARE);
     driver.send(Message::LimitShareChanged { share, max_open_requests });
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -9,6 +9,7 @@
 pub mod cluster;
 pub mod config_reload;
 pub mod connections;
+pub mod contiguous_body;
 pub mod core;
 pub mod discovery;
 pub mod dispatcher;
--- a/src/edge/servers/answer.rs
+++ b/src/edge/servers/answer.rs
@@ -3,13 +3,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, Limited};
+use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{Response, StatusCode};
 use tokio::time::{timeout_at, Instant};
 
 use crate::edge::connections::ConnectionHandle;
+use crate::edge::contiguous_body::collect;
 use crate::edge::core::AttemptResult;
 use crate::edge::event_shape::EventStreamValidator;
 use crate::edge::servers::report::{load_report, number_after, CACHED_TOKENS, LOAD_HEADER};
@@ -91,13 +92,11 @@
     };
     let rest = match outcome {
         Outcome::Reset => None,
-        _ => {
-            timeout_at(Instant::now() + DRAIN_TIME, Limited::new(body, MAX_ANSWER_BYTES).collect()).await.ok()
-        }
+        _ => timeout_at(Instant::now() + DRAIN_TIME, collect(body, MAX_ANSWER_BYTES)).await.ok(),
     };
     match rest {
         Some(Ok(rest)) if outcome == Outcome::Read => {
-            cached_tokens = number_after(&rest.to_bytes(), CACHED_TOKENS);
+            cached_tokens = number_after(&rest, CACHED_TOKENS);
         }
         Some(Ok(_)) => {}
         _ => {
--- a/src/edge/servers/release.rs
+++ b/src/edge/servers/release.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use http_body_util::{BodyExt as _, Limited};
 use hyper::header::HOST;
 use hyper::{Method, Request, StatusCode};
 use log::{debug, warn};
@@ -11,6 +10,7 @@
 use tokio::time::{timeout_at, Instant};
 
 use crate::edge::connections::{IdleChoice, Pool};
+use crate::edge::contiguous_body::collect;
 use crate::edge::servers::answer::MAX_ANSWER_BYTES;
 use crate::edge::servers::last_answers::LastAnswers;
 use crate::edge::servers::progress::AttemptBody;
@@ -146,7 +146,7 @@
     pool.keep(address.to_owned(), ready);
     let status = response.status();
     // The body is read to its end so that the connection can be reused; errors in it do not matter.
-    let _ = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await;
+    let _ = collect(response.into_body(), MAX_ANSWER_BYTES).await;
     if status.is_success() {
         Ok(())
     } else {
--- a/src/edge/settings/config.rs
+++ b/src/edge/settings/config.rs
@@ -27,6 +27,16 @@
 /// is given almost all of the 5 s.
 const STALL_TIMEOUT_WITHOUT_RESUME: Duration = Duration::from_millis(4_950);
 
+/// The memory of the program without connections and requests, with what the router has learned (bytes).
+const OWN_MEMORY: usize = 16 << 20;
+/// The memory of one client connection without its request (bytes): its task, and hyper's buffers.
+const CONNECTION_MEMORY: usize = 16 << 10;
+/// The inverse of the share, of the memory that is left for it, which clients may make the process hold. The rest is for
+/// lists of servers, the stores of the chat front, and memory that the allocator keeps.
+const CLIENT_MEMORY_DIVISOR: usize = 2;
+/// The least that clients may make the process hold, however low the limit is (bytes).
+const MIN_CLIENT_MEMORY: usize = 1 << 20;
+
 /// Default of `limits.keepalive_s` (seconds).
 const DEFAULT_KEEPALIVE_S: f64 = 30.0;
 /// Default of `limits.connect_timeout_s` (seconds).
@@ -198,6 +208,15 @@
         (self.limits.sockets / 2).saturating_sub(16 + admin_descriptors).max(4)
     }
 
+    /// The memory that clients may make the process hold (bytes): long heads, bodies, what they are parsed to, and bytes
+    /// that come ahead of their turn.
+    #[must_use]
+    pub fn client_memory(&self) -> usize {
+        let connections = self.max_client_connections() * CONNECTION_MEMORY;
+        let rest = (self.limits.memory_bytes() as usize).saturating_sub(OWN_MEMORY + connections);
+        (rest / CLIENT_MEMORY_DIVISOR).max(MIN_CLIENT_MEMORY)
+    }
+
     /// The maximum number of idle connections kept to each server. The known servers, at least 10, share the budget.
     #[must_use]
     pub fn max_idle_per_server(&self) -> usize {
--- a/tests/connection_limits.rs
+++ b/tests/connection_limits.rs
@@ -5,8 +5,11 @@
 use dewladder::edge::clients::connection_limits::{ConnectionLimits, SlotGuard, MAX_OVER_CAPACITY};
 use dewladder::edge::clients::connection_slot::{IDLE_TIMEOUT, REQUEST_TIMEOUT, SILENT_TIMEOUT};
 use dewladder::edge::clients::framing::BodyFraming;
+use dewladder::edge::clients::memory_budget::MemoryBudget;
 use tokio::time::Instant;
 
+/// Memory for what clients make the process hold (bytes).
+const CLIENT_MEMORY: usize = 4 << 20;
 const MS: Duration = Duration::from_millis(1);
 const REQUEST: &[u8] = b"POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}";
 
@@ -14,7 +17,7 @@
 /// other clients were rejected because none was free.
 #[tokio::test]
 async fn the_longest_idle_connection_is_evicted_and_none_with_an_open_request() {
-    let (limits, start) = (ConnectionLimits::new(3), Instant::now());
+    let (limits, start) = (ConnectionLimits::new(3, MemoryBudget::new(CLIENT_MEMORY)), Instant::now());
     let kept: Vec<SlotGuard> = (0..3).filter_map(|at| limits.admit(start + at * MS)).collect();
     for guard in &kept {
         guard.slot.received(start, REQUEST);
@@ -37,7 +40,7 @@
 /// were rejected because no slot was free.
 #[tokio::test]
 async fn a_stalled_partial_request_is_evicted_and_a_slow_one_is_not() {
-    let (limits, start) = (ConnectionLimits::new(3), Instant::now());
+    let (limits, start) = (ConnectionLimits::new(3, MemoryBudget::new(CLIENT_MEMORY)), Instant::now());
     let guards: Vec<SlotGuard> = (0..3).filter_map(|_| limits.admit(start)).collect();
     for guard in &guards {
         guard.slot.received(start, &REQUEST[..9]);
@@ -62,7 +65,7 @@
 
 #[tokio::test]
 async fn silent_connections_are_limited_in_number_and_time() {
-    let (limits, start) = (ConnectionLimits::new(2), Instant::now());
+    let (limits, start) = (ConnectionLimits::new(2, MemoryBudget::new(CLIENT_MEMORY)), Instant::now());
     let silent: Vec<SlotGuard> = (0..300).filter_map(|_| limits.admit(start)).collect();
     assert_eq!((silent.len(), limits.slot_ids().len()), (300, 2 + MAX_OVER_CAPACITY));
     assert_eq!(silent[0].slot.deadline(), Some(start + SILENT_TIMEOUT));
--- a/tests/crossings_clients.rs
+++ b/tests/crossings_clients.rs
@@ -13,6 +13,7 @@
 use controlled_servers::*;
 use dewladder::edge::clients::connection_limits::ConnectionLimits;
 use dewladder::edge::clients::listener;
+use dewladder::edge::clients::memory_budget::MemoryBudget;
 use dewladder::edge::phase::Phase;
 use dewladder::edge::stats::Figures;
 use dewladder_test_peers::{LatePeer, Line, Peer};
@@ -22,6 +23,9 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout, Instant};
 
+/// Memory for what clients make the process hold (bytes).
+const CLIENT_MEMORY: usize = 4 << 20;
+
 /// How a client disconnects.
 #[derive(Clone, Copy, Debug)]
 enum Disconnect {
@@ -473,7 +477,8 @@
 /// protocol allows a close between requests to coincide with a request.)
 #[tokio::test]
 async fn an_idle_connection_evicted_as_its_request_arrives_gets_no_partial_answer() {
-    let (at, _phase) = start_text_front(ConnectionLimits::new(1), 1_000).await;
+    let (at, _phase) =
+        start_text_front(ConnectionLimits::new(1, MemoryBudget::new(CLIENT_MEMORY)), 1_000).await;
     let mut idle_client = std::net::TcpStream::connect(at).unwrap();
     idle_client.set_nonblocking(true).unwrap();
     std::io::Write::write_all(&mut idle_client, GET.as_bytes()).unwrap();
@@ -517,7 +522,8 @@
     for turns in [0, 1, 2, 3, 5, 8] {
         for bytes_first in [true, false] {
             let handled = Arc::new(AtomicUsize::new(0));
-            let (handled_counter, slot_limits) = (handled.clone(), ConnectionLimits::new(1));
+            let (handled_counter, slot_limits) =
+                (handled.clone(), ConnectionLimits::new(1, MemoryBudget::new(CLIENT_MEMORY)));
             let answers = move || {
                 handled_counter.fetch_add(1, Ordering::Relaxed);
                 async { "y".repeat(1_000) }
@@ -585,7 +591,8 @@
 /// evicted.
 #[tokio::test]
 async fn a_client_that_still_reads_its_answer_is_not_evicted() {
-    let (at, _phase) = start_text_front(ConnectionLimits::new(1), RESPONSE_LENGTH).await;
+    let (at, _phase) =
+        start_text_front(ConnectionLimits::new(1, MemoryBudget::new(CLIENT_MEMORY)), RESPONSE_LENGTH).await;
     let mut slow = TcpStream::connect(at).await.unwrap();
     slow.write_all(GET.as_bytes()).await.unwrap();
     assert!(slow.read(&mut [0; 64]).await.unwrap() > 0, "the answer has begun");
@@ -602,7 +609,8 @@
 /// listener itself allow 30 s for a client that reads nothing.
 #[tokio::test]
 async fn a_client_that_still_reads_its_answer_is_not_closed_as_idle() {
-    let (at, _phase) = start_text_front(ConnectionLimits::new(9), RESPONSE_LENGTH).await;
+    let (at, _phase) =
+        start_text_front(ConnectionLimits::new(9, MemoryBudget::new(CLIENT_MEMORY)), RESPONSE_LENGTH).await;
     let mut slow = TcpStream::connect(at).await.unwrap();
     slow.write_all(GET.as_bytes()).await.unwrap();
     assert!(slow.read(&mut [0; 64]).await.unwrap() > 0, "the answer has begun");
@@ -614,7 +622,8 @@
 /// The shutdown closes idle connections while the answer is still being written: the answer is not cut off.
 #[tokio::test]
 async fn a_client_that_still_reads_its_answer_is_not_cut_by_the_shutdown() {
-    let (at, phase) = start_text_front(ConnectionLimits::new(9), RESPONSE_LENGTH).await;
+    let (at, phase) =
+        start_text_front(ConnectionLimits::new(9, MemoryBudget::new(CLIENT_MEMORY)), RESPONSE_LENGTH).await;
     let mut slow = TcpStream::connect(at).await.unwrap();
     slow.write_all(GET.as_bytes()).await.unwrap();
     assert!(slow.read(&mut [0; 64]).await.unwrap() > 0, "the answer has begun");
@@ -629,7 +638,7 @@
 /// deadline move it to the time limit of a request, and a complete answer starts a new idle period.
 #[tokio::test]
 async fn a_request_that_begins_just_before_the_idle_deadline_is_waited_for() {
-    let (limits, start) = (ConnectionLimits::new(2), Instant::now());
+    let (limits, start) = (ConnectionLimits::new(2, MemoryBudget::new(CLIENT_MEMORY)), Instant::now());
     let guard = limits.admit(start).unwrap();
     let slot = &guard.slot;
     slot.received(start, GET.as_bytes());
@@ -653,7 +662,7 @@
 /// begun to arrive is not, and one with an open request never is.
 #[tokio::test]
 async fn only_an_idle_connection_is_evicted_when_slots_run_out() {
-    let (limits, start) = (ConnectionLimits::new(1), Instant::now());
+    let (limits, start) = (ConnectionLimits::new(1, MemoryBudget::new(CLIENT_MEMORY)), Instant::now());
     let guard = limits.admit(start).unwrap();
     guard.slot.received(start, GET.as_bytes());
     let _ = guard.slot.request_taken(start);
--- a/tests/hot_restart_files.rs
+++ b/tests/hot_restart_files.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use dewladder::edge::clients::connection_limits::ConnectionLimits;
+use dewladder::edge::clients::memory_budget::MemoryBudget;
 use dewladder::edge::clock::Clock;
 use dewladder::edge::driver::{Driver, DriverHandle, Message};
 use dewladder::edge::hot_restart::HotRestartTask;
@@ -66,7 +67,8 @@
     let hot_restart = HotRestartTask::start(&config, folder.to_str().unwrap(), clock);
     let (driver, sender) = Driver::new(&config, clock);
     let figures = driver.figures();
-    let connection_limits = ConnectionLimits::new(config.max_client_connections());
+    let connection_limits =
+        ConnectionLimits::new(config.max_client_connections(), MemoryBudget::new(config.client_memory()));
     let (phase, phases) = watch::channel(Phase::Serving);
     let (seen, _) = watch::channel(None);
     let to_driver = sender.clone();
--- /dev/null
+++ b/tests/memory_limit.rs
@@ -0,0 +1,177 @@
+//! The memory of the built program while clients send as much as they may, in each form: the platform kills a
+//! dispatcher that exceeds `limits.memory_mb`.
+
+mod deployment;
+mod processes;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use deployment::{Deployment, Process};
+use dewladder_test_peers::{platform, post, until_close, Shape};
+use serde_json::json;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
+
+/// The smallest memory limit that the platform gives, with the most descriptors that it gives (MiB, descriptors).
+const MEMORY_MB: u64 = 32;
+const SOCKETS: u64 = 1_024;
+/// Just under the longest body that is allowed (bytes).
+const BODY_BYTES: usize = 250_000;
+/// As many connections as clients may hold: a third of the descriptors.
+const CONNECTIONS: usize = 341;
+/// How long the clients of a flood wait for answers.
+const FLOOD_TIME: Duration = Duration::from_secs(4);
+
+/// A deployment whose program has the smallest memory limit.
+async fn start(name: &str, fronts: Option<&str>) -> (Deployment, Process) {
+    let site = Deployment::new(&format!("memory-{name}"), Shape::default()).await;
+    let mut config = site.config();
+    config["limits"] = json!({"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS});
+    for class in config["settings"]["lanes"].as_array_mut().unwrap() {
+        class["give_up_s"] = json!(5.0);
+    }
+    site.write(&config);
+    if let Some(fronts) = fronts {
+        std::fs::write(site.folder.join("fronts.toml"), fronts).unwrap();
+    }
+    let process = site.start().await;
+    process.until_ready().await;
+    (site, process)
+}
+
+/// A request of the platform with a body of [`BODY_BYTES`].
+fn large_request(id: usize) -> (String, String) {
+    let text = platform(&format!("{id:016x}"), "ask", "5.000");
+    let (head, _) = text.split_once("\r\n\r\n").unwrap();
+    let lines = head.lines().filter(|line| !line.to_ascii_lowercase().starts_with("content-length"));
+    let head = lines.collect::<Vec<_>>().join("\r\n");
+    let content = "x".repeat(BODY_BYTES - 80);
+    (head, json!({"model": "ask", "messages": [{"role": "user", "content": content}]}).to_string())
+}
+
+/// The request with its body in chunks of this size (bytes).
+fn chunked(head: &str, body: &str, chunk_bytes: usize) -> Vec<u8> {
+    let mut text = format!("{head}\r\nTransfer-Encoding: chunked\r\n\r\n").into_bytes();
+    for chunk in body.as_bytes().chunks(chunk_bytes) {
+        text.extend(format!("{:x}\r\n", chunk.len()).into_bytes());
+        text.extend(chunk);
+        text.extend(b"\r\n");
+    }
+    text.extend(b"0\r\n\r\n");
+    text
+}
+
+/// Sends each text on a connection of its own, all at once, and reads what comes until the time is over.
+async fn flood(at: SocketAddr, texts: Vec<Vec<u8>>) {
+    let mut clients = JoinSet::new();
+    for text in texts {
+        clients.spawn(timeout(FLOOD_TIME, async move {
+            let Ok(mut stream) = TcpStream::connect(at).await else { return };
+            let (mut reading, mut writing) = stream.split();
+            let write = async {
+                let _ = writing.write_all(&text).await; // the program may close early
+            };
+            let read = async {
+                let mut answer = [0; 4_096];
+                while reading.read(&mut answer).await.is_ok_and(|length| length > 0) {}
+            };
+            tokio::join!(write, read);
+        }));
+    }
+    while clients.join_next().await.is_some() {}
+}
+
+/// The program stays within its limit during a flood, and serves a usual request after it.
+async fn stays_within_limit(name: &str, texts: Vec<Vec<u8>>) {
+    let (site, process) = start(name, None).await;
+    let before = process.peak_memory_mb();
+    flood(site.port.address(), texts).await;
+    let peak = process.peak_memory_mb();
+    println!("{name}: {before} MiB before, at most {peak} MiB");
+    assert!(peak < MEMORY_MB, "{name}: {peak} MiB of {MEMORY_MB}, {before} before");
+    let answer = until_close(site.port.address(), &platform("ff", "ask", "5.000")).await;
+    assert!(answer.starts_with("HTTP/1.1 200 "), "{name}: {answer}");
+}
+
+/// Bodies in chunks of one byte took some 37 bytes of memory for each of their bytes: 4 MB of bodies took 148 MB.
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_in_chunks_of_any_size_stay_within_the_memory_limit() {
+    for chunk_bytes in [1, 2, 13, 1_000] {
+        let request = |id| {
+            let (head, body) = large_request(id);
+            chunked(&head, &body, chunk_bytes)
+        };
+        stays_within_limit(&format!("chunks-{chunk_bytes}"), (1..=24).map(request).collect()).await;
+    }
+}
+
+/// The number of connections followed from the descriptors alone: whole bodies on all of them exceeded the limit.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_bodies_on_all_connections_stay_within_the_memory_limit() {
+    let request = |id| {
+        let (head, body) = large_request(id);
+        format!("{head}\r\nContent-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
+    };
+    stays_within_limit("bodies", (1..=CONNECTIONS).map(request).collect()).await;
+}
+
+/// Connections that all stop just before the end of their request, whose body they have sent but for a byte.
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_that_never_end_stay_within_the_memory_limit() {
+    let request = |id| {
+        let (head, body) = large_request(id);
+        format!("{head}\r\nContent-Length: {}\r\n\r\n{body}", body.len() + 1).into_bytes()
+    };
+    stays_within_limit("unfinished", (1..=CONNECTIONS).map(request).collect()).await;
+}
+
+/// Connections that all stop within the longest head that is read.
+#[tokio::test(flavor = "multi_thread")]
+async fn heads_that_never_end_stay_within_the_memory_limit() {
+    let head = format!("POST / HTTP/1.1\r\nHost: h\r\n{}", "X-Filler: a\r\n".repeat(95));
+    let request = |_| format!("{head}X-Long: {}", "a".repeat((16 << 10) - head.len() - 100)).into_bytes();
+    stays_within_limit("heads", (1..=CONNECTIONS).map(request).collect()).await;
+}
+
+/// Requests that are sent behind an open one are kept until it has been answered.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_behind_open_ones_stay_within_the_memory_limit() {
+    let request = |id| {
+        let (head, body) = large_request(id);
+        let large = format!("{head}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        let first = platform(&format!("{:016x}", id + 1_000), "ask", "5.000");
+        (first + &large.repeat(3)).into_bytes()
+    };
+    stays_within_limit("pipelined", (1..=CONNECTIONS).map(request).collect()).await;
+}
+
+/// The chat front parsed bodies before any limit applied: 48 bodies of 255 KB in short parts came to 285 MB.
+#[tokio::test(flavor = "multi_thread")]
+async fn chat_bodies_of_many_parts_stay_within_the_memory_limit() {
+    let chat_port = processes::Port::new();
+    let fronts = format!(
+        "[chat]\nenabled = true\nlisten = \"{}\"\nmost_open = 1000\n[chat.models]\nkiln-ask = \"ask\"\n",
+        chat_port.address()
+    );
+    for (name, content) in [
+        ("parts", vec![json!({"type": "text", "text": "a"}); 7_000]),
+        ("texts", vec![json!({"type": "text", "text": "a".repeat(120_000)}); 2]),
+    ] {
+        let (_site, process) = start(name, Some(&fronts)).await;
+        let before = process.peak_memory_mb();
+        let body =
+            json!({"model": "kiln-ask", "messages": [{"role": "user", "content": content}]}).to_string();
+        let text = post(&body, "");
+        flood(chat_port.address(), vec![text.into_bytes(); 48]).await;
+        let peak = process.peak_memory_mb();
+        println!("chat-{name}: {before} MiB before, at most {peak} MiB");
+        assert!(peak < MEMORY_MB, "{name}: {peak} MiB of {MEMORY_MB}, {before} before");
+        let usual = json!({"model": "kiln-ask", "messages": [{"role": "user", "content": "a"}]}).to_string();
+        sleep(Duration::from_millis(200)).await;
+        let answer = until_close(chat_port.address(), &post(&usual, "")).await;
+        assert!(answer.starts_with("HTTP/1.1 200 "), "{name}: {answer}");
+    }
+}
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -1,139 +1,29 @@
 //! Operation of the built program: the admin address, metrics, configuration reloads, and hot restarts with two
 //! processes on one port.
 
+mod deployment;
 mod processes;
 mod stand_in;
 
 use std::io::{Read as _, Write as _};
-use std::net::SocketAddr;
-use std::path::PathBuf;
-use std::process::Stdio;
 use std::time::Duration;
 
+use deployment::Deployment;
 use dewladder::edge::clients::connection_limits::ConnectionLimits;
 use dewladder::edge::clients::listener;
+use dewladder::edge::clients::memory_budget::MemoryBudget;
 use dewladder::edge::phase::Phase;
 use dewladder::edge::stats::Figures;
-use dewladder_test_peers::{Fault, Fleet, Shape};
-use processes::Port;
+use dewladder_test_peers::{Fault, Shape};
 use serde_json::{json, Value};
 use stand_in::{field, platform, talk, until_close};
-use tokio::io::{AsyncBufReadExt as _, AsyncReadExt as _, AsyncWriteExt as _, BufReader};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
-use tokio::process::{Child, Command};
+use tokio::process::Command;
 use tokio::time::sleep;
 
-/// A fleet of test servers, an address for clients, and a folder for the program's files.
-struct Deployment {
-    fleet: Fleet,
-    port: Port,
-    folder: PathBuf,
-}
-
-impl Deployment {
-    async fn new(name: &str, shape: Shape) -> Self {
-        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("operations-{name}"));
-        std::fs::create_dir_all(folder.join("shared")).unwrap();
-        Self { fleet: Fleet::start(shape).await.unwrap(), port: Port::new(), folder }
-    }
-
-    fn config(&self) -> Value {
-        let text = stand_in::config(self.fleet.agent.address, &self.fleet.listing());
-        let mut config: Value = serde_json::from_str(&text).unwrap();
-        config["listen"] = json!(self.port.address());
-        config["admin_addr"] = json!("127.0.0.1:0");
-        config
-    }
-
-    fn write(&self, config: &Value) {
-        std::fs::write(self.folder.join("config.json"), config.to_string()).unwrap();
-    }
-
-    /// Starts the program on the configuration file in the deployment's folder.
-    async fn start(&self) -> Process {
-        let mut program = Command::new(env!("CARGO_BIN_EXE_dewladder"));
-        program.args(["serve", "--config"]).arg(self.folder.join("config.json"));
-        program.env_clear().env("TMPDIR", self.folder.join("shared")).current_dir(&self.folder);
-        let mut child = program.stderr(Stdio::piped()).kill_on_drop(true).spawn().unwrap();
-        let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
-        let admin = loop {
-            let line = lines
-                .next_line()
-                .await
-                .unwrap()
-                .expect("the program ended before it logged its admin address");
-            if let Some((_, address)) = line.split_once("second address: ") {
-                break address.parse().unwrap();
-            }
-        };
-        // Keep reading, so that the program never blocks on a full pipe.
-        let log = tokio::spawn(async move {
-            let mut all = Vec::new();
-            while let Ok(Some(line)) = lines.next_line().await {
-                all.push(line);
-            }
-            all
-        });
-        Process { child, admin, log }
-    }
-}
-
-/// A running dispatcher process.
-struct Process {
-    child: Child,
-    admin: SocketAddr,
-    log: tokio::task::JoinHandle<Vec<String>>,
-}
-
-impl Process {
-    /// Sends one line to the admin address and returns the answer.
-    async fn query(&self, line: &str) -> String {
-        until_close(self.admin, line).await
-    }
-
-    /// Waits for up to 1,000 polls, 5 ms apart, until the process is ready.
-    async fn until_ready(&self) {
-        for _ in 0..1_000 {
-            if self.query("READY\n").await.starts_with("OK") {
-                return;
-            }
-            sleep(Duration::from_millis(5)).await;
-        }
-        panic!("never ready");
-    }
-
-    /// Returns the value of a metric, as `STATS` reports it.
-    async fn metric(&self, name: &str) -> u64 {
-        let text = self.query("STATS\n").await;
-        assert!(text.ends_with("END\n"), "{text}");
-        let prefix = format!("edge_router.{name}:");
-        let line = text.lines().find_map(|line| line.strip_prefix(&prefix));
-        let value = line.unwrap_or_else(|| panic!("no {name} in {text}")).split('|').next().unwrap();
-        value.parse().unwrap()
-    }
-
-    /// Waits for up to 1,000 polls, 5 ms apart, until a metric has a value.
-    async fn eventually(&self, name: &str, value: u64) {
-        for _ in 0..1_000 {
-            if self.metric(name).await == value {
-                return;
-            }
-            sleep(Duration::from_millis(5)).await;
-        }
-        panic!("{name} never became {value}: {}", self.query("STATS\n").await);
-    }
-
-    fn send_signal(&self, signal: &str) {
-        let id = self.child.id().unwrap().to_string();
-        assert!(std::process::Command::new("kill").args([signal, &id]).status().unwrap().success());
-    }
-
-    /// Waits until the process has exited; returns its exit code and its log.
-    async fn wait_for_exit(mut self) -> (Option<i32>, Vec<String>) {
-        let code = self.child.wait().await.unwrap().code();
-        (code, self.log.await.unwrap())
-    }
-}
+/// Memory for what clients make the process hold (bytes).
+const CLIENT_MEMORY: usize = 4 << 20;
 
 fn status(answer: &str) -> u16 {
     answer.split(' ').nth(1).and_then(|code| code.parse().ok()).unwrap_or(0)
@@ -312,7 +202,13 @@
     let at = listener.local_addr().unwrap();
     let front = axum::Router::new().route("/", axum::routing::get(|| async { "here" }));
     let (phase, phases) = tokio::sync::watch::channel(Phase::Serving);
-    let serving = listener::serve(listener, front, ConnectionLimits::new(500), Figures::default(), phases);
+    let serving = listener::serve(
+        listener,
+        front,
+        ConnectionLimits::new(500, MemoryBudget::new(CLIENT_MEMORY)),
+        Figures::default(),
+        phases,
+    );
     // Nothing is accepted yet: all of these connections are in the accept queue when the listener has to close.
     let mut waiting: Vec<std::net::TcpStream> = (0..200)
         .map(|_| {
