Begin no stream at a shutdown that the kill may cut, at any deadline

Seen: at a planned restart, a request that is whole 0.78 s after SIGTERM is taken, read and begun, and SIGKILL cuts its stream.

Cause: requests were refused from 0.7 + 0.15 s after the signal. The 0.15 s allowed for requests that are read late, but for a stream the allowance has the wrong sign. The same bound was missing elsewhere: times counted from when the signal was noticed, which a hold-up delays by up to 0.15 s; repeats at the chat front joined streams at any time; a request that was still being received could become whole in the last moment before an early kill.

Change: requests received from 0.7 s after the signal are refused, by the time at which they were received, so that one that waits for its admission, or the rest of a stream that was taken in time, is still served. A heartbeat bounds the time of the signal. The chat front asks before a repeat joins. Requests still being received 0.25 s before the earliest kill are refused then.

--- a/src/edge/balancers.rs
+++ b/src/edge/balancers.rs
@@ -70,7 +70,7 @@
             Phase::Joining => Err(NotReady::Joining),
             Phase::Serving if !self.figures.serves() => Err(NotReady::NoServers),
             Phase::Serving => Ok(()),
-            Phase::Leaving | Phase::Yielding | Phase::Closing => Err(NotReady::Leaving),
+            Phase::Leaving | Phase::Yielding | Phase::Closing | Phase::Ending => Err(NotReady::Leaving),
         }
     }
 
--- a/src/edge/clients/chat/requests.rs
+++ b/src/edge/clients/chat/requests.rs
@@ -67,6 +67,9 @@
         let body = read_body(body, &head.extensions).await;
         let arrived_us = self.clock.now();
         let body = body.map_err(|error| self.unread_body(error))?;
+        if self.driver.refuses(arrived_us) {
+            return Err(self.refused()); // a repeat would join a stream that the kill may cut
+        }
         let mut memory = self.request_memory(&body)?;
         let mut request = self.parse_request(kind, body)?;
         let model = &self.model(&request.model)?;
@@ -96,20 +99,20 @@
             let message = "the body has too many parts to be handled";
             return Err(ErrorResponse::new(StatusCode::PAYLOAD_TOO_LARGE, "invalid_request_error", message));
         }
-        self.memory.reserve(bytes).map_err(|_| self.no_room())
+        self.memory.reserve(bytes).map_err(|_| self.refused())
     }
 
-    /// The response to a request for which there is no memory now.
-    fn no_room(&self) -> ErrorResponse {
+    /// The response to a request that can't be taken now.
+    fn refused(&self) -> ErrorResponse {
         ErrorResponse::refused(self.driver.settings().max_retry_after)
     }
 
     /// The response to a request whose body could not be read.
     fn unread_body(&self, error: BodyError) -> ErrorResponse {
-        match error {
-            BodyError::NoRoom => self.no_room(),
-            _ => ErrorResponse::new(error.status(), "invalid_request_error", error.message()),
+        if error.is_refusal() {
+            return self.refused();
         }
+        ErrorResponse::new(error.status(), "invalid_request_error", error.message())
     }
 
     /// Parses and checks a request's body.
@@ -139,7 +142,7 @@
                 .with_param("previous_response_id")
         })?;
         let with_items = memory.bytes() + PARSED_COPIES * stored.item_bytes();
-        memory.grow_to(with_items).map_err(|_| self.no_room())?;
+        memory.grow_to(with_items).map_err(|_| self.refused())?;
         request.prepend_items(&stored.items);
         Ok(())
     }
@@ -152,8 +155,12 @@
         let mut pending_choices = Vec::new();
         for choice in 0..accepted.request.choice_count() {
             let permit = self.permit(accepted.tenant)?;
-            let (info, payload) = self.server_request(accepted, choice).map_err(|_| self.no_room())?;
-            pending_choices.push((info.id, permit, Box::pin(self.driver.submit(info, payload).0)));
+            let (info, payload) = self.server_request(accepted, choice).map_err(|_| self.refused())?;
+            pending_choices.push((
+                info.id,
+                permit,
+                Box::pin(self.driver.submit(info, accepted.arrived_us, payload).0),
+            ));
         }
         let id = pending_choices[0].0;
         let mut sources = Vec::new();
@@ -224,9 +231,10 @@
         })?;
         let (request, payload) = self.server_request(accepted, 0).map_err(|_| {
             idempotency.refuse(reader, self.driver.settings().max_retry_after);
-            self.no_room()
+            self.refused()
         })?;
-        idempotency.run(reader, &self.driver, Run { request, payload, replica }, permit);
+        let run = Run { request, received_at: accepted.arrived_us, payload, replica };
+        idempotency.run(reader, &self.driver, run, permit);
         Ok(())
     }
 
--- a/src/edge/clients/chat/server_request.rs
+++ b/src/edge/clients/chat/server_request.rs
@@ -101,6 +101,7 @@
         let request = Arc::new(accepted.request.clone());
         let model = Model { at_most_once: false, ..accepted.model.clone() };
         let (front, tenant) = (self.clone(), accepted.tenant.clone());
+        let received_at = accepted.arrived_us;
         let memory = accepted.memory.clone();
         let resume_choice: ResumeFn = Arc::new(move |resume_request: ResumeRequest| {
             let (front, request) = (front.clone(), request.clone());
@@ -115,17 +116,18 @@
                     arrived_us,
                     memory: &memory,
                 };
-                front.resume_choice(&accepted, &resume_request).await
+                front.resume_choice(&accepted, received_at, &resume_request).await
             })
         });
         Resumption { request_id, policy, traits, resume_choice, clock: self.clock }
     }
 
     /// Requests the rest of a choice's answer from servers, and waits until it begins. In continue mode the text that
-    /// the client has received is added to the prompt; in restart mode the whole answer is generated again.
+    /// the client has received is added to the prompt; in restart mode the whole answer is generated again. The client's request was received at `received_at` (us).
     async fn resume_choice(
         &self,
         accepted: &AcceptedRequest<'_>,
+        received_at: Micros,
         resume_request: &ResumeRequest,
     ) -> Result<AnswerSource, ResumeError> {
         let permit = self
@@ -148,7 +150,7 @@
         let payload = self
             .payload(id, &body)
             .map_err(|_| ResumeError::Refused { retry_after_us: self.driver.settings().max_retry_after })?;
-        match self.driver.submit_and_wait(info, payload).await {
+        match self.driver.submit_and_wait(info, received_at, payload).await {
             Reply::Stream(relay) => Ok(AnswerSource::Relay { relay: Box::new(relay), _permit: permit }),
             Reply::Rejected { retry_in } => Err(ResumeError::Refused { retry_after_us: retry_in }),
             Reply::Failed { .. } | Reply::DuplicateId => Err(ResumeError::Failed),
--- a/src/edge/clients/connection.rs
+++ b/src/edge/clients/connection.rs
@@ -26,7 +26,7 @@
 use crate::edge::clients::framing::{BodyFraming, MAX_HEAD_BYTES};
 use crate::edge::clients::memory_budget::MemoryBudget;
 use crate::edge::clients::plain_response::{over_capacity_response, plain_response};
-use crate::edge::clients::request_timing::{AcceptDelay, BodyMemory, ReceiveDeadline};
+use crate::edge::clients::request_timing::{AcceptDelay, ReceiveLimits};
 use crate::edge::phase::Phase;
 use crate::edge::servers::header;
 use crate::edge::stats::{End, Figures};
@@ -64,11 +64,11 @@
         &self,
         mut request: Request<Incoming>,
     ) -> impl Future<Output = Result<Response<AnswerBody>, Infallible>> {
-        let TakenRequest { framing, receive_deadline } = self.slot.request_taken(Instant::now());
+        let TakenRequest { framing, receive_deadline: deadline } = self.slot.request_taken(Instant::now());
         let accept_delay = self.slot.take_accept_delay();
         let open_request = OpenRequest(self.slot.clone());
         let (mut front, figures, phase) = (self.front.clone(), self.figures.clone(), self.phase.clone());
-        let memory = self.memory.clone();
+        let limits = ReceiveLimits { deadline, memory: self.memory.clone(), phase: phase.clone() };
         async move {
             let over_capacity = open_request.0.over_capacity;
             let mut response = if framing == BodyFraming::Ambiguous {
@@ -79,9 +79,8 @@
                 figures.answered_by_front(header(request.headers(), "x-lane"), End::Rejected);
                 over_capacity_response()
             } else {
-                request.extensions_mut().insert(ReceiveDeadline(receive_deadline));
+                request.extensions_mut().insert(limits);
                 request.extensions_mut().insert(AcceptDelay(accept_delay));
-                request.extensions_mut().insert(BodyMemory(memory));
                 front.call(request).await?
             };
             let is_shutting_down = *phase.borrow() > Phase::Serving;
@@ -109,7 +108,7 @@
         .serve_connection(TokioIo::new(stream), service));
     let accepted_at = Instant::now();
     let mut close_due = pin!(async move {
-        let _ = phase.wait_for(|phase| *phase == Phase::Closing).await;
+        let _ = phase.wait_for(|phase| *phase >= Phase::Closing).await;
         sleep_until(accepted_at + MIN_AGE_AT_CLOSE).await;
     });
     let mut is_closing = false;
--- a/src/edge/clients/platform.rs
+++ b/src/edge/clients/platform.rs
@@ -13,7 +13,7 @@
 use serde::de::IgnoredAny;
 
 use crate::edge::clients::plain_response::plain_response;
-use crate::edge::clients::request_body::{read_body, BodyError};
+use crate::edge::clients::request_body::read_body;
 use crate::edge::clients::request_timing::AcceptDelay;
 use crate::edge::clock::{micros, Clock};
 use crate::edge::driver::{DriverHandle, Reply};
@@ -59,7 +59,7 @@
     };
     let body = match read_body(body, &head.extensions).await {
         Ok(body) => body,
-        Err(BodyError::NoRoom) => {
+        Err(error) if error.is_refusal() => {
             front.figures.answered_by_front(header(&head.headers, "x-lane"), End::Rejected);
             return refusal(front.driver.settings().max_retry_after);
         }
@@ -71,11 +71,12 @@
         count_failure();
         return plain_response(StatusCode::BAD_REQUEST, "the body is no JSON");
     }
-    let info = headers.request_info(body.len(), front.clock.now(), accept_delay_us(&head.extensions));
+    let received_at = front.clock.now();
+    let info = headers.request_info(body.len(), received_at, accept_delay_us(&head.extensions));
     let target = head.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
     let key = head.headers.get(IDEMPOTENCY_KEY).cloned();
     let payload = Arc::new(Payload { txn: headers.txn, target, key, body });
-    let reply = front.driver.submit_and_wait(info, payload).await;
+    let reply = front.driver.submit_and_wait(info, received_at, payload).await;
     if matches!(reply, Reply::DuplicateId) {
         count_failure();
     }
--- a/src/edge/clients/recorder.rs
+++ b/src/edge/clients/recorder.rs
@@ -16,12 +16,14 @@
 use crate::edge::cluster::quorum::{Grant, Quorum};
 use crate::edge::driver::{DriverHandle, Reply};
 use crate::edge::servers::{Payload, Relay};
-use crate::interface::RequestInfo;
+use crate::interface::{Micros, RequestInfo};
 
 /// A request to run, and where its record is held at other instances, if anywhere.
 pub struct Run {
     /// The router's description of the request.
     pub request: RequestInfo,
+    /// When the client's request had been received (us).
+    pub received_at: Micros,
     /// The data that is sent to servers.
     pub payload: Arc<Payload>,
     /// If set, the request is sent only once a quorum of instances holds this record.
@@ -66,7 +68,7 @@
     }
 
     async fn send(&mut self, run: Run, grant: Option<Grant>) -> Outcome {
-        let (reply, may_have_executed) = self.driver.submit(run.request, run.payload);
+        let (reply, may_have_executed) = self.driver.submit(run.request, run.received_at, run.payload);
         let outcome = self.record(reply, may_have_executed).await;
         if let Some(grant) = grant {
             report_outcome(grant, outcome);
--- a/src/edge/clients/request_body.rs
+++ b/src/edge/clients/request_body.rs
@@ -5,10 +5,10 @@
 use bytes::Bytes;
 use http_body::Body as _;
 use http_body_util::BodyExt as _;
-use tokio::time::{timeout_at, Instant};
+use tokio::time::{sleep_until, timeout_at, Instant};
 
 use crate::edge::clients::memory_budget::{MemoryBudget, NoRoom, ReservedBytes};
-use crate::edge::clients::request_timing::{BodyMemory, ReceiveDeadline};
+use crate::edge::clients::request_timing::ReceiveLimits;
 
 /// Maximum length of a request body.
 pub const MAX_BODY_BYTES: usize = 256 << 10;
@@ -24,6 +24,8 @@
     TimedOut,
     /// There is no memory for it now; the client may send it again later.
     NoRoom,
+    /// It was not complete when the process was about to end; the client may send it again elsewhere.
+    Ending,
 }
 
 impl From<NoRoom> for BodyError {
@@ -40,10 +42,16 @@
             Self::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Unreadable => StatusCode::BAD_REQUEST,
             Self::TimedOut => StatusCode::REQUEST_TIMEOUT,
-            Self::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoRoom | Self::Ending => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
+    /// Whether the request is refused only for now: it was never sent to a server, and may be sent again.
+    #[must_use]
+    pub fn is_refusal(self) -> bool {
+        matches!(self, Self::NoRoom | Self::Ending)
+    }
+
     /// The message in the response to the client.
     #[must_use]
     pub fn message(self) -> &'static str {
@@ -52,25 +60,31 @@
             Self::Unreadable => "the body can't be read",
             Self::TimedOut => "the body came too late",
             Self::NoRoom => "no memory is free for the body",
+            Self::Ending => "this process is about to end",
         }
     }
 }
 
-/// Reads a request's body until the [`ReceiveDeadline`] in its extensions; without one, only a body that is
-/// there already is read. Its memory is taken from the [`BodyMemory`] in the extensions until the last clone of the
-/// returned bytes is dropped; without one, only its length is limited.
+/// Reads a request's body within the [`ReceiveLimits`] in its extensions; without them, only a body that is there
+/// already is read. Its memory stays taken until the last clone of the returned bytes is dropped.
 ///
 /// # Errors
-/// The body is too long, late or malformed, or there is no memory for it.
+/// The body is too long, late or malformed, there is no memory for it, or the process is about to end.
 pub async fn read_body(body: Body, extensions: &Extensions) -> Result<Bytes, BodyError> {
     if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
         return Err(BodyError::TooLong); // the declared length is already too long: none of the body is read
     }
-    let receive_deadline =
-        extensions.get().map_or_else(Instant::now, |&ReceiveDeadline(receive_deadline)| receive_deadline);
-    let memory =
-        extensions.get().map_or_else(|| MemoryBudget::new(usize::MAX), |BodyMemory(memory)| memory.clone());
-    timeout_at(receive_deadline, collect(body, &memory)).await.unwrap_or(Err(BodyError::TimedOut))
+    let Some(limits) = extensions.get::<ReceiveLimits>() else {
+        let unlimited = MemoryBudget::new(usize::MAX);
+        let collected = timeout_at(Instant::now(), collect(body, &unlimited)).await;
+        return collected.unwrap_or(Err(BodyError::TimedOut));
+    };
+    tokio::select! {
+        biased;
+        body = collect(body, &limits.memory) => body,
+        () = sleep_until(limits.deadline) => Err(BodyError::TimedOut),
+        () = limits.wait_for_ending() => Err(BodyError::Ending),
+    }
 }
 
 /// Copies the frames of a body into one buffer. A frame is dropped at once: it refers to the buffer in which it was
--- a/src/edge/core.rs
+++ b/src/edge/core.rs
@@ -174,7 +174,7 @@
         let step = &mut self.step;
         match input {
             Input::EndpointsUpdated { kind, entries } => self.update_endpoints(kind, entries),
-            Input::RequestArrived(info) => self.admit(info),
+            Input::RequestArrived { info, received_at } => self.admit(info, received_at),
             Input::StreamStarted { id, attempt } => {
                 self.requests.stream_started(id, attempt, self.classes.known(), step);
             }
@@ -229,7 +229,8 @@
         self.step.events.push_back(Event::DeadlinesCapped(times.answer_by));
     }
 
-    fn admit(&mut self, mut info: RequestInfo) {
+    /// Admits a request that was received at `received_at` (us), or refuses it.
+    fn admit(&mut self, mut info: RequestInfo, received_at: Micros) {
         let id = info.id;
         if self.requests.contains(id) {
             return;
@@ -242,7 +243,7 @@
             return self.reject_on_arrival(id, EndReason::ClassGone);
         }
         if let Some(times) = self.shutdown {
-            if self.step.now >= times.refuse_from {
+            if times.refuses(received_at) {
                 return self.reject_on_arrival(id, EndReason::Leaving);
             }
             info.not_after = info.not_after.min(times.answer_by);
--- a/src/edge/core/messages.rs
+++ b/src/edge/core/messages.rs
@@ -18,7 +18,13 @@
         entries: Vec<ServerEntry>,
     },
     /// A client's request has arrived.
-    RequestArrived(RequestInfo),
+    RequestArrived {
+        /// What the request is, as far as decisions depend on it.
+        info: RequestInfo,
+        /// When its last byte had been received (us). For the rest of a stream that broke off, this is the time of
+        /// the client's own request.
+        received_at: Micros,
+    },
     /// The first event of an attempt's stream has arrived. The stream waits until [`Effect::Relay`] passes it on.
     StreamStarted {
         /// The request.
--- a/src/edge/dispatcher/running.rs
+++ b/src/edge/dispatcher/running.rs
@@ -9,7 +9,7 @@
 use thiserror::Error;
 use tokio::sync::{oneshot, watch};
 use tokio::task::{JoinError, JoinHandle};
-use tokio::time::{sleep_until, timeout_at};
+use tokio::time::{sleep_until, timeout_at, Instant};
 
 use crate::edge::admin::Admin;
 use crate::edge::balancers;
@@ -24,6 +24,7 @@
 use crate::edge::dispatcher::{Dispatcher, Front};
 use crate::edge::driver::{DriverHandle, Message};
 use crate::edge::gossip_transport::GossipTransport;
+use crate::edge::heartbeat::Heartbeat;
 use crate::edge::hot_restart::HotRestartTask;
 use crate::edge::phase::Phase;
 use crate::edge::settings::Config;
@@ -75,7 +76,9 @@
         let health = self.health;
         let agent = self.agent.map(|listener| tokio::spawn(balancers::agent_check(listener, health)));
         let cluster = self.cluster.map(ClusterTask::spawn);
-        let shared = Shared { config, limits, to_driver, figures, phase, clock };
+        let heartbeat = Heartbeat::new(clock);
+        let heartbeat_task = tokio::spawn(heartbeat.clone().run());
+        let shared = Shared { config, limits, to_driver, figures, phase, clock, heartbeat };
         let mut hot_restart = self.hot_restart.map(|task| RestartFollower::spawn(task, &shared));
 
         let mut shutdown = std::pin::pin!(shutdown);
@@ -92,13 +95,19 @@
             ended = &mut list_task => return Err(RunError::WatchEnded(format!("{ended:?}"))),
         }
 
-        leave(&shared, hot_restart.as_mut()).await;
-        wait_until_drained(tasks, &shared.figures).await;
+        let times = ShutdownTimes::new(&shared.to_driver.settings(), shared.heartbeat.noticed());
+        leave(&shared, times, hot_restart.as_mut()).await;
+        let ending = shared.clock.instant(times.stop_receiving_at);
+        tokio::select! {
+            () = wait_until_drained(tasks, &shared.figures) => {}
+            () = enter_phase_at(&shared.phase, Phase::Ending, ending) => {}
+        }
         let hot_restart = hot_restart.map(|follower| follower.task);
         for task in [agent, gossip, hot_restart].into_iter().flatten() {
             task.abort();
         }
         list_task.abort();
+        heartbeat_task.abort();
         // The instance leaves the cluster last: until now, servers may have held state for its requests.
         if let Some(cluster) = cluster {
             cluster.leave().await;
@@ -123,6 +132,7 @@
     figures: Figures,
     phase: watch::Sender<Phase>,
     clock: Clock,
+    heartbeat: Heartbeat,
 }
 
 /// The hot restart task, and a receiver of the status of both processes, which the task publishes.
@@ -197,9 +207,8 @@
 
 /// Starts the shutdown: asks clients to close their connections, or stops accepting new ones if another process
 /// replaces this one. Then waits until it is time to close the listeners and idle connections.
-async fn leave(shared: &Shared, follower: Option<&mut RestartFollower>) {
+async fn leave(shared: &Shared, times: ShutdownTimes, follower: Option<&mut RestartFollower>) {
     let Shared { clock, to_driver, phase, .. } = shared;
-    let times = ShutdownTimes::new(&to_driver.settings(), clock.now());
     let close_at = clock.instant(times.close_at);
     to_driver.send(Message::Input(Input::Leaving(times)));
     phase.send_replace(Phase::Leaving);
@@ -222,6 +231,13 @@
     phase.send_replace(Phase::Closing);
 }
 
+/// Enters a later phase of the shutdown when it is due; never returns.
+async fn enter_phase_at(phase: &watch::Sender<Phase>, next: Phase, due: Instant) {
+    sleep_until(due).await;
+    phase.send_replace(next);
+    std::future::pending().await
+}
+
 /// Waits until all fronts have ended, no request is open and no release is in flight.
 async fn wait_until_drained(tasks: Vec<JoinHandle<()>>, figures: &Figures) {
     for front in tasks {
--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -16,7 +16,7 @@
 use std::sync::Arc;
 
 use log::{debug, info};
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, watch};
 use tokio::time::timeout_at;
 
 use crate::edge::clock::Clock;
@@ -29,8 +29,9 @@
 use crate::edge::driver::releases::{ReleaseRequest, Releases};
 use crate::edge::driver::summary::Summary;
 use crate::edge::gossip_transport::GossipTransport;
-use crate::edge::servers::{Attempt, Payload, Servers};
+use crate::edge::servers::{Attempt, Servers};
 use crate::edge::settings::Config;
+use crate::edge::shutdown_times::ShutdownTimes;
 use crate::edge::stats::{End, Figures};
 use crate::interface::{
     ListUpdateKind, Micros, Outcome, RequestId, RequestInfo, ServerEntry, ServerId, Settings,
@@ -57,6 +58,8 @@
     figures: Figures,
     /// Publishes the settings in which fronts look up classes.
     published_settings: watch::Sender<Arc<Settings>>,
+    /// Publishes the schedule of the shutdown to the fronts.
+    published_shutdown: watch::Sender<Option<ShutdownTimes>>,
     summary: Summary,
     /// When the avoided servers are counted next (us).
     avoided_count_due: Micros,
@@ -68,7 +71,8 @@
     pub fn new(config: &Config, clock: Clock) -> (Self, DriverHandle) {
         let (messages, inbox) = mpsc::unbounded_channel();
         let (published_settings, settings) = watch::channel(Arc::new(config.settings.clone()));
-        let own_handle = DriverHandle::new(messages, settings);
+        let (published_shutdown, shutdown) = watch::channel(None);
+        let own_handle = DriverHandle::new(messages, settings, shutdown);
         let max_open_requests = config.max_open_requests();
         let core = Core::new(config.settings.clone(), config.seed, clock.now(), max_open_requests);
         let figures = Figures::default();
@@ -87,6 +91,7 @@
             clients: Clients::default(),
             figures,
             published_settings,
+            published_shutdown,
             summary: Summary::default(),
             avoided_count_due: 0,
         };
@@ -127,8 +132,9 @@
     /// Handles a message; returns the input that it is for the reducer, if it is one.
     fn handle_message(&mut self, message: Message) -> Option<Input> {
         match message {
-            Message::RequestArrived { info, payload, reply, completed } => {
-                self.open_request(info, payload, reply, completed)
+            Message::RequestArrived { info, received_at, payload, reply, completed } => {
+                let client = Client::new(payload, info.class, reply, completed);
+                self.open_request(info, received_at, client)
             }
             Message::EndpointsUpdated { kind, entries } => Some(self.update_endpoints(kind, entries)),
             Message::StreamOpened { id, attempt, opened } => self.attempts.stream_opened(id, attempt, opened),
@@ -167,22 +173,16 @@
 
     /// Registers the client of a new request. If its id belongs to an open request, the client gets
     /// [`Reply::DuplicateId`] at once, and there is no input for the reducer.
-    fn open_request(
-        &mut self,
-        info: RequestInfo,
-        payload: Arc<Payload>,
-        reply: oneshot::Sender<Reply>,
-        completed: oneshot::Sender<bool>,
-    ) -> Option<Input> {
+    fn open_request(&mut self, info: RequestInfo, received_at: Micros, mut client: Client) -> Option<Input> {
         if self.clients.contains(info.id) {
-            let _ = reply.send(Reply::DuplicateId); // the client may have gone
+            client.reply(Reply::DuplicateId);
             return None;
         }
         if let Some(class) = self.core.classes().get(&info.class) {
             self.figures.record().taken(&class.name);
         }
-        self.clients.insert(info.id, Client::new(payload, info.class, reply, completed));
-        Some(Input::RequestArrived(info))
+        self.clients.insert(info.id, client);
+        Some(Input::RequestArrived { info, received_at })
     }
 
     /// Applies an update of the list of servers to the addresses and the figures; returns it for the reducer.
@@ -225,6 +225,7 @@
             }
             Input::AttemptStopped { id, attempt, .. } => self.attempts.remove(id, attempt),
             Input::ClientDisconnected(id) => self.count_end(id, End::Left),
+            Input::Leaving(times) => drop(self.published_shutdown.send_replace(Some(times))),
             _ => {}
         }
     }
--- a/src/edge/driver/clients.rs
+++ b/src/edge/driver/clients.rs
@@ -34,6 +34,14 @@
     ) -> Self {
         Self { payload, class, reply: Some(reply), completed, streaming: None, end_is_counted: false }
     }
+
+    /// Sends the client its reply, if it still waits for one. A client that has just disconnected drops the
+    /// reply; a [`Reply::Stream`] that is dropped reports the disconnect by itself.
+    pub(super) fn reply(&mut self, reply: Reply) {
+        if let Some(reply_sender) = self.reply.take() {
+            let _ = reply_sender.send(reply);
+        }
+    }
 }
 
 /// The clients of open requests, by request id. See the [module](self).
@@ -74,12 +82,10 @@
         }
     }
 
-    /// Sends a client its reply, if it still waits for one. A client that has just disconnected drops the
-    /// reply; a [`Reply::Stream`] that is dropped reports the disconnect by itself.
+    /// Sends the client of an open request its [reply](Client::reply).
     pub(super) fn reply(&mut self, id: RequestId, reply: Reply) {
-        let reply_sender = self.0.get_mut(&id).and_then(|client| client.reply.take());
-        if let Some(reply_sender) = reply_sender {
-            let _ = reply_sender.send(reply);
+        if let Some(client) = self.0.get_mut(&id) {
+            client.reply(reply);
         }
     }
 
--- a/src/edge/driver/handle.rs
+++ b/src/edge/driver/handle.rs
@@ -8,21 +8,25 @@
 use crate::edge::core::{AttemptResult, Input};
 use crate::edge::driver::messages::{Message, Reply};
 use crate::edge::servers::{Payload, StreamEndListener};
-use crate::interface::{Class, RequestId, RequestInfo, Settings};
+use crate::edge::shutdown_times::ShutdownTimes;
+use crate::interface::{Class, Micros, RequestId, RequestInfo, Settings};
 
 /// Sends messages to the driver, and reads the settings that the driver has published.
 #[derive(Clone, Debug)]
 pub struct DriverHandle {
     messages: mpsc::UnboundedSender<Message>,
     settings: watch::Receiver<Arc<Settings>>,
+    /// The schedule of the shutdown, once the process has been told to end.
+    shutdown: watch::Receiver<Option<ShutdownTimes>>,
 }
 
 impl DriverHandle {
     pub(super) fn new(
         messages: mpsc::UnboundedSender<Message>,
         settings: watch::Receiver<Arc<Settings>>,
+        shutdown: watch::Receiver<Option<ShutdownTimes>>,
     ) -> Self {
-        Self { messages, settings }
+        Self { messages, settings, shutdown }
     }
 
     /// The current settings. Their classes are those that new requests may have.
@@ -44,24 +48,36 @@
         let _ = self.messages.send(message);
     }
 
-    /// Submits a request and waits for its reply. Dropping the future before the reply reports that the client
-    /// has disconnected.
-    pub async fn submit_and_wait(&self, info: RequestInfo, payload: Arc<Payload>) -> Reply {
-        self.submit(info, payload).0.await
+    /// Whether a request that was received at `received_at` (us) must be refused, because the process shuts down.
+    #[must_use]
+    pub fn refuses(&self, received_at: Micros) -> bool {
+        self.shutdown.borrow().is_some_and(|times| times.refuses(received_at))
+    }
+
+    /// Submits a request that was received at `received_at` (us), and waits for its reply. Dropping the future before
+    /// the reply reports that the client has disconnected.
+    pub async fn submit_and_wait(
+        &self,
+        info: RequestInfo,
+        received_at: Micros,
+        payload: Arc<Payload>,
+    ) -> Reply {
+        self.submit(info, received_at, payload).0.await
     }
 
-    /// Submits a request. The future resolves to its reply, as that of
+    /// Submits a request that was received at `received_at` (us). The future resolves to its reply, as that of
     /// [`submit_and_wait`](Self::submit_and_wait) does. The receiver gets whether the request may have run,
     /// once none of its attempts is in flight any more, even if the client has disconnected before that.
     pub fn submit(
         &self,
         info: RequestInfo,
+        received_at: Micros,
         payload: Arc<Payload>,
     ) -> (impl Future<Output = Reply> + use<>, oneshot::Receiver<bool>) {
         let (reply, replied) = oneshot::channel();
         let (completed, completion) = oneshot::channel();
         let guard = DisconnectGuard(Some((self.clone(), info.id)));
-        self.send(Message::RequestArrived { info, payload, reply, completed });
+        self.send(Message::RequestArrived { info, received_at, payload, reply, completed });
         let reply = async move {
             let reply = replied.await;
             guard.disarm();
--- a/src/edge/driver/messages.rs
+++ b/src/edge/driver/messages.rs
@@ -16,6 +16,8 @@
     RequestArrived {
         /// The properties of the request that the reducer decides by.
         info: RequestInfo,
+        /// When its last byte had been received (us).
+        received_at: Micros,
         /// The request as it is sent to servers.
         payload: Arc<Payload>,
         /// Receives the reply to the client.
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -17,6 +17,7 @@
 pub mod event_shape;
 pub mod gossip_transport;
 pub mod guard;
+pub mod heartbeat;
 pub mod hot_restart;
 pub mod phase;
 pub mod servers;
--- a/src/edge/phase.rs
+++ b/src/edge/phase.rs
@@ -13,4 +13,6 @@
     Yielding,
     /// Idle connections are closed and no new ones are accepted.
     Closing,
+    /// The process may soon be killed: requests that are still being received are refused.
+    Ending,
 }
