Read a connection before it is closed at its minimum age in a shutdown

Cause: in the closing phase a connection asked for its close, 60 ms after its task first ran, before it was read. A process that is held up between the two finds both in the same turn, and closes although a request is in the socket.

Change: the connection is polled, and so read, first; the runtime looks at its sockets before its timers in each turn, so what came before the close is seen.

--- a/src/edge/clients/connection.rs
+++ b/src/edge/clients/connection.rs
@@ -115,12 +115,17 @@
     let mut timer_deadline = accepted_at;
     let mut timer = pin!(sleep_until(timer_deadline));
     poll_fn(|context| {
+        if connection.as_mut().poll(context).is_ready() {
+            return Poll::Ready(());
+        }
+        // Only after the connection has been polled: a process that was held up finds the end of the minimum age and a
+        // request in the socket at the same time, and the request must be read first.
         if !is_closing && close_due.as_mut().poll(context).is_ready() {
             is_closing = true;
             connection.as_mut().graceful_shutdown();
-        }
-        if connection.as_mut().poll(context).is_ready() {
-            return Poll::Ready(());
+            if connection.as_mut().poll(context).is_ready() {
+                return Poll::Ready(());
+            }
         }
         // The deadline also closes the connection of a client that sends no request, or never completes a
         // request head.
--- a/src/edge/dispatcher/running.rs
+++ b/src/edge/dispatcher/running.rs
@@ -235,7 +235,7 @@
 async fn enter_phase_at(phase: &watch::Sender<Phase>, next: Phase, due: Instant) {
     sleep_until(due).await;
     phase.send_replace(next);
-    std::future::pending().await
+    std::future::pending::<()>().await;
 }
 
 /// Waits until all fronts have ended, no request is open and no release is in flight.
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -226,6 +226,31 @@
     }
 }
 
+/// A process that was held up finds the minimum age of a connection over and a request in its socket in the same turn. The
+/// connection was closed unread then, by chance on a busy machine and always after a hold-up at this moment.
+#[tokio::test]
+async fn a_connection_is_read_before_it_is_closed_after_a_hold_up() {
+    let listener = listener::listen("127.0.0.1:0".parse().unwrap(), true).unwrap();
+    let at = listener.local_addr().unwrap();
+    let front = axum::Router::new().route("/", axum::routing::get(|| async { "here" }));
+    let (phase, phases) = tokio::sync::watch::channel(Phase::Serving);
+    let limits = ConnectionLimits::new(500, MemoryBudget::new(CLIENT_MEMORY));
+    let serving = tokio::spawn(listener::serve(listener, front, limits.clone(), Figures::default(), phases));
+    let mut client = std::net::TcpStream::connect(at).unwrap();
+    while limits.held() == 0 {
+        sleep(Duration::from_millis(1)).await;
+    }
+    sleep(Duration::from_millis(5)).await; // the task of the connection has run
+    phase.send_replace(Phase::Closing);
+    sleep(Duration::from_millis(5)).await; // and waits for the minimum age of the connection now
+    client.write_all(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n").unwrap();
+    std::thread::sleep(Duration::from_millis(150)); // blocks the only thread of the runtime
+    serving.await.unwrap();
+    let mut answer = String::new();
+    client.read_to_string(&mut answer).unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200") && answer.contains("connection: close"), "{answer:?}");
+}
+
 /// After a reload that changes the effect of a class, open requests keep the effect that they arrived with, whether it
 /// became stricter or laxer; new requests have the new effect at once.
 #[tokio::test]
