Share the ids of open requests between the processes of a hot restart

Seen: while a new version takes over, a request with the id of an open booking, as a bad client sends it, is served by the other process: 6 of 6 bookings ran a second time, and the bad client got 200 in place of 409.

Change: each process locks a byte of a shared file for each open request (fcntl, open file description locks): one process gets it, atomically, and the system frees the locks of a process however it ends. An id that is taken elsewhere is a duplicate here. If the file can't be used while there is another process, requests that must not run twice are refused. Off without a second address, as hot restart is.

Result: tests/hot_restart_requests.rs; with the program from before an_id_that_is_open_in_one_process_is_a_duplicate_in_the_other fails with "served under the id of an open booking" while both serve.

--- a/crates/router/src/end_reason.rs
+++ b/crates/router/src/end_reason.rs
@@ -28,11 +28,13 @@
     ClassGone,
     /// The process is shutting down, and the request arrived too late to be served before the end.
     Leaving,
+    /// Its id may be open in another process of this dispatcher, and it must not run twice.
+    IdNotExclusive,
 }
 
 impl EndReason {
     /// All reasons, in the order in which counts are reported.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 12] = [
         Self::Deadline,
         Self::AttemptsSpent,
         Self::NoServers,
@@ -44,6 +46,7 @@
         Self::TooManyOpen,
         Self::ClassGone,
         Self::Leaving,
+        Self::IdNotExclusive,
     ];
 
     /// The reason's name in the metrics (`STATS`).
@@ -61,6 +64,7 @@
             Self::TooManyOpen => "too_many_open",
             Self::ClassGone => "class_gone",
             Self::Leaving => "leaving",
+            Self::IdNotExclusive => "id_not_exclusive",
         }
     }
 }
--- a/crates/router/tests/written_forms.rs
+++ b/crates/router/tests/written_forms.rs
@@ -133,6 +133,7 @@
         "too_many_open",
         "class_gone",
         "leaving",
+        "id_not_exclusive",
     ];
     assert_eq!(EndReason::ALL.map(EndReason::name), names);
 }
--- a/src/edge/core.rs
+++ b/src/edge/core.rs
@@ -28,8 +28,8 @@
 use crate::edge::shutdown_times::ShutdownTimes;
 use crate::edge::transitions::Transitions;
 use crate::interface::{
-    Action, AttemptFinished, Class, Event, ListUpdateKind, Micros, Outcome, RequestId, RequestInfo,
-    ServerEntry, Settings,
+    Action, AttemptFinished, Class, Effect as ClassEffect, Event, ListUpdateKind, Micros, Outcome, RequestId,
+    RequestInfo, ServerEntry, Settings,
 };
 use crate::Router;
 use dewladder_router::{Classes, EndReason, GossipCounts, Handover, StartTimes};
@@ -43,6 +43,8 @@
     start_times: StartTimes,
     requests: RequestTable,
     max_open_requests: usize,
+    /// Whether there is another process of this dispatcher.
+    has_peer: bool,
     /// Set once the process has been told to shut down.
     shutdown: Option<ShutdownTimes>,
     /// Retry delay for clients whose requests are rejected on arrival (us).
@@ -60,6 +62,7 @@
             start_times: StartTimes::default(),
             requests: RequestTable::new(&settings),
             max_open_requests,
+            has_peer: false,
             shutdown: None,
             retry_in: settings.max_retry_after,
             step: Step { now, ..Step::default() },
@@ -174,7 +177,9 @@
         let step = &mut self.step;
         match input {
             Input::EndpointsUpdated { kind, entries } => self.update_endpoints(kind, entries),
-            Input::RequestArrived { info, received_at } => self.admit(info, received_at),
+            Input::RequestArrived { info, received_at, has_exclusive_id } => {
+                self.admit(info, received_at, has_exclusive_id);
+            }
             Input::StreamStarted { id, attempt } => {
                 self.requests.stream_started(id, attempt, self.classes.known(), step);
             }
@@ -193,8 +198,9 @@
             Input::ClientDisconnected(id) => self.requests.client_disconnected(id, step),
             Input::SettingsReloaded(settings) => self.reload_settings(*settings),
             Input::StateImported(handover) => step.events.push_back(Event::StateImported(handover)),
-            Input::LimitShareChanged { share, max_open_requests } => {
+            Input::LimitShareChanged { share, max_open_requests, has_peer } => {
                 self.max_open_requests = max_open_requests;
+                self.has_peer = has_peer;
                 step.events.push_back(Event::LimitShareChanged(share));
             }
             Input::GossipReceived(bytes) => step.events.push_back(Event::GossipReceived(bytes)),
@@ -229,8 +235,9 @@
         self.step.events.push_back(Event::DeadlinesCapped(times.answer_by));
     }
 
-    /// Admits a request that was received at `received_at` (us), or refuses it.
-    fn admit(&mut self, mut info: RequestInfo, received_at: Micros) {
+    /// Admits a request that was received at `received_at` (us), or refuses it. `has_exclusive_id` says whether it is
+    /// certain that its id is not open in another process.
+    fn admit(&mut self, mut info: RequestInfo, received_at: Micros, has_exclusive_id: bool) {
         let id = info.id;
         if self.requests.contains(id) {
             return;
@@ -242,6 +249,9 @@
         if !self.classes.contains(info.class) {
             return self.reject_on_arrival(id, EndReason::ClassGone);
         }
+        if self.has_peer && !has_exclusive_id && self.is_at_most_once(info.class) {
+            return self.reject_on_arrival(id, EndReason::IdNotExclusive);
+        }
         if let Some(times) = self.shutdown {
             if times.refuses(received_at) {
                 return self.reject_on_arrival(id, EndReason::Leaving);
@@ -251,6 +261,10 @@
         self.requests.open(info, &mut self.step);
     }
 
+    fn is_at_most_once(&self, class: u32) -> bool {
+        self.classes.known().get(&class).is_some_and(|class| class.effect == ClassEffect::AtMostOnce)
+    }
+
     fn reject_on_arrival(&mut self, id: RequestId, reason: EndReason) {
         self.requests.record_end_reason(id, reason);
         self.step.effects.push(Effect::Reject { id, retry_in: self.retry_in });
--- a/src/edge/core/messages.rs
+++ b/src/edge/core/messages.rs
@@ -24,6 +24,8 @@
         /// When its last byte had been received (us). For the rest of a stream that broke off, this is the time of
         /// the client's own request.
         received_at: Micros,
+        /// Whether it is certain that the id is not open in another process of this dispatcher.
+        has_exclusive_id: bool,
     },
     /// The first event of an attempt's stream has arrived. The stream waits until [`Effect::Relay`] passes it on.
     StreamStarted {
@@ -84,6 +86,8 @@
         share: f64,
         /// Limit on the number of requests open at once in this process.
         max_open_requests: usize,
+        /// Whether there is another process of this dispatcher now.
+        has_peer: bool,
     },
     /// The process was told to shut down.
     Leaving(ShutdownTimes),
--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -10,6 +10,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::path::Path;
 
 use log::warn;
 use thiserror::Error;
@@ -28,6 +29,7 @@
 pub use crate::edge::dispatcher::running::RunError;
 use crate::edge::driver::{Driver, DriverHandle};
 use crate::edge::gossip_transport::GossipTransport;
+use crate::edge::hot_restart::request_claims::RequestClaims;
 use crate::edge::hot_restart::HotRestartTask;
 use crate::edge::phase::Phase;
 use crate::edge::settings::{Config, FieldError, Fronts};
@@ -92,6 +94,9 @@
         let client_memory = MemoryBudget::new(config.client_memory());
         // Without an admin address, no new process can be started beside this one: hot restart is off.
         let folder = std::env::var("TMPDIR").ok().filter(|_| shared);
+        if let Some(folder) = &folder {
+            driver.set_request_claims(RequestClaims::shared(Path::new(folder), config.listen));
+        }
         let hot_restart = folder.map(|folder| HotRestartTask::start(&config, &folder, clock));
         let starts_joining =
             hot_restart.as_ref().is_some_and(|task| task.status().own.stage == Stage::Joining);
--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -29,6 +29,7 @@
 use crate::edge::driver::releases::{ReleaseRequest, Releases};
 use crate::edge::driver::summary::Summary;
 use crate::edge::gossip_transport::GossipTransport;
+use crate::edge::hot_restart::request_claims::{Claim, RequestClaims};
 use crate::edge::servers::{Attempt, Servers};
 use crate::edge::settings::Config;
 use crate::edge::shutdown_times::ShutdownTimes;
@@ -53,6 +54,7 @@
     gossip: GossipTransport,
     addresses: Addresses,
     clients: Clients,
+    claims: RequestClaims,
     attempts: Attempts,
     releases: Releases,
     figures: Figures,
@@ -89,6 +91,7 @@
             gossip: GossipTransport::default(),
             addresses: Addresses::default(),
             clients: Clients::default(),
+            claims: RequestClaims::default(),
             figures,
             published_settings,
             published_shutdown,
@@ -109,6 +112,11 @@
         self.gossip = gossip;
     }
 
+    /// Shares the ids of open requests with other processes of this dispatcher. Without this call there can be none.
+    pub fn set_request_claims(&mut self, claims: RequestClaims) {
+        self.claims = claims;
+    }
+
     /// Runs the loop. It never returns, as the driver itself holds a sender to its inbox.
     pub async fn run(mut self) {
         loop {
@@ -157,8 +165,8 @@
                 None
             }
             Message::StateImported(learned) => Some(Input::StateImported(learned)),
-            Message::LimitShareChanged { share, max_open_requests } => {
-                Some(Input::LimitShareChanged { share, max_open_requests })
+            Message::LimitShareChanged { share, max_open_requests, has_peer } => {
+                Some(Input::LimitShareChanged { share, max_open_requests, has_peer })
             }
             Message::SettingsReloaded(settings) => {
                 self.reload_settings(settings);
@@ -171,10 +179,12 @@
         }
     }
 
-    /// Registers the client of a new request. If its id belongs to an open request, the client gets
-    /// [`Reply::DuplicateId`] at once, and there is no input for the reducer.
+    /// Registers the client of a new request. If its id belongs to an open request of this process or another one of
+    /// this dispatcher, the client gets [`Reply::DuplicateId`] at once, and there is no input for the reducer.
     fn open_request(&mut self, info: RequestInfo, received_at: Micros, mut client: Client) -> Option<Input> {
-        if self.clients.contains(info.id) {
+        let is_open_here = self.clients.contains(info.id);
+        let claim = if is_open_here { Claim::Taken } else { self.claims.claim(info.id) };
+        if claim == Claim::Taken {
             client.reply(Reply::DuplicateId);
             return None;
         }
@@ -182,7 +192,8 @@
             self.figures.record().taken(&class.name);
         }
         self.clients.insert(info.id, client);
-        Some(Input::RequestArrived { info, received_at })
+        let has_exclusive_id = claim == Claim::Exclusive;
+        Some(Input::RequestArrived { info, received_at, has_exclusive_id })
     }
 
     /// Applies an update of the list of servers to the addresses and the figures; returns it for the reducer.
@@ -334,6 +345,7 @@
                 // Keeps the figures consistent: a completed request has ended, however it came to its end.
                 self.count_end(id, End::Failed);
                 self.releases.forget(id);
+                self.claims.release(id);
                 self.clients.complete(id, may_have_run);
             }
         }
--- a/src/edge/driver/messages.rs
+++ b/src/edge/driver/messages.rs
@@ -62,6 +62,8 @@
         share: f64,
         /// Maximum number of open requests in this process.
         max_open_requests: usize,
+        /// Whether there is another process now.
+        has_peer: bool,
     },
     /// An input that is passed to the reducer unchanged.
     Input(Input),
--- a/src/edge/hot_restart.rs
+++ b/src/edge/hot_restart.rs
@@ -2,10 +2,11 @@
 //!
 //! Hot restart is on if there is an admin address and `$TMPDIR` is set. The two processes find each other by locked
 //! files ([`lock_files`]), and the older one exports the state that its router has learned to a file for the newer
-//! one ([`state_file`]). `crates/hot-restart` decides which share of the limits each process has and when the newer
+//! one ([`state_file`]). While both serve, each knows the ids of the other's open requests ([`request_claims`]). `crates/hot-restart` decides which share of the limits each process has and when the newer
 //! one may serve; this module reads and writes the files and applies those decisions.
 
 mod lock_files;
+pub mod request_claims;
 mod state_file;
 
 use std::io;
@@ -98,7 +99,7 @@
         mut phase: watch::Receiver<Phase>,
         status: watch::Sender<Option<RestartStatus>>,
     ) {
-        let mut applied_share = 0;
+        let mut applied = None;
         loop {
             let is_leaving = *phase.borrow_and_update() > Phase::Serving;
             if is_leaving {
@@ -108,10 +109,9 @@
             self.export_if_due(&driver).await;
             self.poll_peer(share_used(limits.held() + figures.open(), config.limits.sockets));
             self.import_if_available(&driver);
-            let share = self.status().own.share;
-            if share != applied_share {
-                applied_share = share;
-                apply_share(share, &config, &limits, &driver);
+            let (share, has_peer) = (self.status().own.share, self.status().peer.is_some());
+            if applied.replace((share, has_peer)) != Some((share, has_peer)) {
+                apply_share(share, has_peer, &config, &limits, &driver);
             }
             limits.evict_excess(Instant::now());
             status.send_replace(Some(self.status()));
@@ -255,12 +255,19 @@
 }
 
 /// Limits the client connections, their memory and the open requests to a share of the configured limits.
-fn apply_share(share: LimitShare, config: &Config, limits: &ConnectionLimits, driver: &DriverHandle) {
+/// `has_peer` says whether there is another process.
+fn apply_share(
+    share: LimitShare,
+    has_peer: bool,
+    config: &Config,
+    limits: &ConnectionLimits,
+    driver: &DriverHandle,
+) {
     limits.set_max_connections(share_of(config.max_client_connections(), share));
     limits.memory.set_limit(share_of(config.client_memory(), share));
     let max_open_requests = share_of(config.max_open_requests(), share);
     let share = f64::from(share) / f64::from(FULL_SHARE);
-    driver.send(Message::LimitShareChanged { share, max_open_requests });
+    driver.send(Message::LimitShareChanged { share, max_open_requests, has_peer });
 }
 
 /// Whether any process listens on the address. Stands in for the lock files where they can't be used.
--- a/tests/connection_model.rs
+++ b/tests/connection_model.rs
@@ -341,6 +341,7 @@
                 not_after,
             },
             received_at: self.now,
+            has_exclusive_id: true,
         });
     }
 }
@@ -398,7 +399,10 @@
         hint: None,
         not_after: 4 * SECOND,
     };
-    let sent = core.step(SECOND, Input::RequestArrived { info: request_info, received_at: SECOND });
+    let sent = core.step(
+        SECOND,
+        Input::RequestArrived { info: request_info, received_at: SECOND, has_exclusive_id: true },
+    );
     assert!(matches!(sent[..], [Effect::Send { attempt: 0, .. }]));
     let stopped = core.step(3 * SECOND, Input::Tick);
     assert_eq!(stopped, [Effect::CancelAttempt { id, attempt: 0 }]);
--- a/tests/crossings_handover.rs
+++ b/tests/crossings_handover.rs
@@ -328,7 +328,8 @@
         hint: None,
         not_after: now + 4 * SECOND,
     };
-    let mut effects = core.step(now, Input::RequestArrived { info: request_info, received_at: now });
+    let mut effects = core
+        .step(now, Input::RequestArrived { info: request_info, received_at: now, has_exclusive_id: true });
     let (mut read_at, mut unacknowledged) = (None, 0);
     while now < 4 * SECOND {
         let mut next = Vec::new();
@@ -988,7 +989,7 @@
             max_tokens: 100,
             hint: None,
             not_after,
-        }, received_at: model.now });
+        }, received_at: model.now, has_exclusive_id: true });
         for (what, draw) in steps {
             model.step(what, draw);
         }
--- a/tests/held_in_bounds.rs
+++ b/tests/held_in_bounds.rs
@@ -42,7 +42,10 @@
             hint: None,
             not_after: now + 1_000_000,
         };
-        effects.extend(core.step(now, Input::RequestArrived { info: request_info, received_at: now }));
+        effects.extend(core.step(
+            now,
+            Input::RequestArrived { info: request_info, received_at: now, has_exclusive_id: true },
+        ));
         for round in 0.. {
             now += 700;
             let mut next_effects = Vec::new();
--- /dev/null
+++ b/tests/hot_restart_requests.rs
@@ -0,0 +1,190 @@
+//! The requests of two processes of one dispatcher, during a hot restart: by the rules, both are one dispatcher, so what
+//! only one of them knows must count in the other as well.
+
+mod deployment;
+mod processes;
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use deployment::{Deployment, Process};
+use dewladder::edge::core::{Core, Effect, Input};
+use dewladder::edge::discovery::listing::entries;
+use dewladder::edge::hot_restart::request_claims::{Claim, RequestClaims};
+use dewladder::edge::settings::Config;
+use dewladder::interface::{ListUpdateKind, RequestId, RequestInfo};
+use dewladder_test_peers::{config, member, platform, until_close, Shape};
+use serde_json::json;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
+
+const SECOND: u64 = 1_000_000;
+
+fn status(answer: &str) -> u16 {
+    answer.split(' ').nth(1).and_then(|code| code.parse().ok()).unwrap_or(0)
+}
+
+/// A deployment whose streams outlast the test.
+async fn start(name: &str) -> (Deployment, Process) {
+    let shape = Shape { events: 2_000, pause: Duration::from_millis(20), ..Shape::default() };
+    let site = Deployment::new(&format!("requests-{name}"), shape).await;
+    let mut config = site.config();
+    for class in config["settings"]["lanes"].as_array_mut().unwrap() {
+        class["give_up_s"] = json!(5.0);
+    }
+    site.write(&config);
+    let process = site.start().await;
+    process.until_ready().await;
+    (site, process)
+}
+
+/// Opens a booking and reads until its first event.
+async fn open_booking(at: SocketAddr, id: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(at).await.unwrap();
+    stream.write_all(platform(id, "book", "5.000").as_bytes()).await.unwrap();
+    let mut read = Vec::new();
+    while !String::from_utf8_lossy(&read).contains("data: ") {
+        let length =
+            timeout(Duration::from_secs(10), stream.read_buf(&mut read)).await.expect("no event in time");
+        assert!(length.unwrap() > 0, "closed: {}", String::from_utf8_lossy(&read));
+    }
+    stream
+}
+
+/// Sends each id again, `times` on new connections, and checks that each is answered 409 and that none runs again.
+async fn repeat_ids(site: &Deployment, ids: &[String], times: usize, when: &str) {
+    let mut clients = JoinSet::new();
+    for id in ids.iter().cycle().take(ids.len() * times) {
+        let (at, text) = (site.port.address(), platform(id, "book", "5.000"));
+        clients.spawn(async move { timeout(Duration::from_secs(8), until_close(at, &text)).await });
+    }
+    while let Some(answer) = clients.join_next().await {
+        let answer =
+            answer.unwrap().unwrap_or_else(|_| panic!("{when}: served under the id of an open booking"));
+        assert_eq!(status(&answer), 409, "{when}: {answer}");
+    }
+    for id in ids {
+        let runs = site.fleet.started().iter().filter(|request| request.id == *id).count();
+        assert_eq!(runs, 1, "{when}: {id}");
+    }
+}
+
+/// A bad client sent the ids of open bookings during an upgrade: each booking ran a second time in the other process, and
+/// the bad client got its answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_id_that_is_open_in_one_process_is_a_duplicate_in_the_other() {
+    let (site, old) = start("ids").await;
+    let mut ids: Vec<String> = (1..=6).map(|id| format!("{id:016x}")).collect();
+    let mut open = Vec::new();
+    for id in &ids {
+        open.push(open_booking(site.port.address(), id).await);
+    }
+    repeat_ids(&site, &ids, 2, "alone").await;
+    let new = site.start().await;
+    new.until_ready().await;
+    // The kernel spreads new connections over both processes: bookings are open in both, and ids are sent to both.
+    for id in 0x11..=0x18 {
+        ids.push(format!("{id:016x}"));
+        open.push(open_booking(site.port.address(), &ids[ids.len() - 1]).await);
+    }
+    repeat_ids(&site, &ids, 4, "while both serve").await;
+    old.send_signal("-TERM");
+    sleep(Duration::from_millis(100)).await;
+    repeat_ids(&site, &ids, 2, "while the old process leaves").await;
+    drop(open);
+    new.eventually("pending", 0).await;
+    let again = timeout(Duration::from_secs(8), open_booking(site.port.address(), &ids[0])).await;
+    assert!(again.is_ok(), "an id that is not open any more is free");
+}
+
+fn claims_folder(name: &str) -> PathBuf {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("claims-{name}"));
+    let _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).unwrap();
+    folder
+}
+
+#[test]
+fn an_id_is_claimed_by_one_process_until_it_releases_it_or_ends() {
+    let (folder, listen) = (claims_folder("both"), "127.0.0.1:80".parse().unwrap());
+    let (mut one, mut other) =
+        (RequestClaims::shared(&folder, listen), RequestClaims::shared(&folder, listen));
+    let mut elsewhere = RequestClaims::shared(&folder, "127.0.0.1:81".parse().unwrap());
+    for id in [0, 1, 2, u64::MAX, u64::MAX / 2].map(RequestId) {
+        assert_eq!(
+            one.claim(id),
+            if id.0 == u64::MAX / 2 { Claim::Taken } else { Claim::Exclusive },
+            "{id:?}"
+        );
+        assert_eq!((one.claim(id), other.claim(id)), (Claim::Taken, Claim::Taken), "{id:?}");
+        assert_eq!(elsewhere.claim(id), if id.0 == u64::MAX / 2 { Claim::Taken } else { Claim::Exclusive });
+    }
+    other.release(RequestId(1)); // not its own
+    assert_eq!(other.claim(RequestId(1)), Claim::Taken);
+    one.release(RequestId(1));
+    assert_eq!((other.claim(RequestId(1)), one.claim(RequestId(1))), (Claim::Exclusive, Claim::Taken));
+    assert_eq!(other.claim(RequestId(0)), Claim::Taken, "its neighbours stay claimed");
+    drop(one);
+    assert_eq!(other.claim(RequestId(2)), Claim::Exclusive);
+}
+
+#[test]
+fn claims_that_could_not_be_made_are_made_once_the_folder_can_be_used() {
+    let (folder, listen) = (claims_folder("late"), "127.0.0.1:80".parse().unwrap());
+    std::fs::remove_dir_all(&folder).unwrap();
+    let mut one = RequestClaims::shared(&folder, listen);
+    assert_eq!((one.claim(RequestId(1)), one.claim(RequestId(1))), (Claim::Unknown, Claim::Taken));
+    std::fs::create_dir_all(&folder).unwrap();
+    assert_eq!(one.claim(RequestId(2)), Claim::Exclusive);
+    let mut other = RequestClaims::shared(&folder, listen);
+    assert_eq!((other.claim(RequestId(1)), other.claim(RequestId(2))), (Claim::Taken, Claim::Taken));
+}
+
+/// Where nothing is known of the other process, a request that must not run twice is refused, and only then.
+#[test]
+fn a_request_whose_id_may_be_open_elsewhere_is_refused_if_it_must_not_run_twice() {
+    let address = "127.0.0.1:1".parse().unwrap();
+    let members = [member(address, 1, "prefill", "up"), member(address, 2, "decode", "up")];
+    let list = json!({"revision": 1, "complete": true, "members": members});
+    let config = Config::parse("config", &config(address, &list), |_| None).unwrap();
+    let class = |name: &str| config.settings.current().find(|class| class.name == name).unwrap().clone();
+    let (ask, book) = (class("ask"), class("book"));
+    let number =
+        |name: &str| *config.settings.classes.iter().find(|(_, class)| class.name == name).unwrap().0;
+    assert_ne!(ask.effect, book.effect);
+    let mut core = Core::new(config.settings.clone(), 7, SECOND, 100);
+    let listed = entries(&config.known, &config.names).into_iter().map(|(entry, _)| entry).collect();
+    core.step(SECOND, Input::EndpointsUpdated { kind: ListUpdateKind::Full, entries: listed });
+    let mut next_id = 0;
+    let mut is_sent = |core: &mut Core, class: u32, has_exclusive_id: bool| {
+        next_id += 1;
+        let info = RequestInfo {
+            id: RequestId(next_id),
+            class,
+            session: None,
+            shared: None,
+            shared_tokens: 0,
+            prompt_tokens: 100,
+            max_tokens: 8,
+            hint: None,
+            not_after: 2 * SECOND,
+        };
+        let effects =
+            core.step(SECOND, Input::RequestArrived { info, received_at: SECOND, has_exclusive_id });
+        effects.iter().any(|effect| matches!(effect, Effect::Send { .. }))
+    };
+    for (has_peer, class, exclusive, sent) in [
+        (false, "book", true, true),
+        (false, "book", false, true),
+        (true, "book", true, true),
+        (true, "book", false, false),
+        (true, "ask", false, true),
+    ] {
+        core.step(SECOND, Input::LimitShareChanged { share: 0.5, max_open_requests: 100, has_peer });
+        let result = is_sent(&mut core, number(class), exclusive);
+        assert_eq!(result, sent, "peer {has_peer}, class {class}, exclusive {exclusive}");
+    }
+}
--- a/tests/request_histories.rs
+++ b/tests/request_histories.rs
@@ -52,6 +52,7 @@
             not_after: 4 * SECOND,
         },
         received_at: SECOND,
+        has_exclusive_id: true,
     }
 }
 
--- a/tests/shutdown_bounds.rs
+++ b/tests/shutdown_bounds.rs
@@ -65,7 +65,7 @@
         |core: &Core| core.transitions().counts().find(|(name, _)| name == "answered.leaving").unwrap().1;
     let before = refused(core);
     let info = request(id, received_at + 10_000 * MS);
-    core.step(now, Input::RequestArrived { info, received_at });
+    core.step(now, Input::RequestArrived { info, received_at, has_exclusive_id: true });
     refused(core) > before
 }
 
--- a/tests/transitions.rs
+++ b/tests/transitions.rs
@@ -30,6 +30,7 @@
             not_after,
         },
         received_at: SECOND,
+        has_exclusive_id: true,
     }
 }
 
--- a/tests/wall_clock.rs
+++ b/tests/wall_clock.rs
@@ -67,7 +67,8 @@
             hint: None,
             not_after: now + 4 * SECOND,
         };
-        let mut effects = core.step(now, Input::RequestArrived { info: request, received_at: now });
+        let mut effects =
+            core.step(now, Input::RequestArrived { info: request, received_at: now, has_exclusive_id: true });
         effects.extend(core.step(now, Input::Tick));
         while !effects.is_empty() {
             let mut next = Vec::new();
