Soak: draw upgrades with repeated ids, slow writers at early kills, large bodies

Seen: none of the drawn plans had a bad client that repeats an open id beside an upgrade, a request that becomes whole late in a shutdown under a stream that outlasts the kill, or bodies of almost the longest length, so the soak could not find the three faults of the review nor their kin.

Change: three kinds of faults, long streams and a low memory limit in a plan of their own (--replaced), and checks for a bad client served under an open id, for a late stream that the kill cuts, and for the peak memory during a flood.

--- a/crates/soak/src/campaign.rs
+++ b/crates/soak/src/campaign.rs
@@ -84,7 +84,11 @@
     let mut seeds = failed_seeds::parse(&failed.unwrap_or_default());
     let others: Vec<u64> = settings.seeds.clone().filter(|seed| !seeds.contains(seed)).collect();
     seeds.extend(others);
-    let draw = if settings.stopped { Plan::draw_stopped } else { Plan::draw };
+    let draw = match settings {
+        Settings { replaced: true, .. } => Plan::draw_replaced,
+        Settings { stopped: true, .. } => Plan::draw_stopped,
+        Settings { .. } => Plan::draw,
+    };
     Ok(seeds.into_iter().map(|seed| draw(seed, settings.processes, settings.seconds)).collect())
 }
 
--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -1,6 +1,7 @@
 //! Clients of a dispatcher: they send requests and read the responses; some disconnect early, and some misbehave as the
 //! plan says.
 
+mod bad_clients;
 mod half_requests;
 
 use std::net::SocketAddr;
@@ -17,6 +18,7 @@
 
 use crate::event_log::{Class, ClientOutcome, EventLog, Micros, Observation};
 use crate::plan::{FaultKind, Plan};
+use bad_clients::{BadClients, OpenStreams};
 
 /// Time that a client waits for a response beyond the request's timeout. Also the timeout of its connect.
 const GIVE_UP_AFTER: Duration = Duration::from_millis(1_500);
@@ -24,6 +26,8 @@
 const STREAM_TIMEOUT: Duration = Duration::from_secs(10);
 /// Bytes per write of a request that is sent in pieces.
 const PIECE_BYTES: usize = 7;
+/// Number of pieces of a request that is written slowly.
+const SLOW_PIECES: usize = 8;
 /// Time between two pieces of a request.
 const PIECE_INTERVAL: Duration = Duration::from_millis(2);
 /// The last chunk of a stream.
@@ -41,6 +45,7 @@
     /// Counts the requests of all clients of the run, so that their ids are unique.
     next_request: Arc<AtomicU64>,
     pool: ConnectionPool,
+    open_streams: OpenStreams,
 }
 
 /// Kept connections that are idle.
@@ -72,6 +77,8 @@
     /// Whether the connection is kept for further requests.
     keeps_connection: bool,
     is_sent_in_pieces: bool,
+    /// Time over which the request is written; `None` writes it at once.
+    is_written_over: Option<Duration>,
 }
 
 impl Request {
@@ -92,6 +99,15 @@
     /// Writes the request, whole or in pieces.
     async fn write(&self, stream: &mut TcpStream) -> std::io::Result<()> {
         let text = self.text();
+        if let Some(time) = self.is_written_over {
+            for (at, piece) in text.as_bytes().chunks(text.len().div_ceil(SLOW_PIECES)).enumerate() {
+                if at > 0 {
+                    sleep(time / SLOW_PIECES as u32).await;
+                }
+                stream.write_all(piece).await?;
+            }
+            return Ok(());
+        }
         if !self.is_sent_in_pieces {
             return stream.write_all(text.as_bytes()).await;
         }
@@ -121,7 +137,8 @@
         address: SocketAddr,
         next_request: Arc<AtomicU64>,
     ) -> Self {
-        Self { plan, event_log, dispatcher, address, next_request, pool: ConnectionPool::default() }
+        let (pool, open_streams) = (ConnectionPool::default(), OpenStreams::default());
+        Self { plan, event_log, dispatcher, address, next_request, pool, open_streams }
     }
 
     /// Whether a fault that satisfies `is_kind` is in force for this dispatcher.
@@ -142,6 +159,14 @@
             self.dispatcher,
             self.address,
         ));
+        let bad_clients = BadClients {
+            plan: self.plan.clone(),
+            event_log: self.event_log.clone(),
+            dispatcher: self.dispatcher,
+            address: self.address,
+            open_streams: self.open_streams.clone(),
+        };
+        let bad_clients = tokio::spawn(bad_clients.run());
         while self.event_log.now() / 1_000 < until_ms {
             sleep(Duration::from_micros(interval_us / 2 + rng.next_u64() % interval_us)).await;
             let request = self.draw_request(&mut rng);
@@ -153,6 +178,7 @@
         while in_flight.join_next().await.is_some() {}
         // Clients that sent half a request log whether the dispatcher ended it in time.
         drop(idle_clients.await);
+        drop(bad_clients.await);
         self.pool.clear();
     }
 
@@ -177,7 +203,18 @@
         let id = (self.plan.seed << 24) + self.next_request.fetch_add(1, Ordering::Relaxed) + 1;
         let keeps_connection = !rng.next_u64().is_multiple_of(4);
         let is_sent_in_pieces = self.has(|kind| matches!(kind, FaultKind::Pieces { .. }));
-        Request { id, class, timeout, leaves_after, keeps_connection, is_sent_in_pieces }
+        let is_written_over = self.slow_write_time();
+        Request { id, class, timeout, leaves_after, keeps_connection, is_sent_in_pieces, is_written_over }
+    }
+
+    /// The time over which requests are written now, if a fault makes that slow.
+    fn slow_write_time(&self) -> Option<Duration> {
+        self.plan.faults_at(self.event_log.now() / 1_000).find_map(|kind| match *kind {
+            FaultKind::SlowWriters { dispatcher, over_ms } if dispatcher == self.dispatcher => {
+                Some(Duration::from_millis(over_ms))
+            }
+            _ => None,
+        })
     }
 
     /// Sends a request, on a kept connection or a new one, and logs its outcome.
@@ -197,10 +234,16 @@
         let (class, timeout) = (request.class, request.timeout);
         self.event_log.write(id, Observation::RequestSent { dispatcher, class, timeout, on_new_connection });
         let until = Instant::now() + Duration::from_micros(timeout) + GIVE_UP_AFTER;
+        let first_event = || {
+            if request.leaves_after.is_none() {
+                self.open_streams.insert(id, class, self.event_log.now());
+            }
+        };
         let outcome = tokio::select! {
-            outcome = read_answer(&mut stream, id, &self.event_log, until) => outcome,
+            outcome = read_answer(&mut stream, id, &self.event_log, until, first_event) => outcome,
             () = request.client_leaves() => None,
         };
+        self.open_streams.remove(id);
         let Some(outcome) = outcome else {
             drop(stream);
             self.event_log.write(id, Observation::ClientLeft);
@@ -213,12 +256,13 @@
     }
 }
 
-/// Reads a response and logs its events. Returns `None` if the client gave up waiting, or the status line is malformed.
+/// Reads a response and logs its events; calls `on_first_event` at the first one. Returns `None` if the client gave up waiting, or the status line is malformed.
 async fn read_answer(
     stream: &mut TcpStream,
     id: u64,
     event_log: &EventLog,
     answer_until: Instant,
+    on_first_event: impl Fn(),
 ) -> Option<ClientOutcome> {
     let mut read = Vec::new();
     let (mut until, mut events) = (answer_until, 0);
@@ -234,6 +278,9 @@
                 until = Instant::now() + STREAM_TIMEOUT;
             }
             let received = count(&read, EVENT_START);
+            if events == 0 && received > 0 {
+                on_first_event();
+            }
             for event in events..received {
                 event_log.write(id, Observation::EventReceived(event));
             }
--- a/crates/soak/src/event_log.rs
+++ b/crates/soak/src/event_log.rs
@@ -47,6 +47,14 @@
         /// Whether it is the first request on its connection.
         on_new_connection: bool,
     },
+    /// A bad client sent this id while the stream of its request was under way, and got this status; `None` if its
+    /// connection was closed instead.
+    OpenIdRepeated {
+        /// Index of the dispatcher.
+        dispatcher: usize,
+        /// The status of the response.
+        status: Option<u16>,
+    },
     /// A client received the end of its response, or the connection ended instead.
     ExchangeEnded(ClientOutcome),
     /// A client closed its connection before the response was complete.
--- a/crates/soak/src/harness/dispatcher.rs
+++ b/crates/soak/src/harness/dispatcher.rs
@@ -25,8 +25,6 @@
 /// Descriptors that a process may hold after the run in addition to those when it was ready: kept connections to
 /// servers.
 const MAX_EXTRA_DESCRIPTORS: usize = 40;
-/// The dispatcher's memory limit in its configuration, and the allowed peak of its resident memory.
-const MAX_MEMORY_MB: u64 = 192;
 /// Maximum time for which a process is paused (ms).
 const MAX_PAUSE_MS: u64 = 2_000;
 /// Interval at which [`Dispatcher::watch_processes`] checks for exited processes.
@@ -242,6 +240,7 @@
             FaultKind::Stop { .. } => self.pause(fault.to_ms.min(fault.from_ms + MAX_PAUSE_MS)).await,
             FaultKind::Reload { broken, .. } => self.reload(broken).await,
             FaultKind::Signals { series, .. } => self.signal_series(series).await,
+            FaultKind::LargeBodies { .. } => self.check_memory_at(fault.to_ms).await,
             _ => {}
         }
     }
@@ -331,9 +330,7 @@
             }
         }
         let Some(after) = process.resource_usage() else { return };
-        if after.peak_kib > MAX_MEMORY_MB * 1_024 {
-            self.log_leak(format!("{} KiB of memory at its peak", after.peak_kib));
-        }
+        self.check_peak_memory(after);
         let is_first_process = self.start_count.load(Ordering::Relaxed) == 1;
         let Some(before) = before.filter(|_| is_first_process) else { return };
         if after.descriptors > before.descriptors + MAX_EXTRA_DESCRIPTORS {
@@ -344,6 +341,23 @@
         }
     }
 
+    /// Logs a leak if a process has held more memory than its limit.
+    fn check_peak_memory(&self, usage: ResourceUsage) {
+        if usage.peak_kib > self.plan.memory_mb * 1_024 {
+            self.log_leak(format!("{} KiB of memory at its peak", usage.peak_kib));
+        }
+    }
+
+    /// Checks the memory of all processes at a time (ms since the start of the run).
+    async fn check_memory_at(&self, at_ms: u64) {
+        sleep_until(self.event_log.instant(at_ms)).await;
+        for process in self.processes.lock().await.iter() {
+            if let Some(usage) = process.resource_usage() {
+                self.check_peak_memory(usage);
+            }
+        }
+    }
+
     /// Whether the plan pauses this dispatcher's process: then the process is late with everything that was in flight,
     /// which the oracle excuses too.
     fn is_paused_by_plan(&self) -> bool {
@@ -377,7 +391,7 @@
     };
     json!({"name": format!("n{index}"), "listen": listen, "discovery": agent, "admin_addr": "127.0.0.1:0",
         "seed": format!("{:016x}", index + 1),
-        "limits": {"cores": 1.0, "memory_mb": MAX_MEMORY_MB, "sockets": 512}, "known": server_list,
+        "limits": {"cores": 1.0, "memory_mb": plan.memory_mb, "sockets": 512}, "known": server_list,
         "settings": {"balancers": dispatchers, "locality": 0, "failure_domains": ["a"],
             "kinds": ["prefill", "decode"],
             "domain": {"role_by_kind": ["read", "write"], "kind_memory_tokens": [100_000, 100_000],
--- a/crates/soak/src/options.rs
+++ b/crates/soak/src/options.rs
@@ -16,6 +16,7 @@
 
   --seeds A..B        seeds of the plans to draw and run, both included (1..10)
   --stopped           draw plans of stalled servers, series of signals and early kills instead
+  --replaced          draw plans of upgrades, restarts and early kills under long streams, and of large bodies, instead
   --processes N       dispatchers in each run (12)
   --seconds N         length of each run (20)
   --parallel N        runs at the same time (4)
@@ -45,6 +46,9 @@
     /// Whether plans are drawn by [`Plan::draw_stopped`](crate::plan::Plan::draw_stopped) (stalled servers, series of
     /// signals, early kills) instead of [`Plan::draw`](crate::plan::Plan::draw).
     pub stopped: bool,
+    /// Whether plans are drawn by [`Plan::draw_replaced`](crate::plan::Plan::draw_replaced) (upgrades, restarts and
+    /// early kills under long streams, large bodies).
+    pub replaced: bool,
     /// Number of dispatchers in each run, at least 1.
     pub processes: usize,
     /// Length of each run in seconds.
@@ -109,6 +113,7 @@
         let folder = arguments.opt_value_from_str("--folder")?.unwrap_or_else(|| DEFAULT_FOLDER.into());
         let shrink = arguments.contains("--shrink");
         let stopped = arguments.contains("--stopped");
+        let replaced = arguments.contains("--replaced");
         if let Some(unknown) = arguments.finish().first() {
             return Err(OptionsError::Unknown(unknown.to_string_lossy().into_owned()));
         }
@@ -123,6 +128,7 @@
         Ok(Self {
             seeds: seeds.as_deref().map_or(Ok(DEFAULT_SEEDS), seed_range)?,
             stopped,
+            replaced,
             processes: processes.max(1) as usize,
             seconds,
             parallel: parallel.max(1) as usize,
--- a/crates/soak/src/oracle/planned_kills.rs
+++ b/crates/soak/src/oracle/planned_kills.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use super::MS;
+use super::{MS, TOLERANCE};
 use crate::event_log::{LogEntry, Micros, Observation};
 
 /// A request that arrives within this time after the process was told to end is excused if the kill finds it
@@ -45,6 +45,17 @@
         })
     }
 
+    /// Whether a kill cut a stream that ended at `ended_at`, although its request was sent so late after the process was
+    /// told to end that it had to be refused.
+    pub(super) fn cut_late_stream(&self, dispatcher: usize, asked_at: Micros, ended_at: Micros) -> bool {
+        let mut kills = self.0.get(&dispatcher).into_iter().flatten();
+        kills.any(|kill| {
+            asked_at > kill.signaled_at + GRACE_PERIOD + TOLERANCE
+                && asked_at <= kill.at
+                && ended_at.abs_diff(kill.at) <= DETECTED_WITHIN
+        })
+    }
+
     /// Whether a kill falls into a span. State held for a process that no longer exists is freed without a release.
     pub(super) fn any_within(&self, dispatcher: usize, from: Micros, to: Micros) -> bool {
         let mut kills = self.0.get(&dispatcher).into_iter().flatten();
--- a/crates/soak/src/oracle/request.rs
+++ b/crates/soak/src/oracle/request.rs
@@ -55,6 +55,7 @@
     ) {
         let outages = excuses.outages;
         self.check_answer(plan, excuses, violations);
+        self.check_repeated_ids(violations);
         self.check_runs(limits, violations);
         self.check_attempts_after_leaving(plan, outages, violations);
         self.check_held_states(excuses, limits, violations);
@@ -95,6 +96,12 @@
         let first_event =
             self.first(|seen| matches!(seen, Observation::EventReceived(0))).unwrap_or(ended_at);
         let due = self.deadline.max(self.earliest_read(outages)) + MAX_LATE_ANSWER + TOLERANCE;
+        if let Some((at, ClientOutcome::Cut)) = outcome {
+            if kills.cut_late_stream(self.dispatcher, self.asked_at, at) {
+                let what = "its stream was begun although the process was about to be killed, and was cut";
+                violations.push(self.violation(Rule::Dropped, at, what));
+            }
+        }
         if outages.any_within(self.dispatcher, self.asked_at, ended_at.min(due))
             || kills.excuses_request(self.dispatcher, self.asked_at, ended_at.min(due))
         {
@@ -143,6 +150,16 @@
         !self.on_new_connection || is_crowded
     }
 
+    /// Checks that no bad client was served under the id of this request while it was open ([`Rule::Dropped`]).
+    fn check_repeated_ids(&self, violations: &mut Vec<Violation>) {
+        for entry in &self.entries {
+            if let Observation::OpenIdRepeated { status: Some(200), .. } = entry.observation {
+                let what = "a bad client was served under the id of this request while it was open";
+                violations.push(self.violation(Rule::Dropped, entry.at, what));
+            }
+        }
+    }
+
     /// Checks that the request did not run more often than its class allows ([`Rule::RunTwice`]).
     fn check_runs(&self, limits: &Limits, violations: &mut Vec<Violation>) {
         if self.class == Class::Idempotent {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -29,6 +29,12 @@
     /// Whether a process that still runs after SIGTERM is killed at the earliest time at which the platform may do so.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub kills_at_earliest: bool,
+    /// Time between two events of a stream (ms).
+    #[serde(default = "default_event_interval_ms", skip_serializing_if = "is_default_event_interval")]
+    pub event_interval_ms: u64,
+    /// The memory limit of the dispatchers (MiB).
+    #[serde(default = "default_memory_mb", skip_serializing_if = "is_default_memory")]
+    pub memory_mb: u64,
     /// The faults to inject, in any order; they may overlap.
     #[serde(rename = "troubles")]
     pub faults: Vec<Fault>,
@@ -49,6 +55,26 @@
     *deadline_ms == default_deadline_ms()
 }
 
+/// Time between two events of stored plans that have none (ms).
+fn default_event_interval_ms() -> u64 {
+    12
+}
+
+/// Whether the time between events is left out of the JSON.
+fn is_default_event_interval(event_interval_ms: &u64) -> bool {
+    *event_interval_ms == default_event_interval_ms()
+}
+
+/// Memory limit of stored plans that have none (MiB).
+fn default_memory_mb() -> u64 {
+    192
+}
+
+/// Whether the memory limit is left out of the JSON.
+fn is_default_memory(memory_mb: &u64) -> bool {
+    *memory_mb == default_memory_mb()
+}
+
 /// A series of signals to a dispatcher process. Each one includes SIGTERM; once the process has exited, a new one is
 /// started.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -229,6 +255,27 @@
         /// Index of the dispatcher.
         dispatcher: usize,
     },
+    /// Bad clients send the ids of requests whose streams are under way.
+    RepeatOpenIds {
+        /// Index of the dispatcher.
+        dispatcher: usize,
+    },
+    /// Clients take this long to write a request.
+    SlowWriters {
+        /// Index of the dispatcher.
+        dispatcher: usize,
+        /// Time from the first to the last byte of a request (ms).
+        over_ms: u64,
+    },
+    /// Bad clients send bodies of almost the maximum length at once, and keep their connections until the end.
+    LargeBodies {
+        /// Index of the dispatcher.
+        dispatcher: usize,
+        /// Number of requests.
+        count: usize,
+        /// Length of the chunks of a body (bytes); 0 states the length of the body instead.
+        chunk_bytes: usize,
+    },
     /// System calls of the dispatcher's processes fail by a rule of the fault shim. The times in the rule count from
     /// the start of each process; the times of the fault have no effect.
     Shim {
@@ -263,6 +310,9 @@
             | Self::Idlers { dispatcher, .. }
             | Self::Pieces { dispatcher }
             | Self::ShortTime { dispatcher }
+            | Self::RepeatOpenIds { dispatcher }
+            | Self::SlowWriters { dispatcher, .. }
+            | Self::LargeBodies { dispatcher, .. }
             | Self::Shim { dispatcher, .. }
             | Self::ShimLater { dispatcher, .. } => Some(dispatcher),
             _ => None,
--- a/crates/soak/src/plan/draw.rs
+++ b/crates/soak/src/plan/draw.rs
@@ -4,7 +4,10 @@
 use rand_core::{RngCore as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
 
-use super::{default_deadline_ms, default_objective_ms, Fault, FaultKind, Plan, SignalSeries};
+use super::{
+    default_deadline_ms, default_event_interval_ms, default_memory_mb, default_objective_ms, Fault,
+    FaultKind, Plan, SignalSeries,
+};
 
 /// Faults of each call that the dispatcher makes on its sockets: the errnos that the man pages document for its use of
 /// the call, short reads and writes, and held monotonic clocks. Connection resets are not among them: the test servers
@@ -44,6 +47,13 @@
 const GROUP_INTERVAL_MS: u64 = 5_000;
 /// Interval between groups of faults in plans of stalled servers (ms).
 const STOPPED_GROUP_INTERVAL_MS: u64 = 3_000;
+/// Interval between groups of faults in plans of replaced processes (ms): longer than a shutdown takes.
+const REPLACED_GROUP_INTERVAL_MS: u64 = 6_000;
+/// Time between two events in plans of replaced processes (ms): streams outlast the start of the new process, and many of
+/// them the end of the old one.
+const REPLACED_EVENT_INTERVAL_MS: u64 = 350;
+/// Memory limit in plans of replaced processes (MiB), in the lower half of what the platform gives.
+const REPLACED_MEMORY_MB: u64 = 48;
 /// Minimum length of a fault (ms).
 const MIN_LENGTH_MS: u64 = 20;
 /// End of shim rules that only affect the start of a process (ms since the start of the process).
@@ -194,6 +204,39 @@
         }
     }
 
+    /// Draws the end or the replacement of a process, with clients that misbehave around it, or a flood of large bodies.
+    fn replacement(&mut self, from_ms: u64, dispatcher: usize, deadline_ms: u64) -> Vec<Fault> {
+        let fault = |from_ms, to_ms, kind| Fault { from_ms, to_ms, kind };
+        match self.below(3) {
+            0 => {
+                // Ids are free once the old process has been killed, so they are repeated until before that only.
+                let repeats_until_ms = from_ms + deadline_ms + 300;
+                vec![
+                    fault(from_ms, repeats_until_ms, FaultKind::RepeatOpenIds { dispatcher }),
+                    fault(from_ms, from_ms + MIN_LENGTH_MS, FaultKind::Upgrade { dispatcher }),
+                ]
+            }
+            1 => {
+                let over_ms = self.one_of(&[400, 900, 1_500]);
+                let series = self.one_of(&[SignalSeries::TermTerm, SignalSeries::StopTermCont]);
+                let kind = match self.below(2) {
+                    0 => FaultKind::Restart { dispatcher },
+                    _ => FaultKind::Signals { dispatcher, series },
+                };
+                let end_ms = from_ms + over_ms;
+                vec![
+                    fault(from_ms, end_ms + 1_000, FaultKind::SlowWriters { dispatcher, over_ms }),
+                    fault(end_ms, end_ms + MIN_LENGTH_MS, kind),
+                ]
+            }
+            _ => {
+                let (count, chunk_bytes) = (self.one_of(&[16, 200]), self.one_of(&[0, 1, 13, 4_096]));
+                let kind = FaultKind::LargeBodies { dispatcher, count, chunk_bytes };
+                vec![fault(from_ms, from_ms + 2_500, kind)]
+            }
+        }
+    }
+
     /// Draws a fault of the messages on a connection: malformed responses of a reader, or requests in pieces.
     fn exchange_fault(&mut self, length_ms: u64, dispatchers: usize, readers: usize) -> Fault {
         let from_ms = FAULT_FREE_MS + self.below(length_ms.saturating_sub(2 * FAULT_FREE_MS));
@@ -229,6 +272,8 @@
             objective_ms,
             deadline_ms: default_deadline_ms(),
             kills_at_earliest: false,
+            event_interval_ms: default_event_interval_ms(),
+            memory_mb: default_memory_mb(),
             faults,
         }
     }
@@ -261,6 +306,39 @@
             objective_ms,
             deadline_ms,
             kills_at_earliest: true,
+            event_interval_ms: default_event_interval_ms(),
+            memory_mb: default_memory_mb(),
+            faults,
+        }
+    }
+
+    /// Draws a plan of a given length in which processes are replaced under long streams, by upgrades, restarts and
+    /// early kills, while clients repeat open ids, write slowly, or send as much as they may.
+    #[must_use]
+    pub fn draw_replaced(seed: u64, processes: usize, seconds: u64) -> Self {
+        let mut draws = Draws(Pcg64Mcg::seed_from_u64(seed.wrapping_mul(0xbf58_476d_1ce4_e5b9)));
+        let length_ms = seconds * 1_000;
+        let servers_per_role = draws.one_of(&[2, 3]);
+        let deadline_ms = draws.one_of(&[600, 1_000, 2_000, 3_000]);
+        let requests_per_second = draws.one_of(&[10, 20]);
+        let mut faults = Vec::new();
+        for group in 0..(length_ms / REPLACED_GROUP_INTERVAL_MS).max(1) {
+            let from_ms = FAULT_FREE_MS / 2 + group * REPLACED_GROUP_INTERVAL_MS + draws.below(400);
+            for dispatcher in 0..processes {
+                faults.extend(draws.replacement(from_ms, dispatcher, deadline_ms));
+            }
+        }
+        Self {
+            seed,
+            processes,
+            length_ms,
+            servers_per_role,
+            requests_per_second,
+            objective_ms: default_objective_ms().min(deadline_ms),
+            deadline_ms,
+            kills_at_earliest: true,
+            event_interval_ms: REPLACED_EVENT_INTERVAL_MS,
+            memory_mb: REPLACED_MEMORY_MB,
             faults,
         }
     }
--- a/crates/soak/src/servers/connection.rs
+++ b/crates/soak/src/servers/connection.rs
@@ -15,8 +15,6 @@
 const READ_DURATION: Duration = Duration::from_millis(15);
 /// Time that a writer takes until its first event.
 const FIRST_EVENT_AFTER: Duration = Duration::from_millis(25);
-/// Time between two events of a stream.
-const EVENT_INTERVAL: Duration = Duration::from_millis(12);
 /// Time between a reader's response and its repeat (`AnswerTwice`).
 const SECOND_RESPONSE_AFTER: Duration = Duration::from_millis(6);
 /// Events of a stream before it is cut (`Break`).
@@ -300,7 +298,7 @@
             self.end_if_silent().await?;
             self.log(id, Observation::EventWritten(event));
             self.write(&chunk(&format!("data: {{\"event\":{event}}}\n\n"))).await?;
-            self.wait(EVENT_INTERVAL).await?;
+            self.wait(Duration::from_millis(self.shared.plan.event_interval_ms)).await?;
         }
         self.write("0\r\n\r\n").await?;
         self.log(id, Observation::StreamEnded { server: self.shared.server });
--- a/crates/soak/tests/sees_each_rule.rs
+++ b/crates/soak/tests/sees_each_rule.rs
@@ -18,6 +18,8 @@
         objective_ms: 400,
         deadline_ms: 3_000,
         kills_at_earliest: false,
+        event_interval_ms: 12,
+        memory_mb: 192,
         faults,
     }
 }
--- a/crates/soak/tests/written_plans.rs
+++ b/crates/soak/tests/written_plans.rs
@@ -59,6 +59,8 @@
         objective_ms: 1_500,
         deadline_ms: 3_000,
         kills_at_earliest: false,
+        event_interval_ms: 12,
+        memory_mb: 192,
         faults: faults.collect(),
     }
 }
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -1,8 +1,10 @@
-//! A short soak with stopped servers: drawn plans are run with the built program, and the oracle checks what clients,
-//! servers and agents observed. Processes get series of signals and are killed in their shutdown as early as the
+//! Short soaks, with stopped servers and with replaced processes: drawn plans are run with the built program, and the
+//! oracle checks what clients, servers and agents observed. Processes get series of signals and are killed in their shutdown as early as the
 //! platform may kill them, while clients keep sending on their open connections. The long soak is started by hand:
-//! `dewladder-soak --stopped`.
+//! `dewladder-soak --stopped`,
+//! `dewladder-soak --replaced`.
 
+use std::ops::RangeInclusive;
 use std::path::PathBuf;
 
 use dewladder_soak::harness::{run_plan, Options};
@@ -10,19 +12,21 @@
 use dewladder_soak::plan::Plan;
 use tokio::task::JoinSet;
 
-const SEEDS: std::ops::RangeInclusive<u64> = 1..=12;
+const SEEDS: RangeInclusive<u64> = 1..=12;
+/// Seeds of the plans with replaced processes; all of their faults occur in them.
+const REPLACED_SEEDS: RangeInclusive<u64> = 1..=8;
 const PROCESSES: usize = 2;
 const RUN_SECONDS: u64 = 10;
 /// Plans that run at once; each has some ten tasks and two or three processes.
 const PARALLEL_RUNS: usize = 4;
 
-/// Runs the plan of a seed and returns the violations that the oracle finds.
-async fn violations(seed: u64) -> Vec<String> {
-    let plan = Plan::draw_stopped(seed, PROCESSES, RUN_SECONDS);
+/// Runs a plan and returns the violations that the oracle finds.
+async fn violations(plan: Plan, folder: &'static str) -> Vec<String> {
+    let seed = plan.seed;
     let options = Options {
         program: PathBuf::from(env!("CARGO_BIN_EXE_dewladder")),
         shim: None,
-        folder: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak"),
+        folder: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(folder),
         environment: Vec::new(),
     };
     let entries = run_plan(&plan, &options).await.unwrap();
@@ -32,16 +36,28 @@
     violations.iter().map(|violation| format!("seed {seed}: {violation:?}")).collect()
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn drawn_plans_with_stopped_servers_break_no_rule() {
-    let (mut seeds, mut running, mut broken) = (SEEDS, JoinSet::new(), Vec::new());
+/// Runs the plans of all seeds, a few at once, and checks that none violates a rule.
+async fn run_all(draw: fn(u64, usize, u64) -> Plan, mut seeds: RangeInclusive<u64>, folder: &'static str) {
+    let (mut running, mut broken) = (JoinSet::new(), Vec::new());
     loop {
         while running.len() < PARALLEL_RUNS {
             let Some(seed) = seeds.next() else { break };
-            running.spawn(violations(seed));
+            running.spawn(violations(draw(seed, PROCESSES, RUN_SECONDS), folder));
         }
         let Some(finished) = running.join_next().await else { break };
         broken.extend(finished.unwrap());
     }
     assert!(broken.is_empty(), "{broken:#?}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn drawn_plans_with_stopped_servers_break_no_rule() {
+    run_all(Plan::draw_stopped, SEEDS, "soak").await;
+}
+
+/// Upgrades while bad clients repeat open ids, restarts with an early kill while clients write slowly, and floods of large
+/// bodies: none of these was drawn before a review found a fault in each.
+#[tokio::test(flavor = "multi_thread")]
+async fn drawn_plans_with_replaced_processes_break_no_rule() {
+    run_all(Plan::draw_replaced, REPLACED_SEEDS, "soak-replaced").await;
+}
