Soak: give the plans of the fault tests the new fields

The plans in tests/faults.rs are written out field by field and did not compile with the two new ones. They state the defaults that stored plans get, so that their runs stay the same; the tests of the workspace compile again.

--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -49,6 +49,8 @@
         objective_ms: 400,
         deadline_ms: 3_000,
         kills_at_earliest: false,
+        event_interval_ms: 12,
+        memory_mb: 192,
         faults,
     }
 }
