Share the records of keyed at-most-once requests in a hot restart

Change: each process keeps the records of such requests in a locked file of its own, writes one before it runs a request, and then looks into the others'; the file of a process that has ended counts for as long as requests are remembered. A repeat is told that the request may have run and must not be sent again; its answer is not handed over. Files that can't be used have the request deferred.

Result: a_keyed_booking_does_not_run_again_in_the_process_that_replaces_its_own passes through two upgrades; with the program from before it fails with 200 "while the old process leaves".

--- a/crates/idempotency/src/entry.rs
+++ b/crates/idempotency/src/entry.rs
@@ -124,7 +124,9 @@
 }
 
 impl Outcome {
-    pub(crate) fn may_have_executed(self) -> bool {
+    /// Whether the request ran or may have run.
+    #[must_use]
+    pub fn may_have_executed(self) -> bool {
         match self {
             Self::Refused { .. } => false,
             Self::Failed { may_have_executed } | Self::Canceled { may_have_executed } => may_have_executed,
--- a/crates/idempotency/src/store.rs
+++ b/crates/idempotency/src/store.rs
@@ -82,6 +82,12 @@
         self.due = due;
     }
 
+    /// Whether the store still remembers this run.
+    #[must_use]
+    pub fn remembers(&mut self, id: EntryId) -> bool {
+        self.entries.get_mut(id).is_some()
+    }
+
     /// Stores data of the caller with a run.
     pub fn set_run_info(&mut self, id: EntryId, run_info: RunInfo) {
         if let Some(entry) = self.entries.get_mut(id) {
--- a/src/edge/clients/chat/mod.rs
+++ b/src/edge/clients/chat/mod.rs
@@ -18,6 +18,7 @@
 mod state;
 mod whole_answer;
 
+use std::path::Path;
 use std::sync::Arc;
 
 use axum::body::Body;
@@ -53,7 +54,8 @@
     }
 }
 
-/// Creates the router that serves the chat front, which takes the memory for requests from `memory`.
+/// Creates the router that serves the chat front, which takes the memory for requests from `memory`. If there may be
+/// other processes of this dispatcher, `shared_folder` is the folder that they share.
 ///
 /// # Errors
 /// See [`check`].
@@ -64,9 +66,10 @@
     driver: DriverHandle,
     memory: MemoryBudget,
     quorum: Option<Quorum>,
+    shared_folder: Option<&Path>,
 ) -> Result<Router, FieldError> {
     check(chat, config)?;
-    let front = ChatFront::new(chat, config, clock, driver, memory, quorum)?;
+    let front = ChatFront::new(chat, config, clock, driver, memory, quorum, shared_folder)?;
     Ok(Router::new().fallback(serve).with_state(Arc::new(front)))
 }
 
--- a/src/edge/clients/chat/requests.rs
+++ b/src/edge/clients/chat/requests.rs
@@ -87,8 +87,7 @@
             ErrorResponse::bad_request("invalid_value", error.to_string()).with_param("Idempotency-Key")
         })?;
         let record = Idempotency::record_id(&head.headers, &tenant.name).filter(|_| model.at_most_once);
-        let replica = self.quorum.clone().zip(record);
-        self.run_idempotently(idempotency, &incoming, &accepted, replica).await
+        self.run_idempotently(idempotency, &incoming, &accepted, record).await
     }
 
     /// Reserves the memory of what this body is parsed to: the parsed value, and the prompts and input items that are
@@ -190,10 +189,11 @@
         idempotency: &Idempotency,
         incoming: &IncomingRequest,
         accepted: &AcceptedRequest<'_>,
-        replica: Option<(Quorum, RecordId)>,
+        record: Option<RecordId>,
     ) -> Result<Response<Body>, ErrorResponse> {
+        let replica = self.quorum.clone().zip(record);
         for _ in 0..MAX_SUBMISSIONS {
-            let (mut reader, is_own_run) = match idempotency.admit(incoming) {
+            let (mut reader, is_own_run) = match idempotency.admit(incoming, record) {
                 Decision::Run(reader) => {
                     self.start_run(idempotency, &reader, accepted, replica.clone())?;
                     (reader, true)
--- a/src/edge/clients/chat/state.rs
+++ b/src/edge/clients/chat/state.rs
@@ -1,6 +1,7 @@
 //! The state that all requests of the chat front share: models, tenants, limits and stores.
 
 use std::collections::{BTreeMap, HashMap};
+use std::path::Path;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -19,6 +20,7 @@
 use crate::edge::clock::Clock;
 use crate::edge::cluster::quorum::Quorum;
 use crate::edge::driver::DriverHandle;
+use crate::edge::hot_restart::run_records::RunRecords;
 use crate::edge::servers::header;
 use crate::edge::settings::{ChatSettings, Config, FieldError};
 use crate::interface::{Class, Effect, RequestId};
@@ -99,6 +101,7 @@
         driver: DriverHandle,
         memory: MemoryBudget,
         quorum: Option<Quorum>,
+        shared_folder: Option<&Path>,
     ) -> Result<Self, FieldError> {
         let policy = chat.repeats.policy(&config.limits)?;
         let (store_bytes, tenant_bytes) = chat.check_and_response_memory(&config.limits)?;
@@ -108,8 +111,12 @@
         }
         let secret = mix(config.seed ^ mix(clock.now()));
         let retry_headers = chat.repeats.retry_headers.clone();
-        let idempotency =
-            chat.repeats.enabled.then(|| Idempotency::start(policy, retry_headers, clock, secret));
+        let idempotency = chat.repeats.enabled.then(|| {
+            let retention = Duration::from_micros(policy.retention_us);
+            let records =
+                shared_folder.map(|folder| RunRecords::new(folder, config.listen, clock.now(), retention));
+            Idempotency::start(policy, retry_headers, records, clock, secret)
+        });
         let (tenants, anonymous) = tenants(chat);
         Ok(Self {
             clock,
--- a/src/edge/clients/idempotency.rs
+++ b/src/edge/clients/idempotency.rs
@@ -2,12 +2,14 @@
 //! an earlier run or is refused. `crates/idempotency` makes these decisions; `recorder` records the answers
 //! of runs and `answer_reader` reads them.
 
-use std::sync::{Arc, Weak};
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 
 use axum::http::HeaderMap;
 use dewladder_chat::RequestKind;
 use dewladder_idempotency::{
-    canonical_json, Admission, Fingerprinter, IncomingRequest, Outcome, Policy, RequestIdentity, Stats,
+    canonical_json, Admission, DeferReason, EntryId, Fingerprinter, IncomingRequest, Outcome, Policy,
+    RejectReason, RequestIdentity, Stats,
 };
 use dewladder_replica::RecordId;
 use dewladder_router::mix;
@@ -20,6 +22,7 @@
 use crate::edge::clients::shared_store::SharedStore;
 use crate::edge::clock::Clock;
 use crate::edge::driver::DriverHandle;
+use crate::edge::hot_restart::run_records::{NotRecorded, RunRecords};
 use crate::edge::servers::header;
 use crate::interface::Micros;
 
@@ -30,6 +33,8 @@
 /// Minimum and maximum time between two passes over the store's deadlines (us).
 const MIN_MAINTENANCE_INTERVAL_US: Micros = 20_000;
 const MAX_MAINTENANCE_INTERVAL_US: Micros = 1_000_000;
+/// When a request may be sent again that did not run because nothing was known of other processes (us).
+const UNKNOWN_RETRY_US: Micros = 1_000_000;
 /// Minimum time between two log lines about the store (us).
 const REPORT_INTERVAL_US: Micros = 10_000_000;
 
@@ -71,18 +76,72 @@
     fingerprinter: Fingerprinter,
     /// Names of the headers in which client libraries count their retries.
     retry_headers: Vec<String>,
+    /// The records for other processes of this dispatcher; `None` if there can't be any.
+    shared_records: Option<Arc<SharedRecords>>,
+}
+
+/// The records of runs for other processes, with the run of each slot.
+struct SharedRecords(Mutex<RecordedRuns>);
+
+struct RecordedRuns {
+    records: RunRecords,
+    runs: HashMap<u32, EntryId>,
+}
+
+impl SharedRecords {
+    fn lock(&self) -> MutexGuard<'_, RecordedRuns> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records that a run begins; see [`RunRecords::begin`].
+    fn begin(&self, id: EntryId, record: RecordId) -> Result<(), NotRecorded> {
+        let mut recorded = self.lock();
+        recorded.records.begin(id.index(), record, Instant::now())?;
+        recorded.runs.insert(id.index(), id);
+        Ok(())
+    }
+
+    /// Removes the record of a run that never ran.
+    fn never_ran(&self, id: EntryId) {
+        let mut recorded = self.lock();
+        if recorded.runs.get(&id.index()) == Some(&id) {
+            recorded.runs.remove(&id.index());
+            recorded.records.remove(id.index());
+        }
+    }
+
+    /// Removes the records of runs that the store does not remember any more.
+    fn forget_expired(&self, store: &SharedStore) {
+        let mut recorded = self.lock();
+        let RecordedRuns { records, runs } = &mut *recorded;
+        runs.retain(|&slot, &mut id| {
+            let is_remembered = store.update(|store, _| store.remembers(id));
+            if !is_remembered {
+                records.remove(slot);
+            }
+            is_remembered
+        });
+    }
 }
 
 impl Idempotency {
     /// Creates an empty store and spawns the task that maintains its deadlines. The task ends when the last
-    /// `Arc` is dropped. `secret` keys the fingerprints of idempotency keys and bodies.
+    /// `Arc` is dropped. `records` are those for other processes of this dispatcher; `secret` keys the fingerprints of idempotency keys and bodies.
     #[must_use]
-    pub fn start(policy: Policy, retry_headers: Vec<String>, clock: Clock, secret: u64) -> Arc<Self> {
+    pub fn start(
+        policy: Policy,
+        retry_headers: Vec<String>,
+        records: Option<RunRecords>,
+        clock: Clock,
+        secret: u64,
+    ) -> Arc<Self> {
         let now = clock.now();
+        let recorded = records.map(|records| RecordedRuns { records, runs: HashMap::new() });
         let idempotency = Arc::new(Self {
             store: Arc::new(SharedStore::new(policy, clock, now, mix(secret ^ now))),
             fingerprinter: Fingerprinter::new(&[secret.to_le_bytes(), now.to_le_bytes()].concat()),
             retry_headers,
+            shared_records: recorded.map(|recorded| Arc::new(SharedRecords(Mutex::new(recorded)))),
         });
         tokio::spawn(maintain(Arc::downgrade(&idempotency), now));
         idempotency
@@ -123,30 +182,58 @@
         header(headers, KEY_HEADER).map(|key| RecordId::of(tenant, key))
     }
 
-    /// Decides what to do with a request.
+    /// Decides what to do with a request. `record` is the id of its record if it must not run twice and other processes
+    /// would recognize a repeat of it.
     #[must_use]
-    pub fn admit(&self, request: &IncomingRequest) -> Decision {
+    pub fn admit(&self, request: &IncomingRequest, record: Option<RecordId>) -> Decision {
         let reader = |id| AnswerReader::new(self.store.clone(), id);
         match self.store.admit(request) {
-            Admission::Run(id) => Decision::Run(reader(id)),
+            Admission::Run(id) => match self.record_run(id, record) {
+                Ok(()) => Decision::Run(reader(id)),
+                Err(admission) => {
+                    let outcome = Outcome::Refused { retry_after_us: 0 };
+                    self.store.update(|store, now| store.finish(now, id, outcome));
+                    Decision::NotAdmitted(admission)
+                }
+            },
             Admission::Join(id) => Decision::Join(reader(id)),
             Admission::RunUnrecorded => Decision::RunUnrecorded,
             admission => Decision::NotAdmitted(admission),
         }
     }
 
+    /// Records for other processes that a run begins. The error is the admission of a request that must not run.
+    fn record_run(&self, id: EntryId, record: Option<RecordId>) -> Result<(), Admission> {
+        let (Some(records), Some(record)) = (&self.shared_records, record) else { return Ok(()) };
+        records.begin(id, record).map_err(|not_recorded| match not_recorded {
+            NotRecorded::RunsElsewhere => Admission::Reject(RejectReason::MayHaveExecuted),
+            NotRecorded::Unknown => {
+                Admission::Defer { retry_after_us: UNKNOWN_RETRY_US, reason: DeferReason::Capacity }
+            }
+        })
+    }
+
     /// Spawns the task that runs a request and records its answer. `permit` is dropped when the run is over.
     pub fn run(&self, reader: &AnswerReader, driver: &DriverHandle, run: Run, permit: impl Send + 'static) {
         let id = reader.id();
         let canceled = self.store.begin_run(id, run.request.id.0);
         let recorder = Recorder { store: self.store.clone(), driver: driver.clone(), id, canceled };
-        tokio::spawn(recorder.run(run, permit));
+        let records = self.shared_records.clone();
+        tokio::spawn(async move {
+            let outcome = recorder.run(run, permit).await;
+            if let Some(records) = records.filter(|_| !outcome.may_have_executed()) {
+                records.never_ran(id);
+            }
+        });
     }
 
     /// Records that a request that was admitted is refused after all and never ran.
     pub fn refuse(&self, reader: &AnswerReader, retry_after_us: Micros) {
         let outcome = Outcome::Refused { retry_after_us };
         self.store.update(|store, now| store.finish(now, reader.id(), outcome));
+        if let Some(records) = &self.shared_records {
+            records.never_ran(reader.id());
+        }
     }
 
     /// Statistics of the store.
@@ -157,6 +244,9 @@
 
     /// Handles the store's passed deadlines. Returns when to call this again (us).
     fn advance(&self) -> Micros {
+        if let Some(records) = &self.shared_records {
+            records.forget_expired(&self.store);
+        }
         self.store.update(|store, now| {
             store.advance(now);
             let deadline = store.next_deadline().unwrap_or(Micros::MAX);
--- a/src/edge/clients/recorder.rs
+++ b/src/edge/clients/recorder.rs
@@ -39,8 +39,9 @@
 }
 
 impl Recorder {
-    /// Sends the request and records its answer and outcome; `permit` is dropped when the run is over.
-    pub(crate) async fn run(mut self, run: Run, permit: impl Send + 'static) {
+    /// Sends the request, records its answer and outcome, and returns the outcome; `permit` is dropped when the run is
+    /// over.
+    pub(crate) async fn run(mut self, run: Run, permit: impl Send + 'static) -> Outcome {
         let outcome = match self.acquire_grant(&run).await {
             Ok(grant) => self.send(run, grant).await,
             Err(Outcome::Refused { .. }) => {
@@ -50,6 +51,7 @@
         };
         drop(permit);
         self.store.finish_run(self.id, outcome);
+        outcome
     }
 
     /// Waits until a quorum of instances holds the request's record, if it has one.
--- a/src/edge/clients/request_body.rs
+++ b/src/edge/clients/request_body.rs
@@ -20,7 +20,7 @@
     TooLong,
     /// The connection broke off within the body, or the body is not framed as HTTP requires.
     Unreadable,
-    /// It was not complete at the request's [`ReceiveDeadline`].
+    /// It was not complete at the [deadline](ReceiveLimits::deadline) of the request.
     TimedOut,
     /// There is no memory for it now; the client may send it again later.
     NoRoom,
--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -97,7 +97,7 @@
         if let Some(folder) = &folder {
             driver.set_request_claims(RequestClaims::shared(Path::new(folder), config.listen));
         }
-        let hot_restart = folder.map(|folder| HotRestartTask::start(&config, &folder, clock));
+        let hot_restart = folder.as_deref().map(|folder| HotRestartTask::start(&config, folder, clock));
         let starts_joining =
             hot_restart.as_ref().is_some_and(|task| task.status().own.stage == Stage::Joining);
         let (phase, phases) = watch::channel(if starts_joining { Phase::Joining } else { Phase::Serving });
@@ -113,8 +113,15 @@
         let mut fronts = vec![open_front(config.listen, platform)?];
         if let Some(chat) = settings.chat.as_ref().filter(|chat| chat.enabled) {
             let quorum = cluster.as_ref().and_then(Cluster::quorum);
-            let routes =
-                chat::router(chat, &config, clock, to_driver.clone(), client_memory.clone(), quorum)?;
+            let routes = chat::router(
+                chat,
+                &config,
+                clock,
+                to_driver.clone(),
+                client_memory.clone(),
+                quorum,
+                folder.as_deref().map(Path::new),
+            )?;
             fronts.push(open_front(chat.listen, routes)?);
         }
         let agent = settings.agent_check.as_ref().filter(|agent| agent.enabled);
--- a/tests/hot_restart_requests.rs
+++ b/tests/hot_restart_requests.rs
@@ -12,14 +12,16 @@
 use dewladder::edge::core::{Core, Effect, Input};
 use dewladder::edge::discovery::listing::entries;
 use dewladder::edge::hot_restart::request_claims::{Claim, RequestClaims};
+use dewladder::edge::hot_restart::run_records::{NotRecorded, RunRecords};
 use dewladder::edge::settings::Config;
 use dewladder::interface::{ListUpdateKind, RequestId, RequestInfo};
+use dewladder_replica::RecordId;
 use dewladder_test_peers::{config, member, platform, until_close, Shape};
 use serde_json::json;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, Instant};
 
 const SECOND: u64 = 1_000_000;
 
@@ -188,3 +190,105 @@
         assert_eq!(result, sent, "peer {has_peer}, class {class}, exclusive {exclusive}");
     }
 }
+
+/// Settings of the chat front that recognizes repeats.
+fn fronts(at: SocketAddr) -> String {
+    format!(
+        "[chat]\nenabled = true\nlisten = \"{at}\"\nmost_open = 1000\n[chat.models]\nkiln-book = \"book\"\n\
+         [chat.repeats]\nenabled = true\nafter_start_s = 0.0\nlinger_s = 10.0\n"
+    )
+}
+
+/// Sends a keyed booking, and reads the answer, or only its first event.
+async fn keyed(at: SocketAddr, key: &str, first_event_only: bool) -> String {
+    let body = json!({"model": "kiln-book", "stream": true, "messages": [{"role": "user", "content": key}]})
+        .to_string();
+    let text = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nIdempotency-Key: {key}\r\nContent-Length: {}\r\n\
+         Connection: close\r\n\r\n{body}",
+        body.len()
+    );
+    let mut stream = TcpStream::connect(at).await.unwrap();
+    stream.write_all(text.as_bytes()).await.unwrap();
+    let mut read = Vec::new();
+    loop {
+        let answer = String::from_utf8_lossy(&read).into_owned();
+        if first_event_only && answer.contains("data: ") {
+            return answer;
+        }
+        if stream.read_buf(&mut read).await.unwrap_or(0) == 0 {
+            return answer;
+        }
+    }
+}
+
+/// The link of a booking with an `Idempotency-Key` died, a new version took over, and the client asked again with the same
+/// key: the booking ran a second time, as the store of repeats is known to one process only.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_keyed_booking_does_not_run_again_in_the_process_that_replaces_its_own() {
+    let shape = Shape { events: 100, pause: Duration::from_millis(20), ..Shape::default() };
+    let site = Deployment::new("requests-keys", shape).await;
+    let chat_port = processes::Port::new();
+    let at = chat_port.address();
+    site.write(&site.config());
+    std::fs::write(site.folder.join("fronts.toml"), fronts(at)).unwrap();
+    let old = site.start().await;
+    old.until_ready().await;
+    let keys = ["one", "two", "three"];
+    for key in keys {
+        let first = keyed(at, key, true).await; // the client then closes its connection
+        assert_eq!(status(&first), 200, "{first}");
+    }
+    let new = site.start().await;
+    new.until_ready().await;
+    old.send_signal("-TERM");
+    sleep(Duration::from_millis(300)).await;
+    let repeat_all = |when: &'static str| async move {
+        for key in keys {
+            let answer = timeout(Duration::from_secs(8), keyed(at, key, false)).await.expect(when);
+            assert_eq!(status(&answer), 409, "{when}, {key}: {answer}");
+            assert!(
+                answer.contains("may_have_run") && answer.contains("x-should-retry: false"),
+                "{when}: {answer}"
+            );
+        }
+    };
+    repeat_all("while the old process leaves").await;
+    let (code, _) = old.wait_for_exit().await;
+    assert_eq!(code, Some(0));
+    repeat_all("after the end of the old process").await;
+    let third = site.start().await;
+    third.until_ready().await;
+    new.send_signal("-TERM");
+    sleep(Duration::from_millis(300)).await;
+    repeat_all("in the process after the next").await;
+    assert_eq!(status(&keyed(at, "another", true).await), 200, "a new key runs");
+    for key in keys {
+        assert_eq!(site.fleet.runs_of(key), 1, "{key}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn records_count_in_other_processes_until_they_are_removed_or_expire() {
+    let (folder, listen) = (claims_folder("runs"), "127.0.0.1:80".parse().unwrap());
+    let retention = Duration::from_secs(600);
+    let process = |started| RunRecords::new(&folder, listen, started, retention);
+    let id = |key| RecordId::of("tenant", key);
+    let (mut one, mut other) = (process(1), process(2));
+    let begin = |records: &mut RunRecords, slot, key| records.begin(slot, id(key), Instant::now());
+    assert_eq!(begin(&mut one, 3, "a"), Ok(()));
+    assert_eq!(begin(&mut one, 3, "a"), Ok(()), "the own records are the store's business");
+    assert_eq!(begin(&mut other, 0, "a"), Err(NotRecorded::RunsElsewhere));
+    assert_eq!(begin(&mut other, 0, "b"), Ok(()), "the refused record is gone");
+    assert_eq!(begin(&mut one, 4, "b"), Err(NotRecorded::RunsElsewhere));
+    one.remove(3);
+    assert_eq!(begin(&mut other, 1, "a"), Ok(()), "a request that never ran may run elsewhere");
+    drop(other);
+    assert_eq!(begin(&mut one, 5, "a"), Err(NotRecorded::RunsElsewhere), "after the end of the process");
+    let mut third = process(3);
+    assert_eq!(begin(&mut third, 0, "b"), Err(NotRecorded::RunsElsewhere), "in one that started after it");
+    tokio::time::advance(retention + Duration::from_secs(1)).await;
+    assert_eq!(begin(&mut third, 0, "b"), Ok(()), "expired");
+    std::fs::remove_dir_all(&folder).unwrap();
+    assert_eq!(begin(&mut process(4), 0, "c"), Err(NotRecorded::Unknown));
+}
