Follow chunked bodies to their end, so that a close behind them is seen

Cause: the end of a chunked body was not followed, so bytes behind it went to hyper's buffer instead of the read-ahead, and hyper reads no further while the request is open.

Change: a small parser follows the chunks as strictly as hyper; where a body is no chunked one, its end stays unknown as before. The connection is still closed after the answer, and nothing behind the request is read as one.

Result: a_close_behind_bytes_after_a_chunked_request_is_noticed_during_the_read fails without the change (writer "POST", "left" after a blank line) and passes with it; the property test of boundaries has chunked bodies in any pieces.

--- a/src/edge/clients/framing.rs
+++ b/src/edge/clients/framing.rs
@@ -4,6 +4,8 @@
 
 use std::collections::VecDeque;
 
+use crate::edge::clients::chunked_framing::{ChunkedBody, Followed};
+
 /// Maximum length of a request head.
 pub const MAX_HEAD_BYTES: usize = 16 << 10;
 /// Maximum number of header lines in a request head.
@@ -14,8 +16,8 @@
 pub enum BodyFraming {
     /// One valid content length, or none: the next request begins right after the body.
     KnownLength,
-    /// The body is chunked. The end of the last chunk is not followed here, so nothing after this head is
-    /// read as a request.
+    /// The body is chunked. It is followed to its end, to tell what belongs to it, but nothing after it is answered: its
+    /// connection is closed after the answer.
     Chunked,
     /// The length is given more than once or in two ways, or is not a plain number. The request must be
     /// refused, and nothing after this head is read as a request.
@@ -29,6 +31,8 @@
     Head(Vec<u8>),
     /// In a body, with the number of bytes that remain.
     Body(u64),
+    /// In a chunked body.
+    Chunked(ChunkedBody),
     /// Behind a request whose end is not known: no further bytes are read as a request.
     Unframed,
 }
@@ -74,6 +78,17 @@
                     *remaining -= length as u64;
                     length
                 }
+                Position::Chunked(body) => match body.push(rest) {
+                    Followed::GoesOn => rest.len(),
+                    Followed::EndsAfter(length) => {
+                        self.position = Position::Body(0);
+                        length
+                    }
+                    Followed::Malformed => {
+                        self.position = Position::Unframed;
+                        rest.len()
+                    }
+                },
                 Position::Head(_) => self.push_head(rest),
             };
             if matches!(self.position, Position::Body(0)) {
@@ -103,7 +118,8 @@
         self.body_framings.push_back(parsed.framing);
         self.position = match parsed.framing {
             BodyFraming::KnownLength => Position::Body(parsed.body_bytes),
-            BodyFraming::Chunked | BodyFraming::Ambiguous => Position::Unframed,
+            BodyFraming::Chunked => Position::Chunked(ChunkedBody::start()),
+            BodyFraming::Ambiguous => Position::Unframed,
         };
         parsed.bytes - bytes_before
     }
@@ -119,7 +135,7 @@
     pub fn incomplete_head_bytes(&self) -> usize {
         match &self.position {
             Position::Head(head) => head.len(),
-            Position::Body(_) | Position::Unframed => 0,
+            Position::Body(_) | Position::Chunked(_) | Position::Unframed => 0,
         }
     }
 
--- a/src/edge/clients/mod.rs
+++ b/src/edge/clients/mod.rs
@@ -13,6 +13,7 @@
 pub mod accept_queue;
 pub mod answer_reader;
 pub mod chat;
+mod chunked_framing;
 pub mod client_stream;
 pub mod connection;
 pub mod connection_limits;
--- a/tests/crossings_clients.rs
+++ b/tests/crossings_clients.rs
@@ -69,12 +69,22 @@
 /// A client disconnects while its prompt is read, and the read ends more than 0.1 s later. No request may be
 /// sent to the writer, and the state at the reader has to be released.
 async fn disconnect_during_read(disconnect: Disconnect, fronts: &str, change: fn(&mut serde_json::Value)) {
+    disconnect_during_read_of(str::to_owned, disconnect, fronts, change).await;
+}
+
+/// As [`disconnect_during_read`], with the requests of both fronts in another form.
+async fn disconnect_during_read_of(
+    form: fn(&str) -> String,
+    disconnect: Disconnect,
+    fronts: &str,
+    change: fn(&mut serde_json::Value),
+) {
     for front in 0..2 {
         let (reader, writer) = (ControlledServer::start().await, ControlledServer::start().await);
         let dispatcher = TestDispatcher::with_reader_and_writer(&reader, &writer, fronts, change).await;
         let (address, text) = dispatcher.fronts()[front].clone();
         let mut client = Line::to(address).await;
-        client.says(&text).await.unwrap();
+        client.says(&form(&text)).await.unwrap();
         eventually("the read is in flight", || reader.count("POST") == 1).await;
         disconnect.disconnect(client, &text).await;
         sleep(MAX_START_AFTER_CLOSE + MAX_START_AFTER_CLOSE / 2).await;
@@ -141,6 +151,29 @@
     disconnect_during_read(Disconnect::ClosesAfterWholeRequest, FRONTS_CONFIG, with_long_timeouts).await;
 }
 
+/// The same request with its body in one chunk.
+fn chunked(text: &str) -> String {
+    let (head, body) = text.split_once("\r\n\r\n").unwrap();
+    let lines = head.split("\r\n").filter(|line| !line.to_ascii_lowercase().starts_with("content-length"));
+    let head = lines.collect::<Vec<_>>().join("\r\n");
+    format!("{head}\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{body}\r\n0\r\n\r\n", body.len())
+}
+
+/// Bytes behind a chunked request hid the close behind them, as the end of its body was not known: a booking was written
+/// 0.5 s after its client had gone.
+#[tokio::test]
+async fn a_close_behind_bytes_after_a_chunked_request_is_noticed_during_the_read() {
+    for disconnect in [
+        Disconnect::Closes,
+        Disconnect::ClosesAfterBlankLine,
+        Disconnect::ClosesAfterHalfRequest,
+        Disconnect::ClosesAfterWholeRequest,
+        Disconnect::ResetsAfterHalfRequest,
+    ] {
+        disconnect_during_read_of(chunked, disconnect, FRONTS_CONFIG, with_long_timeouts).await;
+    }
+}
+
 /// A close after more bytes than a request head may hold.
 #[tokio::test]
 async fn a_close_after_more_than_is_read_ahead_is_noticed_during_the_read() {
--- a/tests/framing.rs
+++ b/tests/framing.rs
@@ -26,6 +26,30 @@
     }
 }
 
+#[test]
+fn the_end_of_a_malformed_chunked_body_is_not_known() {
+    let head = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for body in [
+        "zz\r\n",
+        "\r\n",
+        "5\nhello\r\n0\r\n\r\n",
+        "5\r\nhelloX\r\n0\r\n\r\n",
+        "1234567890abcdef0\r\n",
+        "0\r\n\n",
+    ] {
+        let mut framing = RequestFraming::default();
+        let text = format!("{head}{body}POST / HTTP/1.1\r\n\r\n");
+        framing.push(text.as_bytes());
+        assert_eq!(framing.next_body_framing(), BodyFraming::Chunked);
+        assert_eq!(
+            framing.next_body_framing(),
+            BodyFraming::Ambiguous,
+            "{body:?}: no further request is known"
+        );
+        assert!(framing.is_within_request(), "{body:?}");
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 200,
@@ -37,13 +61,25 @@
     #[test]
     fn request_boundaries_are_found_in_any_fragmentation(
         bodies in prop::collection::vec(0usize..200, 1..6),
+        chunk_bytes in prop::collection::vec(0usize..40, 6),
         cuts in prop::collection::vec(1usize..90, 1..60),
         ambiguous_last in any::<bool>(),
     ) {
         let mut text = Vec::new();
-        for body in &bodies {
-            text.extend(format!("POST / HTTP/1.1\r\nContent-Length: {body}\r\n\r\n").bytes());
-            text.extend(std::iter::repeat_n(b'\n', *body));
+        // With a chunk size of 0 the length of the body is stated instead.
+        for (body, &chunk_bytes) in bodies.iter().zip(&chunk_bytes) {
+            if chunk_bytes == 0 {
+                text.extend(format!("POST / HTTP/1.1\r\nContent-Length: {body}\r\n\r\n").bytes());
+                text.extend(std::iter::repeat_n(b'\n', *body));
+                continue;
+            }
+            text.extend(b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
+            for chunk in vec![b'\n'; *body].chunks(chunk_bytes) {
+                text.extend(format!("{:x}{}\r\n", chunk.len(), if body % 2 == 0 { ";a=b" } else { "" }).bytes());
+                text.extend(chunk);
+                text.extend(b"\r\n");
+            }
+            text.extend(if body % 3 == 0 { &b"0\r\nX-Trailer: a\r\n\r\n"[..] } else { &b"0\r\n\r\n"[..] });
         }
         if ambiguous_last {
             text.extend(b"POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0");
@@ -55,8 +91,9 @@
             framing.push(piece);
             rest = remaining;
         }
-        for _ in &bodies {
-            prop_assert_eq!(framing.next_body_framing(), BodyFraming::KnownLength);
+        for (_, &chunk_bytes) in bodies.iter().zip(&chunk_bytes) {
+            let expected = if chunk_bytes == 0 { BodyFraming::KnownLength } else { BodyFraming::Chunked };
+            prop_assert_eq!(framing.next_body_framing(), expected);
         }
         prop_assert_eq!(framing.next_body_framing(), BodyFraming::Ambiguous, "the ambiguous request, or none");
         prop_assert_eq!(framing.is_within_request(), ambiguous_last);
