Resume answers only in classes whose requests may run any number of times

Cause: only at-most-once classes were held back. Servers recognize a repeat by its id, within a group and a window, and the rest of an answer has a new id.

Change: may_rerun is true for idempotent classes only.

Result: a_request_whose_repeats_servers_recognize_is_not_resumed_under_a_new_id fails without the change (2 runs and no error) and passes with it.

--- a/src/edge/clients/chat/server_request.rs
+++ b/src/edge/clients/chat/server_request.rs
@@ -14,7 +14,7 @@
 use crate::edge::clients::memory_budget::{NoRoom, Reservation, ReservedBytes};
 use crate::edge::driver::Reply;
 use crate::edge::servers::Payload;
-use crate::interface::{Key, Micros, RequestId, RequestInfo};
+use crate::interface::{Effect, Key, Micros, RequestId, RequestInfo};
 
 /// The assumed number of characters per token, from which the lengths of prompts are estimated.
 const CHARACTERS_PER_TOKEN: u64 = 4;
@@ -94,7 +94,8 @@
         policy: Policy,
     ) -> Resumption {
         let traits = ChoiceTraits {
-            may_rerun: !accepted.model.at_most_once,
+            // The rest is sent under a new id, so servers can't recognize it as a repeat of the same request.
+            may_rerun: accepted.model.class.effect == Effect::Idempotent,
             wants_more_than_text: accepted.request.body["logprobs"] == true,
             max_tokens: self.max_tokens_of(accepted.request),
         };
--- a/tests/resume.rs
+++ b/tests/resume.rs
@@ -77,6 +77,25 @@
     }
 }
 
+/// Servers recognize a repeat by its id, within a group and a window; the rest of an answer is sent under a new one. A
+/// request of such a class ran a second time in another zone.
+#[tokio::test]
+async fn a_request_whose_repeats_servers_recognize_is_not_resumed_under_a_new_id() {
+    let site = FleetSite::with_settings(shape(), "", RESUME_ON, |config| {
+        let class = &mut config["settings"]["lanes"][0];
+        class["effect"] = "deduplicated".into();
+        class["group"] = "zone".into();
+        class["dedup_window_s"] = 0.001.into();
+    })
+    .await;
+    for at in 1..8 {
+        site.fleet.script([Fault::Cuts(at)]);
+        let prompt = format!("deduplicated-{at}");
+        let (text, _) = body(&until_close(site.chat, &chat_request("kiln-ask", &prompt, true, "")).await);
+        assert_eq!((error_count(&text), site.fleet.runs_of(&prompt)), (1, 1), "{prompt}: {text}");
+    }
+}
+
 /// The number of resumptions is bounded: when all servers break off, the stream ends with one error. With resume off,
 /// it ends so at the first break.
 #[tokio::test]
--- a/tests/stand_in/mod.rs
+++ b/tests/stand_in/mod.rs
@@ -133,9 +133,16 @@
 
     /// Starts a fleet and its dispatcher; `chat` holds additional lines of the settings table `[chat]`.
     pub async fn with_chat(shape: Shape, chat: &str, repeats: &str) -> Self {
+        Self::with_settings(shape, chat, repeats, |_| {}).await
+    }
+
+    /// Starts a fleet and its dispatcher, whose configuration is changed by `change`.
+    pub async fn with_settings(shape: Shape, chat: &str, repeats: &str, change: impl Fn(&mut Value)) -> Self {
         let fleet = Fleet::start(shape).await.unwrap();
         let config = config(fleet.agent.address, &fleet.listing());
-        let mut config = Config::parse("config", &config, |_| None).unwrap();
+        let mut config: Value = serde_json::from_str(&config).unwrap();
+        change(&mut config);
+        let mut config = Config::parse("config", &config.to_string(), |_| None).unwrap();
         config.stall = Duration::from_millis(300);
         let fronts = format!(
             "[chat]\nenabled = true\nlisten = \"127.0.0.1:0\"\nmost_open = 400\n{chat}\
