Look a request's class up once its body has come

Cause: the front looked the class up before it read the body, and handed on a number that was retired meanwhile.

Change: the class is looked up by its name at the last byte, where the request counts as taken; a class that is gone by then is answered as an unknown one.

--- a/src/edge/clients/platform.rs
+++ b/src/edge/clients/platform.rs
@@ -71,8 +71,13 @@
         count_failure();
         return plain_response(StatusCode::BAD_REQUEST, "the body is no JSON");
     }
+    // The settings may have changed since the headers were read. The rules that bind are those at the last byte.
+    let Some((class_number, _)) = front.driver.class(&headers.class_name) else {
+        count_failure();
+        return plain_response(StatusCode::BAD_REQUEST, HeaderError::UnknownLane.message());
+    };
     let received_at = front.clock.now();
-    let info = headers.request_info(body.len(), received_at, accept_delay_us(&head.extensions));
+    let info = headers.request_info(class_number, body.len(), received_at, accept_delay_us(&head.extensions));
     let target = head.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
     let key = head.headers.get(IDEMPOTENCY_KEY).cloned();
     let payload = Arc::new(Payload { txn: headers.txn, target, key, body });
@@ -143,7 +148,7 @@
 #[derive(Debug)]
 struct RequestHeaders {
     txn: String,
-    class_number: u32,
+    class_name: String,
     session: Option<Key>,
     /// How long the client waits for the answer (us).
     remaining_us: Micros,
@@ -170,23 +175,29 @@
             return Err(HeaderError::InvalidTxn);
         }
         let lane = header(headers, "x-lane").ok_or(HeaderError::MissingLane)?;
-        let (class_number, class) = class(lane).ok_or(HeaderError::UnknownLane)?;
+        let (_, class) = class(lane).ok_or(HeaderError::UnknownLane)?;
         let remaining_us = match header(headers, "x-remaining") {
             None => class.default_timeout,
             Some(text) => parse_remaining(text)?,
         };
         let session = header(headers, "x-entity").filter(|text| !text.is_empty()).map(Key::from_text);
         let labels = Labels::parse(header(headers, "x-labels").unwrap_or(""))?;
-        Ok(Self { txn: txn.to_owned(), class_number, session, remaining_us, labels })
+        Ok(Self { txn: txn.to_owned(), class_name: lane.to_owned(), session, remaining_us, labels })
     }
 
     /// Builds the router's description of the request. Without a prompt length in `X-Labels`, the length is
     /// estimated from the body's.
-    fn request_info(&self, body_bytes: usize, now: Micros, accept_delay_us: Micros) -> RequestInfo {
+    fn request_info(
+        &self,
+        class_number: u32,
+        body_bytes: usize,
+        now: Micros,
+        accept_delay_us: Micros,
+    ) -> RequestInfo {
         let labels = &self.labels;
         RequestInfo {
             id: request_id(&self.txn),
-            class: self.class_number,
+            class: class_number,
             session: self.session,
             shared: labels.shared,
             shared_tokens: labels.shared_tokens,
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -310,6 +310,38 @@
     assert_eq!(status(&ask("d1", "book").await.unwrap()), 200);
 }
 
+/// The class of a request was looked up before its body was read: one that was whole 1.5 s after the class had become
+/// at-most-once was sent to two writers.
+#[tokio::test]
+async fn a_request_that_becomes_whole_after_a_reload_has_the_new_effect() {
+    let site = Deployment::new("half", Shape { read: Duration::from_millis(100), ..Shape::default() }).await;
+    let mut config = site.config();
+    (0..2).for_each(|class| config["settings"]["lanes"][class]["aim_s"] = json!(4.0));
+    config["settings"]["limits"]["max_attempts"] = json!(9);
+    site.write(&config);
+    let process = site.start().await;
+    process.until_ready().await;
+    let at = site.port.address();
+    let text = platform("a1", "ask", "5.0");
+    let mut half = TcpStream::connect(at).await.unwrap();
+    half.write_all(&text.as_bytes()[..text.len() - 1]).await.unwrap();
+    // Another open request of the class, without which the old class would be gone after the reload.
+    let slow = platform("a2", "ask", "5.0");
+    site.fleet.fail(1_000, &[Fault::Vanishes], 1);
+    let open = tokio::spawn(async move { until_close(at, &slow).await });
+    process.eventually("pending", 1).await;
+    config["settings"]["lanes"][0]["effect"] = json!("at_most_once");
+    site.write(&config);
+    process.send_signal("-HUP");
+    process.eventually("config_reloads", 1).await;
+    half.write_all(&text.as_bytes()[text.len() - 1..]).await.unwrap();
+    let mut answer = String::new();
+    half.read_to_string(&mut answer).await.unwrap();
+    let runs = site.fleet.started().iter().filter(|begun| begun.id == "a1").count();
+    assert_eq!((status(&answer), runs), (502, 1), "{answer}");
+    drop(open.await);
+}
+
 /// A reload of an invalid file is counted and logged, and leaves the running configuration as it was. `check-config`
 /// rejects the same files, except for those that are invalid only in comparison with the running configuration.
 #[tokio::test]
