Allocate bodies of unknown length in two steps instead of by doubling

Cause: a body grew by doubling, and the allocator keeps the smaller blocks that it leaves, which add up to as much again; the budget counts bytes only.

--- a/src/edge/clients/memory_budget.rs
+++ b/src/edge/clients/memory_budget.rs
@@ -16,6 +16,9 @@
 /// The unit in which memory is taken for bytes as they come (bytes).
 const PAGE_BYTES: usize = 4 << 10;
 
+/// The first allocation for bytes of unknown length; most are shorter (bytes).
+const SMALL_BYTES: usize = 16 << 10;
+
 /// A shared budget of memory. Clones share it.
 #[derive(Clone, Debug)]
 pub struct MemoryBudget(Arc<Counters>);
@@ -123,15 +126,17 @@
 #[derive(Debug)]
 pub struct ReservedBytes {
     bytes: Vec<u8>,
+    /// The most bytes that may come.
+    max_bytes: usize,
     reservation: Reservation,
 }
 
 impl ReservedBytes {
-    /// An empty buffer with room for `expected` bytes, which takes its memory from `budget` as it is filled: what was
-    /// never written of an allocation takes no memory.
+    /// An empty buffer for at most `max_bytes`, with room for `expected` bytes. It takes its memory from `budget` as it
+    /// is filled: what was never written of an allocation takes no memory.
     #[must_use]
-    pub fn with_capacity(expected: usize, budget: &MemoryBudget) -> Self {
-        Self { bytes: Vec::with_capacity(expected), reservation: budget.reservation() }
+    pub fn with_capacity(expected: usize, max_bytes: usize, budget: &MemoryBudget) -> Self {
+        Self { bytes: Vec::with_capacity(expected), max_bytes, reservation: budget.reservation() }
     }
 
     /// Bytes that are there already, for which memory is taken from `budget`.
@@ -140,7 +145,7 @@
     /// [`NoRoom`] if the budget has no room for them.
     pub fn from_vec(bytes: Vec<u8>, budget: &MemoryBudget) -> Result<Self, NoRoom> {
         let reservation = budget.reserve(bytes.len())?;
-        Ok(Self { bytes, reservation })
+        Ok(Self { max_bytes: bytes.len(), bytes, reservation })
     }
 
     /// The number of bytes in the buffer.
@@ -160,7 +165,13 @@
     /// # Errors
     /// [`NoRoom`] if the budget has no room for them.
     pub fn push(&mut self, bytes: &[u8]) -> Result<(), NoRoom> {
-        self.reservation.grow_to((self.bytes.len() + bytes.len()).next_multiple_of(PAGE_BYTES))?;
+        let needed = self.bytes.len() + bytes.len();
+        self.reservation.grow_to(needed.next_multiple_of(PAGE_BYTES))?;
+        if needed > self.bytes.capacity() {
+            // Not by doubling: the allocator keeps the smaller allocations, which add up to as much again.
+            let capacity = if needed <= SMALL_BYTES { SMALL_BYTES } else { self.max_bytes.max(needed) };
+            self.bytes.reserve_exact(capacity - self.bytes.len());
+        }
         self.bytes.extend_from_slice(bytes);
         Ok(())
     }
--- a/src/edge/clients/request_body.rs
+++ b/src/edge/clients/request_body.rs
@@ -91,7 +91,7 @@
 /// received, so that many small ones would hold far more memory than their bytes.
 async fn collect(mut body: Body, memory: &MemoryBudget) -> Result<Bytes, BodyError> {
     let expected = body.size_hint().exact().and_then(|length| usize::try_from(length).ok()).unwrap_or(0);
-    let mut buffer = ReservedBytes::with_capacity(expected.min(MAX_BODY_BYTES), memory);
+    let mut buffer = ReservedBytes::with_capacity(expected.min(MAX_BODY_BYTES), MAX_BODY_BYTES, memory);
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(|_| BodyError::Unreadable)?.into_data() else { continue };
         if data.len() > MAX_BODY_BYTES - buffer.len() {
