--- a/src/edge/clients/chat/mod.rs
+++ b/src/edge/clients/chat/mod.rs
@@ -54,22 +54,27 @@
     }
 }
 
-/// Creates the router that serves the chat front, which takes the memory for requests from `memory`. If there may be
-/// other processes of this dispatcher, `shared_folder` is the folder that they share.
+/// The parts of a dispatcher that the chat front uses.
+pub struct SharedParts<'a> {
+    /// The clock of the process.
+    pub clock: Clock,
+    /// Where requests are submitted.
+    pub driver: DriverHandle,
+    /// The budget for the requests that are being handled.
+    pub memory: MemoryBudget,
+    /// Replicates the records of at-most-once requests; `None` if that is off.
+    pub quorum: Option<Quorum>,
+    /// The folder that all processes of this dispatcher share; `None` if there can't be another one.
+    pub folder: Option<&'a Path>,
+}
+
+/// Creates the router that serves the chat front.
 ///
 /// # Errors
 /// See [`check`].
-pub fn router(
-    chat: &ChatSettings,
-    config: &Config,
-    clock: Clock,
-    driver: DriverHandle,
-    memory: MemoryBudget,
-    quorum: Option<Quorum>,
-    shared_folder: Option<&Path>,
-) -> Result<Router, FieldError> {
+pub fn router(chat: &ChatSettings, config: &Config, parts: SharedParts<'_>) -> Result<Router, FieldError> {
     check(chat, config)?;
-    let front = ChatFront::new(chat, config, clock, driver, memory, quorum, shared_folder)?;
+    let front = ChatFront::new(chat, config, parts)?;
     Ok(Router::new().fallback(serve).with_state(Arc::new(front)))
 }
 
--- a/src/edge/clients/chat/state.rs
+++ b/src/edge/clients/chat/state.rs
@@ -9,11 +9,13 @@
 use axum::http::header::AUTHORIZATION;
 use axum::http::{HeaderMap, StatusCode};
 use dewladder_chat::{Limits, ResponseStore};
+use dewladder_idempotency::Policy;
 use dewladder_resume::Policy as ResumePolicy;
 use dewladder_router::mix;
 use log::warn;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
+use crate::edge::clients::chat::SharedParts;
 use crate::edge::clients::error_response::ErrorResponse;
 use crate::edge::clients::idempotency::Idempotency;
 use crate::edge::clients::memory_budget::MemoryBudget;
@@ -97,26 +99,16 @@
     pub(super) fn new(
         chat: &ChatSettings,
         config: &Config,
-        clock: Clock,
-        driver: DriverHandle,
-        memory: MemoryBudget,
-        quorum: Option<Quorum>,
-        shared_folder: Option<&Path>,
+        parts: SharedParts<'_>,
     ) -> Result<Self, FieldError> {
+        let SharedParts { clock, driver, memory, quorum, folder } = parts;
         let policy = chat.repeats.policy(&config.limits)?;
         let (store_bytes, tenant_bytes) = chat.check_and_response_memory(&config.limits)?;
         let resume_policy = chat.resume.policy()?;
         if resume_policy.is_some() && !config.resume {
             warn!("chat: chat.resume has no effect, as the platform's settings don't allow streams to be resumed");
         }
-        let secret = mix(config.seed ^ mix(clock.now()));
-        let retry_headers = chat.repeats.retry_headers.clone();
-        let idempotency = chat.repeats.enabled.then(|| {
-            let retention = Duration::from_micros(policy.retention_us);
-            let records =
-                shared_folder.map(|folder| RunRecords::new(folder, config.listen, clock.now(), retention));
-            Idempotency::start(policy, retry_headers, records, clock, secret)
-        });
+        let idempotency = idempotency(chat, policy, config, clock, folder);
         let (tenants, anonymous) = tenants(chat);
         Ok(Self {
             clock,
@@ -186,6 +178,25 @@
     }
 }
 
+/// Starts to recognize repeats, if the settings turn that on. `shared_folder` is that of all processes of this
+/// dispatcher.
+fn idempotency(
+    chat: &ChatSettings,
+    policy: Policy,
+    config: &Config,
+    clock: Clock,
+    shared_folder: Option<&Path>,
+) -> Option<Arc<Idempotency>> {
+    if !chat.repeats.enabled {
+        return None;
+    }
+    let retention = Duration::from_micros(policy.retention_us);
+    let records = shared_folder.map(|folder| RunRecords::new(folder, config.listen, clock.now(), retention));
+    let secret = mix(config.seed ^ mix(clock.now()));
+    let retry_headers = chat.repeats.retry_headers.clone();
+    Some(Idempotency::start(policy, retry_headers, records, clock, secret))
+}
+
 /// The tenants by API key, and the tenant of requests without a key. Tenants are numbered from 1, in the order of their
 /// names.
 fn tenants(chat: &ChatSettings) -> (HashMap<String, Tenant>, Tenant) {
--- a/src/edge/clients/connection.rs
+++ b/src/edge/clients/connection.rs
@@ -94,11 +94,7 @@
 
 /// Serves a connection until the client ends it, its slot's deadline passes, or it is idle in
 /// [`Phase::Closing`].
-pub async fn serve_connection(
-    stream: ClientStream,
-    handler: RequestHandler,
-    mut phase: watch::Receiver<Phase>,
-) {
+pub async fn serve_connection(stream: ClientStream, handler: RequestHandler, phase: watch::Receiver<Phase>) {
     stream.set_options();
     let slot = handler.slot.clone();
     let service = service_fn(move |request| handler.handle(request));
@@ -107,10 +103,7 @@
         .max_buf_size(MAX_HEAD_BYTES)
         .serve_connection(TokioIo::new(stream), service));
     let accepted_at = Instant::now();
-    let mut close_due = pin!(async move {
-        let _ = phase.wait_for(|phase| *phase >= Phase::Closing).await;
-        sleep_until(accepted_at + MIN_AGE_AT_CLOSE).await;
-    });
+    let mut close_due = pin!(close_due(phase, accepted_at));
     let mut is_closing = false;
     let mut timer_deadline = accepted_at;
     let mut timer = pin!(sleep_until(timer_deadline));
@@ -139,6 +132,12 @@
     .await;
 }
 
+/// Waits until a connection that was accepted at `accepted_at` is to be closed if it is idle.
+async fn close_due(mut phase: watch::Receiver<Phase>, accepted_at: Instant) {
+    let _ = phase.wait_for(|phase| *phase >= Phase::Closing).await;
+    sleep_until(accepted_at + MIN_AGE_AT_CLOSE).await;
+}
+
 /// Marks a request as open. Its drop, once the answer has been handed to hyper completely or has been given
 /// up, tells the slot that the request has been answered.
 struct OpenRequest(Arc<ConnectionSlot>);
--- a/src/edge/clients/platform.rs
+++ b/src/edge/clients/platform.rs
@@ -13,7 +13,7 @@
 use serde::de::IgnoredAny;
 
 use crate::edge::clients::plain_response::plain_response;
-use crate::edge::clients::request_body::read_body;
+use crate::edge::clients::request_body::{read_body, BodyError};
 use crate::edge::clients::request_timing::AcceptDelay;
 use crate::edge::clock::{micros, Clock};
 use crate::edge::driver::{DriverHandle, Reply};
@@ -40,6 +40,17 @@
     figures: Figures,
 }
 
+impl Front {
+    /// The response to a request whose body could not be read.
+    fn unread_body(&self, error: BodyError, headers: &HeaderMap) -> Response<Body> {
+        if !error.is_refusal() {
+            return plain_response(error.status(), error.message());
+        }
+        self.figures.answered_by_front(header(headers, "x-lane"), End::Rejected);
+        refusal(self.driver.settings().max_retry_after)
+    }
+}
+
 /// The routes of this front.
 pub fn front(clock: Clock, driver: DriverHandle, figures: Figures) -> Router {
     let state = Front { clock, driver, figures };
@@ -59,11 +70,7 @@
     };
     let body = match read_body(body, &head.extensions).await {
         Ok(body) => body,
-        Err(error) if error.is_refusal() => {
-            front.figures.answered_by_front(header(&head.headers, "x-lane"), End::Rejected);
-            return refusal(front.driver.settings().max_retry_after);
-        }
-        Err(error) => return plain_response(error.status(), error.message()),
+        Err(error) => return front.unread_body(error, &head.headers),
     };
     // Servers turn away a body that they can't parse, which looks as if they were at capacity, so a malformed
     // body is refused here.
--- a/src/edge/dispatcher.rs
+++ b/src/edge/dispatcher.rs
@@ -112,17 +112,14 @@
         let platform = platform::front(clock, to_driver.clone(), figures.clone());
         let mut fronts = vec![open_front(config.listen, platform)?];
         if let Some(chat) = settings.chat.as_ref().filter(|chat| chat.enabled) {
-            let quorum = cluster.as_ref().and_then(Cluster::quorum);
-            let routes = chat::router(
-                chat,
-                &config,
+            let parts = chat::SharedParts {
                 clock,
-                to_driver.clone(),
-                client_memory.clone(),
-                quorum,
-                folder.as_deref().map(Path::new),
-            )?;
-            fronts.push(open_front(chat.listen, routes)?);
+                driver: to_driver.clone(),
+                memory: client_memory.clone(),
+                quorum: cluster.as_ref().and_then(Cluster::quorum),
+                folder: folder.as_deref().map(Path::new),
+            };
+            fronts.push(open_front(chat.listen, chat::router(chat, &config, parts)?)?);
         }
         let agent = settings.agent_check.as_ref().filter(|agent| agent.enabled);
         let agent = agent.map(|agent| listen(agent.listen, shared)).transpose()?;
--- a/src/edge/dispatcher/running.rs
+++ b/src/edge/dispatcher/running.rs
@@ -95,13 +95,7 @@
             ended = &mut list_task => return Err(RunError::WatchEnded(format!("{ended:?}"))),
         }
 
-        let times = ShutdownTimes::new(&shared.to_driver.settings(), shared.heartbeat.noticed());
-        leave(&shared, times, hot_restart.as_mut()).await;
-        let ending = shared.clock.instant(times.stop_receiving_at);
-        tokio::select! {
-            () = wait_until_drained(tasks, &shared.figures) => {}
-            () = enter_phase_at(&shared.phase, Phase::Ending, ending) => {}
-        }
+        shut_down(&shared, hot_restart.as_mut(), tasks).await;
         let hot_restart = hot_restart.map(|follower| follower.task);
         for task in [agent, gossip, hot_restart].into_iter().flatten() {
             task.abort();
@@ -205,6 +199,17 @@
     Ok(Some(tasks))
 }
 
+/// Shuts down after the last request, by the schedule that follows from the signal to end.
+async fn shut_down(shared: &Shared, follower: Option<&mut RestartFollower>, fronts: Vec<JoinHandle<()>>) {
+    let times = ShutdownTimes::new(&shared.to_driver.settings(), shared.heartbeat.noticed());
+    leave(shared, times, follower).await;
+    let ending = shared.clock.instant(times.stop_receiving_at);
+    tokio::select! {
+        () = wait_until_drained(fronts, &shared.figures) => {}
+        () = enter_phase_at(&shared.phase, Phase::Ending, ending) => {}
+    }
+}
+
 /// Starts the shutdown: asks clients to close their connections, or stops accepting new ones if another process
 /// replaces this one. Then waits until it is time to close the listeners and idle connections.
 async fn leave(shared: &Shared, times: ShutdownTimes, follower: Option<&mut RestartFollower>) {
