Soak: excuse the last chunk that a planned kill overtakes on its way

Cause, by the plan and the log: the process was told to end at 1.432 s, its deadline is 1 s, and so it was killed at 3.132 s, as the server wrote its last chunk. A stream that was taken in time and is under way at the kill is excused; the check did not know kills, as the streams of the earlier plans last 72 ms.

Change: excused is only a stream whose request was sent up to 0.7 s after the signal, whose last chunk was written less than 0.1 s before the kill (the tolerance of the oracle) or after it, and whose cut falls to the kill.

--- a/crates/soak/src/oracle/planned_kills.rs
+++ b/crates/soak/src/oracle/planned_kills.rs
@@ -45,6 +45,23 @@
         })
     }
 
+    /// Whether a kill cut a stream at `cut_at` whose last chunk the server had written at `completed_at`, so shortly before
+    /// the kill that it was still on its way, and whose request was sent in time for the kill to excuse it.
+    pub(super) fn overtook_end(
+        &self,
+        dispatcher: usize,
+        asked_at: Micros,
+        completed_at: Micros,
+        cut_at: Micros,
+    ) -> bool {
+        let mut kills = self.0.get(&dispatcher).into_iter().flatten();
+        kills.any(|kill| {
+            asked_at <= kill.signaled_at + GRACE_PERIOD
+                && completed_at + TOLERANCE >= kill.at
+                && cut_at.abs_diff(kill.at) <= DETECTED_WITHIN
+        })
+    }
+
     /// Whether a kill cut a stream that ended at `ended_at`, although its request was sent so late after the process was
     /// told to end that it had to be refused.
     pub(super) fn cut_late_stream(&self, dispatcher: usize, asked_at: Micros, ended_at: Micros) -> bool {
--- a/crates/soak/src/oracle/request.rs
+++ b/crates/soak/src/oracle/request.rs
@@ -60,7 +60,7 @@
         self.check_attempts_after_leaving(plan, outages, violations);
         self.check_held_states(excuses, limits, violations);
         self.check_deadlines(plan, outages, violations);
-        self.check_stream(plan, outages, violations);
+        self.check_stream(plan, excuses, violations);
         self.check_draining(plan, outages, limits, violations);
     }
 
@@ -280,7 +280,8 @@
 
     /// Checks that events reach the client in time, and that a stream that its server completed is not cut
     /// ([`Rule::Stream`]).
-    fn check_stream(&self, plan: &Plan, outages: &PlannedOutages, violations: &mut Vec<Violation>) {
+    fn check_stream(&self, plan: &Plan, excuses: &Excuses, violations: &mut Vec<Violation>) {
+        let Excuses { outages, kills } = excuses;
         let ended_at = self.entries.last().map_or(self.asked_at, |entry| entry.at);
         if outages.any_within(self.dispatcher, self.asked_at, ended_at) {
             return;
@@ -291,9 +292,12 @@
                 return;
             }
         }
-        let is_ended = self.first(|seen| matches!(seen, Observation::StreamEnded { .. })).is_some();
+        let completed = self.first(|seen| matches!(seen, Observation::StreamEnded { .. }));
         let cut = self.first(|seen| *seen == Observation::ExchangeEnded(ClientOutcome::Cut));
-        if let (true, Some(at)) = (is_ended, cut) {
+        if let (Some(completed_at), Some(at)) = (completed, cut) {
+            if kills.overtook_end(self.dispatcher, self.asked_at, completed_at, at) {
+                return;
+            }
             let what = "the server completed the stream, but it was cut on its way to the client";
             violations.push(self.violation(Rule::Stream, at, what));
         }
