--- a/tests/deployment/mod.rs
+++ b/tests/deployment/mod.rs
@@ -12,7 +12,7 @@
 use tokio::process::{Child, Command};
 use tokio::time::sleep;
 
-use crate::processes::Port;
+use crate::processes::{empty_folder, Port};
 
 /// A fleet of test servers, an address for clients, and a folder for the program's files.
 pub struct Deployment {
@@ -24,7 +24,8 @@
 impl Deployment {
     pub async fn new(name: &str, shape: Shape) -> Self {
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("operations-{name}"));
-        std::fs::create_dir_all(folder.join("shared")).unwrap();
+        empty_folder(&folder);
+        empty_folder(&folder.join("shared"));
         Self { fleet: Fleet::start(shape).await.unwrap(), port: Port::new(), folder }
     }
 
--- a/tests/processes/mod.rs
+++ b/tests/processes/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code)] // each test file that includes this module uses a part of it
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::time::Duration;
 
@@ -96,6 +96,15 @@
     }
 }
 
+/// Creates a folder, or empties it: the platform gives a dispatcher an empty `$TMPDIR` at its first start. What an earlier
+/// run of a test has left there counts, as that of an earlier process does.
+pub fn empty_folder(folder: &Path) {
+    if folder.exists() {
+        std::fs::remove_dir_all(folder).unwrap();
+    }
+    std::fs::create_dir_all(folder).unwrap();
+}
+
 impl Cluster {
     /// Starts `count` instances and waits until each of them sees all others alive.
     pub async fn new(name: &str, count: usize, seed: u64) -> Self {
@@ -105,6 +114,7 @@
     /// Like `new`, with lines appended to the fronts file of each instance.
     pub async fn with_fronts(name: &str, count: usize, seed: u64, extra_fronts: &str) -> Self {
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("cluster-{name}"));
+        empty_folder(&folder);
         let fleet = Fleet::start(Shape::default()).await.unwrap();
         let net = FaultyNetwork::start(count, seed).await.unwrap();
         let ports = (0..count).map(|_| Port::new()).collect();
