Keep new connections away from a listener before it closes

What callers saw: at an upgrade a client that connected in the microseconds in which the old process closed its listener was reset after it had sent its request, or was refused although the new process listened.

Cause: the kernel resets what enters the accept queue between the last accept and the close, and refuses what is within its handshake then.

Change: before the close a BPF program of the SO_REUSEPORT group gives new connections to another listener, found by a probe; where there is none, a filter drops their first packets. Then handshakes get 50 ms, the queue is emptied and the listener closed. The next process that listens turns the program off.

--- a/src/edge/clients/accept_queue.rs
+++ b/src/edge/clients/accept_queue.rs
@@ -1,12 +1,10 @@
-//! Accepting from a listener's queue: accepts that fail, and closing the listener without losing queued
-//! connections.
+//! Accepting from a listener's queue where accepts fail.
 
 use std::future::poll_fn;
 use std::io;
 use std::task::Poll;
 use std::time::Duration;
 
-use log::warn;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::Instant;
 
@@ -14,10 +12,6 @@
 
 /// The pause after an accept that failed with an error of this machine, such as too few descriptors.
 pub const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// When a listener closes, failing accepts are retried for this long. That is enough: each queued request has
-/// a deadline of its own, and the platform gives a process that is shutting down longer than the longest
-/// request deadline.
-const CLOSE_RETRY_TIME: Duration = Duration::from_secs(2);
 
 /// Tracks a series of failing accepts: a connection accepted after them may have been queued since the first
 /// one.
@@ -53,7 +47,8 @@
         }
     }
 
-    fn record_failure<T>(&mut self, accepted: &io::Result<T>) {
+    /// Records the result of an accept that is followed by a pause if it failed.
+    pub fn record_failure<T>(&mut self, accepted: &io::Result<T>) {
         if accepted.is_err() {
             self.first_failure_at.get_or_insert_with(Instant::now);
         }
@@ -65,50 +60,3 @@
         self.first_failure_at.map_or(Duration::ZERO, |first_failure_at| first_failure_at.elapsed())
     }
 }
-
-/// Accepts all queued connections and then closes the listener. The close would reset connections that are
-/// still queued, and their clients would have to repeat their requests. Calls `admit` with each of them and
-/// the longest time that it may have been queued. Accepts that fail are retried: other connections may be
-/// queued behind one that failed with ECONNABORTED, and descriptors may come free.
-pub async fn close_when_empty(
-    listener: TcpListener,
-    failing: &mut FailingAccepts,
-    admit: impl Fn(TcpStream, Duration),
-) {
-    let listener = match listener.into_std() {
-        Ok(listener) => listener,
-        Err(error) => {
-            return warn!(reason:% = error; "listener: accept queue not emptied before the close");
-        }
-    };
-    let retry_until = Instant::now() + CLOSE_RETRY_TIME;
-    let mut aborted = AbortedAccepts::default();
-    loop {
-        let accepted = listener.accept();
-        if aborted.should_retry_at_once(&accepted) {
-            continue;
-        }
-        match accepted {
-            Ok((stream, _)) => match into_tokio(stream) {
-                Ok(stream) => admit(stream, failing.max_wait()),
-                Err(error) => warn!(reason:% = error; "listener: queued connection lost at the close"),
-            },
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
-            Err(error) if Instant::now() >= retry_until => {
-                warn!(reason:% = error; "listener: accept failed at the close");
-                break;
-            }
-            failed => {
-                failing.record_failure(&failed);
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            }
-        }
-    }
-    drop(listener); // without delay: a connection that arrives between the last accept and this is lost
-}
-
-/// Registers a connection that was accepted by the standard library with the runtime.
-fn into_tokio(stream: std::net::TcpStream) -> io::Result<TcpStream> {
-    stream.set_nonblocking(true)?;
-    TcpStream::from_std(stream)
-}
--- a/src/edge/clients/listener.rs
+++ b/src/edge/clients/listener.rs
@@ -10,10 +10,12 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
-use crate::edge::clients::accept_queue::{close_when_empty, FailingAccepts, ACCEPT_RETRY_DELAY};
+use crate::edge::clients::accept_queue::{FailingAccepts, ACCEPT_RETRY_DELAY};
 use crate::edge::clients::client_stream::ClientStream;
+use crate::edge::clients::closing_listener::close_when_empty;
 use crate::edge::clients::connection::{serve_connection, RequestHandler};
 use crate::edge::clients::connection_limits::ConnectionLimits;
+use crate::edge::clients::connection_steering::steer_by_hash;
 use crate::edge::phase::Phase;
 use crate::edge::stats::Figures;
 
@@ -31,7 +33,12 @@
         socket.set_reuseport(true)?;
     }
     socket.bind(address)?;
-    socket.listen(BACKLOG)
+    let listener = socket.listen(BACKLOG)?;
+    if shared {
+        // A process that has closed its listener may have left all new connections to one of the others.
+        let _ = steer_by_hash(&listener);
+    }
+    Ok(listener)
 }
 
 /// Serves a front until [`Phase::Yielding`]; then closes the listener, and returns once all connections have
--- a/src/edge/clients/mod.rs
+++ b/src/edge/clients/mod.rs
@@ -1,8 +1,8 @@
 //! The client side of the dispatcher: connection handling that all fronts share, and one module for each API
 //! that clients use.
 //!
-//! A connection passes through these modules: `listener` accepts it (`accept_queue`), `connection_limits`
-//! gives it a slot (`connection_slot`), `client_stream` reads and writes it (`framing`, `read_ahead`), and
+//! A connection passes through these modules: `listener` accepts it (`accept_queue`, `closing_listener`),
+//! `connection_limits` gives it a slot (`connection_slot`), `client_stream` reads and writes it (`framing`, `read_ahead`), and
 //! `connection` hands its requests to a front. What clients make the process hold on this way is taken from one
 //! `memory_budget`.
 //!
@@ -15,9 +15,11 @@
 pub mod chat;
 mod chunked_framing;
 pub mod client_stream;
+mod closing_listener;
 pub mod connection;
 pub mod connection_limits;
 pub mod connection_slot;
+mod connection_steering;
 pub mod error_response;
 pub mod framing;
 pub mod idempotency;
