--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -219,11 +219,10 @@
 
     /// Sends a request, on a kept connection or a new one, and logs its outcome.
     async fn exchange(self, request: Request, kept: Option<TcpStream>) {
-        let on_new_connection = kept.is_none();
-        let mut stream = match kept {
-            Some(stream) => stream,
+        let (mut stream, connected_at) = match kept {
+            Some(stream) => (stream, None),
             None => match timeout(GIVE_UP_AFTER, TcpStream::connect(self.address)).await {
-                Ok(Ok(stream)) => stream,
+                Ok(Ok(stream)) => (stream, Some(self.event_log.now())),
                 _ => return, // not connected, so nothing was sent and there is nothing to log
             },
         };
@@ -232,7 +231,7 @@
         }
         let (id, dispatcher) = (request.id, self.dispatcher);
         let (class, timeout) = (request.class, request.timeout);
-        self.event_log.write(id, Observation::RequestSent { dispatcher, class, timeout, on_new_connection });
+        self.event_log.write(id, Observation::RequestSent { dispatcher, class, timeout, connected_at });
         let until = Instant::now() + Duration::from_micros(timeout) + GIVE_UP_AFTER;
         let first_event = || {
             if request.leaves_after.is_none() {
@@ -291,7 +290,8 @@
         }
         match timeout_at(until, stream.read_buf(&mut read)).await {
             Ok(Ok(0) | Err(_)) if head.is_some() => return Some(ClientOutcome::Cut),
-            Ok(Ok(0) | Err(_)) => return Some(ClientOutcome::Closed),
+            Ok(Ok(0)) => return Some(ClientOutcome::Closed),
+            Ok(Err(_)) => return Some(ClientOutcome::Reset),
             Ok(Ok(_)) => {}
             Err(_) => return None,
         }
--- a/crates/soak/src/clients/bad_clients.rs
+++ b/crates/soak/src/clients/bad_clients.rs
@@ -1,4 +1,5 @@
-//! Bad clients, which send the ids of requests that are open, or as much as a request may hold.
+//! Bad clients, which send the ids of requests that are open, or as much as a request may hold, or connect anew for each
+//! request.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -17,8 +18,15 @@
 
 /// Time between two repeats of an open id.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(40);
+/// Time between the end of a connection and the next one of a client that connects all the time.
+const CONNECT_INTERVAL: Duration = Duration::from_millis(1);
+/// A request that is answered without a server.
+const UNKNOWN_PATH_REQUEST: &[u8] =
+    b"GET /unknown HTTP/1.1\r\nHost: backend.local\r\nConnection: close\r\n\r\n";
 /// How long a bad client waits for an answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(3);
+/// A connection that is not established after this time is given up: its first packet was dropped, or lost.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// A stream with less time left than this is not repeated: its id may be free before the repeat arrives.
 const MIN_STREAM_LEFT: Micros = 500_000;
 /// Just under the longest body that is allowed (bytes).
@@ -76,6 +84,7 @@
                     FaultKind::LargeBodies { count, chunk_bytes, .. } => {
                         clients.send_large_bodies(count, chunk_bytes, fault.to_ms).await;
                     }
+                    FaultKind::ConnectAllTheTime { .. } => clients.connect_all_the_time(fault.to_ms).await,
                     _ => {}
                 }
             });
@@ -101,6 +110,28 @@
         self.event_log.write(id, Observation::OpenIdRepeated { dispatcher, status });
     }
 
+    /// Sends requests, each on a new connection, and logs those that end without an answer.
+    async fn connect_all_the_time(&self, until_ms: u64) {
+        while self.event_log.now() / 1_000 < until_ms {
+            sleep(CONNECT_INTERVAL).await;
+            let Ok(Ok(mut stream)) = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await else {
+                continue;
+            };
+            let connected_at = self.event_log.now();
+            let mut read = Vec::new();
+            let exchange = async {
+                stream.write_all(UNKNOWN_PATH_REQUEST).await?;
+                stream.read_to_end(&mut read).await
+            };
+            let Ok(ended) = timeout(ANSWER_TIMEOUT, exchange).await else { continue };
+            if read.is_empty() {
+                let (dispatcher, was_reset) = (self.dispatcher, ended.is_err());
+                self.event_log
+                    .write(0, Observation::NewConnectionLost { dispatcher, connected_at, was_reset });
+            }
+        }
+    }
+
     async fn send_large_bodies(&self, count: usize, chunk_bytes: usize, until_ms: u64) {
         let mut clients = JoinSet::new();
         for at in 0..count {
--- a/crates/soak/src/event_log.rs
+++ b/crates/soak/src/event_log.rs
@@ -29,8 +29,22 @@
     Failed,
     /// Status 200, but the connection ended before the last chunk of the stream.
     Cut,
-    /// The connection ended before the head of a response was received.
+    /// The connection was closed before the head of a response was received.
     Closed,
+    /// The connection was reset before the head of a response was received.
+    Reset,
+}
+
+impl ClientOutcome {
+    /// How the connection ended, if it ended without the head of a response.
+    #[must_use]
+    pub fn unanswered(self) -> Option<&'static str> {
+        match self {
+            Self::Closed => Some("closed"),
+            Self::Reset => Some("reset"),
+            Self::Served | Self::Refused | Self::Failed | Self::Cut => None,
+        }
+    }
 }
 
 /// What a test peer or the harness observed.
@@ -44,8 +58,8 @@
         class: Class,
         /// How long the client waits for the first token; sent as `X-Remaining`.
         timeout: Micros,
-        /// Whether it is the first request on its connection.
-        on_new_connection: bool,
+        /// When its connection was established, if it is the first request on it.
+        connected_at: Option<Micros>,
     },
     /// A bad client sent this id while the stream of its request was under way, and got this status; `None` if its
     /// connection was closed instead.
@@ -143,6 +157,16 @@
         /// When the client began to write.
         began: Micros,
     },
+    /// A client that connects all the time established a connection and wrote a request, but the connection ended without
+    /// an answer.
+    NewConnectionLost {
+        /// Index of the dispatcher.
+        dispatcher: usize,
+        /// When the connection was established.
+        connected_at: Micros,
+        /// Whether it was reset.
+        was_reset: bool,
+    },
     /// A process could not be started, was not ready in time, ended by itself, or did not end properly when told to.
     /// An error of the harness that affects the dispatcher is logged as this too.
     BadExit {
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -134,13 +134,14 @@
     for entry in entries.iter().filter(|entry| entry.id != 0) {
         by_request.entry(entry.id).or_default().push(entry);
     }
+    let excuses = Excuses { outages: &outages, kills: &kills };
     let mut violations = Vec::new();
     for (id, entries) in by_request {
         if let Some(history) = RequestHistory::new(id, entries) {
-            history.check(plan, &Excuses { outages: &outages, kills: &kills }, limits, &mut violations);
+            history.check(plan, &excuses, limits, &mut violations);
         }
     }
-    violations.extend(entries.iter().filter_map(|entry| check_process(entry, &outages)));
+    violations.extend(entries.iter().filter_map(|entry| check_process(entry, &excuses)));
     violations.sort_by_key(|violation| violation.at);
     violations
 }
@@ -152,7 +153,8 @@
 }
 
 /// The violation that follows from a single observation that is not about a request, if it is one.
-fn check_process(entry: &LogEntry, outages: &PlannedOutages) -> Option<Violation> {
+fn check_process(entry: &LogEntry, excuses: &Excuses) -> Option<Violation> {
+    let Excuses { outages, kills } = excuses;
     let (rule, dispatcher, what) = match &entry.observation {
         Observation::BadExit { dispatcher, what } if what.starts_with("not ready") => {
             (Rule::NotReady, dispatcher, what.as_str())
@@ -166,6 +168,18 @@
             }
             (Rule::HalfRequest, dispatcher, "an incomplete request got neither an error nor a close")
         }
+        Observation::NewConnectionLost { dispatcher, connected_at, was_reset } => {
+            let is_excused = outages.any_within(*dispatcher, *connected_at, entry.at)
+                || kills.excuses_request(*dispatcher, *connected_at, entry.at);
+            if is_excused {
+                return None;
+            }
+            let what = match was_reset {
+                true => "a new connection was reset without an answer",
+                false => "a new connection was closed without an answer",
+            };
+            (Rule::Dropped, dispatcher, what)
+        }
         _ => return None,
     };
     Some(Violation { rule, at: entry.at, id: 0, what: format!("dispatcher {dispatcher}: {what}") })
--- a/crates/soak/src/oracle/request.rs
+++ b/crates/soak/src/oracle/request.rs
@@ -28,7 +28,8 @@
     class: Class,
     asked_at: Micros,
     deadline: Micros,
-    on_new_connection: bool,
+    /// When its connection was established, if it is the first request on it.
+    connected_at: Option<Micros>,
     entries: Vec<&'a LogEntry>,
 }
 
@@ -37,12 +38,11 @@
     pub(super) fn new(id: u64, entries: Vec<&'a LogEntry>) -> Option<Self> {
         let asked =
             entries.iter().find(|entry| matches!(entry.observation, Observation::RequestSent { .. }))?;
-        let Observation::RequestSent { dispatcher, class, timeout, on_new_connection } = asked.observation
-        else {
+        let Observation::RequestSent { dispatcher, class, timeout, connected_at } = asked.observation else {
             return None;
         };
         let (asked_at, deadline) = (asked.at, asked.at + timeout);
-        Some(Self { id, dispatcher, class, asked_at, deadline, on_new_connection, entries })
+        Some(Self { id, dispatcher, class, asked_at, deadline, connected_at, entries })
     }
 
     /// Checks all rules about the request and adds what it violates to `violations`.
@@ -107,9 +107,10 @@
         {
             return;
         }
-        if let Some((at, ClientOutcome::Closed)) = outcome {
+        if let Some((at, ended)) = outcome.and_then(|(at, outcome)| Some((at, outcome.unanswered()?))) {
             if !self.may_be_closed_unanswered(plan, at) {
-                let what = "the connection was closed without an answer";
+                let what =
+                    format!("the connection was {ended} without an answer, {}", self.connection_times(at));
                 violations.push(self.violation(Rule::Dropped, at, what));
             }
             return;
@@ -130,13 +131,23 @@
     /// The earliest time at which the dispatcher could read the request: one on a new connection waits while all
     /// accepts fail.
     fn earliest_read(&self, outages: &PlannedOutages) -> Micros {
-        if self.on_new_connection {
+        if self.connected_at.is_some() {
             outages.accept_possible_at(self.dispatcher, self.asked_at)
         } else {
             self.asked_at
         }
     }
 
+    /// The times of the connection and the request, relative to each other, for the report.
+    fn connection_times(&self, ended_at: Micros) -> String {
+        let since_request = ended_at.saturating_sub(self.asked_at);
+        let Some(connected_at) = self.connected_at else {
+            return format!("{since_request} us after the request was sent on a kept connection");
+        };
+        let until_request = self.asked_at.saturating_sub(connected_at);
+        format!("{since_request} us after the request was sent, {until_request} us after it was established")
+    }
+
     /// Whether the dispatcher may have closed the connection, at a time, before it read the request: a kept connection
     /// at any time, a new one while idle clients use up the descriptors.
     fn may_be_closed_unanswered(&self, plan: &Plan, at: Micros) -> bool {
@@ -147,7 +158,7 @@
             at / MS,
             |kind| matches!(kind, FaultKind::Idlers { dispatcher, .. } if *dispatcher == self.dispatcher),
         );
-        !self.on_new_connection || is_crowded
+        self.connected_at.is_none() || is_crowded
     }
 
     /// Checks that no bad client was served under the id of this request while it was open ([`Rule::Dropped`]).
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -276,6 +276,11 @@
         /// Length of the chunks of a body (bytes); 0 states the length of the body instead.
         chunk_bytes: usize,
     },
+    /// A client connects anew for each of its requests, one after the other.
+    ConnectAllTheTime {
+        /// Index of the dispatcher.
+        dispatcher: usize,
+    },
     /// System calls of the dispatcher's processes fail by a rule of the fault shim. The times in the rule count from
     /// the start of each process; the times of the fault have no effect.
     Shim {
@@ -313,6 +318,7 @@
             | Self::RepeatOpenIds { dispatcher }
             | Self::SlowWriters { dispatcher, .. }
             | Self::LargeBodies { dispatcher, .. }
+            | Self::ConnectAllTheTime { dispatcher }
             | Self::Shim { dispatcher, .. }
             | Self::ShimLater { dispatcher, .. } => Some(dispatcher),
             _ => None,
--- a/crates/soak/src/plan/draw.rs
+++ b/crates/soak/src/plan/draw.rs
@@ -54,6 +54,9 @@
 const REPLACED_EVENT_INTERVAL_MS: u64 = 350;
 /// Memory limit in plans of replaced processes (MiB), in the lower half of what the platform gives.
 const REPLACED_MEMORY_MB: u64 = 48;
+/// How long a client connects all the time from the start of an upgrade or the end of a process (ms): until the listener
+/// has closed.
+const CONNECTING_TIME_MS: u64 = 2_000;
 /// Minimum length of a fault (ms).
 const MIN_LENGTH_MS: u64 = 20;
 /// End of shim rules that only affect the start of a process (ms since the start of the process).
@@ -205,14 +208,17 @@
     }
 
     /// Draws the end or the replacement of a process, with clients that misbehave around it, or a flood of large bodies.
+    /// Beside an end or a replacement, a client connects all the time.
     fn replacement(&mut self, from_ms: u64, dispatcher: usize, deadline_ms: u64) -> Vec<Fault> {
         let fault = |from_ms, to_ms, kind| Fault { from_ms, to_ms, kind };
         match self.below(3) {
             0 => {
                 // Ids are free once the old process has been killed, so they are repeated until before that only.
                 let repeats_until_ms = from_ms + deadline_ms + 300;
+                let connects_until_ms = from_ms + CONNECTING_TIME_MS;
                 vec![
                     fault(from_ms, repeats_until_ms, FaultKind::RepeatOpenIds { dispatcher }),
+                    fault(from_ms, connects_until_ms, FaultKind::ConnectAllTheTime { dispatcher }),
                     fault(from_ms, from_ms + MIN_LENGTH_MS, FaultKind::Upgrade { dispatcher }),
                 ]
             }
@@ -224,7 +230,9 @@
                     _ => FaultKind::Signals { dispatcher, series },
                 };
                 let end_ms = from_ms + over_ms;
+                let connects_until_ms = end_ms + CONNECTING_TIME_MS;
                 vec![
+                    fault(end_ms, connects_until_ms, FaultKind::ConnectAllTheTime { dispatcher }),
                     fault(from_ms, end_ms + 1_000, FaultKind::SlowWriters { dispatcher, over_ms }),
                     fault(end_ms, end_ms + MIN_LENGTH_MS, kind),
                 ]
--- /dev/null
+++ b/crates/soak/tests/new_connections.rs
@@ -0,0 +1,51 @@
+//! The oracle's verdict on a new connection that ended without an answer.
+
+use dewladder_soak::event_log::{LogEntry, Observation};
+use dewladder_soak::oracle::{check, Rule, LIMITS};
+use dewladder_soak::plan::{FaultKind, Plan};
+
+/// When the connection of each test was established (us).
+const CONNECTED_AT: u64 = 2_000_000;
+/// When it ended (us).
+const ENDED_AT: u64 = CONNECTED_AT + 1_000;
+
+/// The rules that are violated if a new connection is lost and `others` was observed beside it.
+fn violated_rules(others: Vec<LogEntry>) -> Vec<Rule> {
+    let lost = Observation::NewConnectionLost { dispatcher: 0, connected_at: CONNECTED_AT, was_reset: true };
+    let mut entries = others;
+    entries.push(LogEntry { at: ENDED_AT, id: 0, observation: lost });
+    let violations = check(&Plan::draw_replaced(1, 1, 10), &entries, &LIMITS);
+    violations.into_iter().map(|violation| violation.rule).collect()
+}
+
+#[test]
+fn a_new_connection_that_ends_without_an_answer_is_dropped() {
+    assert_eq!(violated_rules(Vec::new()), [Rule::Dropped]);
+}
+
+#[test]
+fn a_planned_kill_excuses_a_connection_that_was_established_in_the_grace_period() {
+    let killed_at_the_end = |signaled_at| {
+        let observation = Observation::KilledInShutdown { dispatcher: 0, signaled_at };
+        vec![LogEntry { at: ENDED_AT, id: 0, observation }]
+    };
+    assert_eq!(violated_rules(killed_at_the_end(CONNECTED_AT - 600_000)), []);
+    assert_eq!(violated_rules(killed_at_the_end(CONNECTED_AT - 800_000)), [Rule::Dropped]);
+}
+
+#[test]
+fn a_client_connects_all_the_time_beside_each_drawn_end_of_a_process() {
+    for seed in 1..50 {
+        let plan = Plan::draw_replaced(seed, 3, 12);
+        let is_end = |kind: &FaultKind| {
+            matches!(kind, FaultKind::Upgrade { .. } | FaultKind::Restart { .. } | FaultKind::Signals { .. })
+        };
+        for end in plan.faults.iter().filter(|fault| is_end(&fault.kind)) {
+            let connects = plan.faults_at(end.from_ms).any(|kind| {
+                matches!(kind, FaultKind::ConnectAllTheTime { .. })
+                    && kind.dispatcher() == end.kind.dispatcher()
+            });
+            assert!(connects, "seed {seed}: {end:?}");
+        }
+    }
+}
