--- a/crates/soak/src/clients/bad_clients.rs
+++ b/crates/soak/src/clients/bad_clients.rs
@@ -29,6 +29,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// A stream with less time left than this is not repeated: its id may be free before the repeat arrives.
 const MIN_STREAM_LEFT: Micros = 500_000;
+/// Time between two waves of large bodies.
+const WAVE_INTERVAL: Duration = Duration::from_millis(50);
 /// Just under the longest body that is allowed (bytes).
 const LARGE_BODY_BYTES: usize = 250_000;
 /// Ids of large requests start here: no other request has one of them.
@@ -132,18 +134,28 @@
         }
     }
 
+    /// Sends large bodies, in one wave after the other: what the allocator keeps of one adds to the next.
     async fn send_large_bodies(&self, count: usize, chunk_bytes: usize, until_ms: u64) {
+        let waves = async {
+            loop {
+                self.send_wave(count, chunk_bytes).await;
+                sleep(WAVE_INTERVAL).await;
+            }
+        };
+        tokio::select! {
+            () = waves => {}
+            () = sleep_until(self.event_log.instant(until_ms)) => {}
+        }
+    }
+
+    async fn send_wave(&self, count: usize, chunk_bytes: usize) {
         let mut clients = JoinSet::new();
         for at in 0..count {
             let id = FIRST_LARGE_ID + ((self.dispatcher as u64) << 32) + self.event_log.now() + at as u64;
             let text = large_request(id, chunk_bytes);
             clients.spawn(status_of_answer_of(self.address, text));
         }
-        let all = async { while clients.join_next().await.is_some() {} };
-        tokio::select! {
-            () = all => {}
-            () = sleep_until(self.event_log.instant(until_ms)) => {}
-        }
+        while clients.join_next().await.is_some() {}
     }
 }
 
--- a/crates/soak/src/oracle/planned_kills.rs
+++ b/crates/soak/src/oracle/planned_kills.rs
@@ -45,6 +45,13 @@
         })
     }
 
+    /// Whether a kill ended the connection, established at `connected_at`, of a request of which the last byte was written
+    /// at `asked_at`, after the kill: the process never had the whole request.
+    pub(super) fn preceded_request(&self, dispatcher: usize, connected_at: Micros, asked_at: Micros) -> bool {
+        let mut kills = self.0.get(&dispatcher).into_iter().flatten();
+        kills.any(|kill| (connected_at..asked_at).contains(&kill.at))
+    }
+
     /// Whether a kill cut a stream at `cut_at` whose last chunk the server had written at `completed_at`, so shortly before
     /// the kill that it was still on its way, and whose request was sent in time for the kill to excuse it.
     pub(super) fn overtook_end(
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -267,7 +267,7 @@
         /// Time from the first to the last byte of a request (ms).
         over_ms: u64,
     },
-    /// Bad clients send bodies of almost the maximum length at once, and keep their connections until the end.
+    /// Bad clients send bodies of almost the maximum length at once, in one wave after the other.
     LargeBodies {
         /// Index of the dispatcher.
         dispatcher: usize,
--- a/crates/soak/src/plan/draw.rs
+++ b/crates/soak/src/plan/draw.rs
@@ -212,41 +212,33 @@
     /// Draws the end or the replacement of a process, with clients that misbehave around it, or a flood of large bodies.
     /// Beside an end or a replacement, a client connects all the time.
     fn replacement(&mut self, from_ms: u64, dispatcher: usize, deadline_ms: u64) -> Vec<Fault> {
-        let fault = |from_ms, to_ms, kind| Fault { from_ms, to_ms, kind };
         match self.below(3) {
-            0 => {
-                // Ids are free once the old process has been killed, so they are repeated until before that only.
-                let repeats_until_ms = from_ms + deadline_ms + 300;
-                let connects_until_ms = from_ms + CONNECTING_TIME_MS;
-                vec![
-                    fault(from_ms, repeats_until_ms, FaultKind::RepeatOpenIds { dispatcher }),
-                    fault(from_ms, connects_until_ms, FaultKind::ConnectAllTheTime { dispatcher }),
-                    fault(from_ms, from_ms + MIN_LENGTH_MS, FaultKind::Upgrade { dispatcher }),
-                ]
-            }
-            1 => {
-                let over_ms = self.one_of(&[400, 900, 1_500]);
-                let series = self.one_of(&[SignalSeries::TermTerm, SignalSeries::StopTermCont]);
-                let kind = match self.below(2) {
-                    0 => FaultKind::Restart { dispatcher },
-                    _ => FaultKind::Signals { dispatcher, series },
-                };
-                let end_ms = from_ms + over_ms;
-                let connects_until_ms = end_ms + CONNECTING_TIME_MS;
-                vec![
-                    fault(end_ms, connects_until_ms, FaultKind::ConnectAllTheTime { dispatcher }),
-                    fault(from_ms, end_ms + 1_000, FaultKind::SlowWriters { dispatcher, over_ms }),
-                    fault(end_ms, end_ms + MIN_LENGTH_MS, kind),
-                ]
-            }
+            0 => upgrade_beside_repeats(from_ms, dispatcher, deadline_ms),
+            1 => self.end_beside_slow_writers(from_ms, dispatcher),
             _ => {
                 let (count, chunk_bytes) = (self.one_of(&[16, 200]), self.one_of(&[0, 1, 13, 4_096]));
                 let kind = FaultKind::LargeBodies { dispatcher, count, chunk_bytes };
-                vec![fault(from_ms, from_ms + 2_500, kind)]
+                vec![Fault { from_ms, to_ms: from_ms + 2_500, kind }]
             }
         }
     }
 
+    fn end_beside_slow_writers(&mut self, from_ms: u64, dispatcher: usize) -> Vec<Fault> {
+        let over_ms = self.one_of(&[400, 900, 1_500]);
+        let series = self.one_of(&[SignalSeries::TermTerm, SignalSeries::StopTermCont]);
+        let end = match self.below(2) {
+            0 => FaultKind::Restart { dispatcher },
+            _ => FaultKind::Signals { dispatcher, series },
+        };
+        let end_ms = from_ms + over_ms;
+        let slow_writers = FaultKind::SlowWriters { dispatcher, over_ms };
+        vec![
+            connecting(end_ms, dispatcher),
+            Fault { from_ms, to_ms: end_ms + 1_000, kind: slow_writers },
+            Fault { from_ms: end_ms, to_ms: end_ms + MIN_LENGTH_MS, kind: end },
+        ]
+    }
+
     /// Draws a fault of the messages on a connection: malformed responses of a reader, or requests in pieces.
     fn exchange_fault(&mut self, length_ms: u64, dispatchers: usize, readers: usize) -> Fault {
         let from_ms = FAULT_FREE_MS + self.below(length_ms.saturating_sub(2 * FAULT_FREE_MS));
@@ -261,6 +253,23 @@
     }
 }
 
+/// An upgrade, while bad clients repeat ids that are open in the old process.
+fn upgrade_beside_repeats(from_ms: u64, dispatcher: usize, deadline_ms: u64) -> Vec<Fault> {
+    // Ids are free once the old process has been killed, so they are repeated until before that only.
+    let repeats_until_ms = from_ms + deadline_ms + 300;
+    let repeats = FaultKind::RepeatOpenIds { dispatcher };
+    vec![
+        Fault { from_ms, to_ms: repeats_until_ms, kind: repeats },
+        connecting(from_ms, dispatcher),
+        Fault { from_ms, to_ms: from_ms + MIN_LENGTH_MS, kind: FaultKind::Upgrade { dispatcher } },
+    ]
+}
+
+/// A client connects all the time from the start of an upgrade or the end of a process.
+fn connecting(from_ms: u64, dispatcher: usize) -> Fault {
+    Fault { from_ms, to_ms: from_ms + CONNECTING_TIME_MS, kind: FaultKind::ConnectAllTheTime { dispatcher } }
+}
+
 /// The processes of a dispatcher are held up as they close a listener.
 fn held_close(dispatcher: usize, length_ms: u64) -> Fault {
     let rule = HELD_CLOSE_RULE.to_owned();
--- a/crates/soak/tests/new_connections.rs
+++ b/crates/soak/tests/new_connections.rs
@@ -1,6 +1,6 @@
-//! The oracle's verdict on a new connection that ended without an answer.
+//! The oracle's verdict on a connection that ended without an answer.
 
-use dewladder_soak::event_log::{LogEntry, Observation};
+use dewladder_soak::event_log::{Class, ClientOutcome, LogEntry, Observation};
 use dewladder_soak::oracle::{check, Rule, LIMITS};
 use dewladder_soak::plan::{FaultKind, Plan};
 
@@ -49,3 +49,35 @@
         }
     }
 }
+
+/// A client writes slowly, and the end of its request comes after the kill: no process ever had the whole request. Closed
+/// later than at once, or without a kill in between, it is dropped.
+#[test]
+fn a_kill_excuses_a_request_that_became_whole_after_it() {
+    let sent_at = CONNECTED_AT + 1_300_000;
+    let violated = |kill: Option<u64>, closed_at| {
+        let sent = Observation::RequestSent {
+            dispatcher: 0,
+            class: Class::Idempotent,
+            timeout: 500_000,
+            connected_at: Some(CONNECTED_AT),
+        };
+        let closed = Observation::ExchangeEnded(ClientOutcome::Closed);
+        let mut entries = vec![
+            LogEntry { at: sent_at, id: 7, observation: sent },
+            LogEntry { at: closed_at, id: 7, observation: closed },
+        ];
+        if let Some(at) = kill {
+            let observation =
+                Observation::KilledInShutdown { dispatcher: 0, signaled_at: CONNECTED_AT - 100_000 };
+            entries.insert(0, LogEntry { at, id: 0, observation });
+        }
+        let violations = check(&Plan::draw_replaced(1, 1, 10), &entries, &LIMITS);
+        violations.into_iter().map(|violation| violation.rule).collect::<Vec<_>>()
+    };
+    let killed_at = Some(sent_at - 150_000);
+    assert_eq!(violated(killed_at, sent_at + 5), []);
+    assert_eq!(violated(killed_at, sent_at + 200_000), [Rule::Dropped]);
+    assert_eq!(violated(Some(CONNECTED_AT - 1), sent_at + 5), [Rule::Dropped]);
+    assert_eq!(violated(None, sent_at + 5), [Rule::Dropped]);
+}
--- a/src/edge/clients/body_buffer.rs
+++ b/src/edge/clients/body_buffer.rs
@@ -10,7 +10,7 @@
 
 /// Size of the first segment: most bodies are shorter (bytes).
 const FIRST_SEGMENT_BYTES: usize = 4 << 10;
-/// Size of the further segments (bytes).
+/// Size of the further segments, and of the first two together (bytes).
 const SEGMENT_BYTES: usize = 16 << 10;
 
 /// The bytes of a body that have come, with the memory for them.
@@ -63,8 +63,9 @@
     }
 
     fn add_segment(&mut self) -> Result<(), NoRoom> {
-        let size = if self.segments.is_empty() { FIRST_SEGMENT_BYTES } else { SEGMENT_BYTES };
-        self.reservation.grow_to(self.reservation.bytes() + size)?;
+        let reserved = self.reservation.bytes();
+        let size = if reserved == 0 { FIRST_SEGMENT_BYTES } else { SEGMENT_BYTES - reserved % SEGMENT_BYTES };
+        self.reservation.grow_to(reserved + size)?;
         self.segments.push(Vec::with_capacity(size));
         Ok(())
     }
