--- a/crates/soak/src/plan/draw.rs
+++ b/crates/soak/src/plan/draw.rs
@@ -216,7 +216,7 @@
             0 => upgrade_beside_repeats(from_ms, dispatcher, deadline_ms),
             1 => self.end_beside_slow_writers(from_ms, dispatcher),
             _ => {
-                let (count, chunk_bytes) = (self.one_of(&[16, 200]), self.one_of(&[0, 1, 13, 4_096]));
+                let (count, chunk_bytes) = (self.one_of(&[16, 120]), self.one_of(&[0, 1, 13, 4_096]));
                 let kind = FaultKind::LargeBodies { dispatcher, count, chunk_bytes };
                 vec![Fault { from_ms, to_ms: from_ms + 2_500, kind }]
             }
