--- a/src/edge/clients/connection.rs
+++ b/src/edge/clients/connection.rs
@@ -32,8 +32,8 @@
 use crate::edge::stats::{End, Figures};
 
 /// The minimum age at which an idle connection is closed: the first request of a new connection is probably
-/// on its way, on a poor link for as long as a round trip takes.
-const MIN_AGE_AT_CLOSE: Duration = Duration::from_millis(500);
+/// on its way.
+const MIN_AGE_AT_CLOSE: Duration = Duration::from_millis(60);
 
 /// Handles the requests of one connection: passes them to the front, or refuses them itself.
 pub struct RequestHandler {
@@ -135,10 +135,7 @@
 /// Waits until a connection that was accepted at `accepted_at` is to be closed if it is idle.
 async fn close_due(mut phase: watch::Receiver<Phase>, accepted_at: Instant) {
     let _ = phase.wait_for(|phase| *phase >= Phase::Closing).await;
-    tokio::select! {
-        () = sleep_until(accepted_at + MIN_AGE_AT_CLOSE) => {}
-        _ = phase.wait_for(|phase| *phase >= Phase::Ending) => {}
-    }
+    sleep_until(accepted_at + MIN_AGE_AT_CLOSE).await;
 }
 
 /// Marks a request as open. Its drop, once the answer has been handed to hyper completely or has been given
