--- a/src/edge/clients/closing_listener.rs
+++ b/src/edge/clients/closing_listener.rs
@@ -1,7 +1,7 @@
 //! Closes a listener without losing a connection. The kernel resets connections that are in the accept queue at the
 //! close, also those that come between the last accept and the close, and refuses those whose handshake is under way. So
-//! new connections are first kept away from the listener ([`connection_steering`]), then handshakes get the time to
-//! complete, and only the empty queue is closed.
+//! new connections are first kept away from the listener ([`connection_steering`](super::connection_steering)), then
+//! handshakes get the time to complete, and only the empty queue is closed.
 //!
 //! New connections go to another listener on the same address, if there is one. Whether there is, and its number in the
 //! group, is found out by probes: connections of this process to its own address.
