--- a/crates/router/tests/fleet_model/mod.rs
+++ b/crates/router/tests/fleet_model/mod.rs
@@ -47,6 +47,8 @@
     pub at: Micros,
     pub dispatcher: usize,
     pub server: ServerId,
+    /// The class of the request.
+    pub class: u32,
 }
 
 /// A request and its result so far.
@@ -99,6 +101,11 @@
     pub rng: Pcg64Mcg,
     /// The behavior that servers take on with their first attempt, for up to a third of the servers of each role.
     pub first_attempt_behavior: Option<Behavior>,
+    /// Whether the capacity of a server rises during slow start. If not, it stays at the minimum until the end.
+    pub warms_gradually: bool,
+    /// Attempts at servers in slow start arrive only at multiples of this (us), because their connections come up late;
+    /// `None` if all attempts arrive at once.
+    pub late_connections: Option<Micros>,
     /// Hash of all decisions of the dispatchers.
     pub decisions: DecisionHash,
     dispatchers: Vec<Dispatcher>,
@@ -123,6 +130,8 @@
             sweep: 40_000,
             rng: Pcg64Mcg::seed_from_u64(seed),
             first_attempt_behavior: None,
+            warms_gradually: true,
+            late_connections: None,
             decisions: DecisionHash::default(),
             dispatchers: Vec::new(),
             schedule: BTreeMap::new(),
@@ -213,10 +222,13 @@
         self.send_list_to(dispatcher);
     }
 
-    /// The share of its full capacity that a server has now. It rises linearly during slow start.
+    /// The share of its full capacity that a server has now. It rises linearly during slow start, or only at its end.
     pub fn share(&self, server: &Server, now: Micros) -> f64 {
         let Some(from) = server.entry.started else { return 1.0 };
         let age = now.saturating_sub(from) as f64 / self.settings.slow_start_window as f64;
+        if !self.warms_gradually {
+            return if age < 1.0 { self.settings.slow_start_min_share } else { 1.0 };
+        }
         (self.settings.slow_start_min_share + (1.0 - self.settings.slow_start_min_share) * age).min(1.0)
     }
 
@@ -243,6 +255,11 @@
         self.schedule.insert((at, self.sequence), (dispatcher, self.dispatchers[dispatcher].restarts, step));
     }
 
+    /// The arrivals of attempts at a server, in order: the time, and the class of the request.
+    pub fn arrivals(&self, server: ServerId) -> impl Iterator<Item = (Micros, u32)> + '_ {
+        self.sends.iter().filter(move |sent| sent.server == server).map(|sent| (sent.at, sent.class))
+    }
+
     /// Lets time pass until `end`.
     pub fn run_until(&mut self, end: Micros) {
         while let Some((&(at, sequence), _)) = self.schedule.first_key_value().filter(|(key, _)| key.0 <= end)
@@ -344,10 +361,19 @@
         }
     }
 
+    /// When an attempt that is sent to a server now arrives there.
+    fn arrival(&self, server: ServerId) -> Micros {
+        let is_cold = self.share(&self.servers[&server], self.now) < 1.0;
+        let delay = self.late_connections.filter(|_| is_cold);
+        delay.map_or(self.now, |interval| self.now.next_multiple_of(interval))
+    }
+
     /// Sends an attempt to a server and schedules what follows from it.
     fn send(&mut self, dispatcher: usize, id: RequestId, server: ServerId, attempt_timeout: Micros) {
         let now = self.now;
-        self.sends.push(Sent { at: now, dispatcher, server });
+        let class = self.records[&id].info.class;
+        let arrived_at = self.arrival(server);
+        self.sends.push(Sent { at: arrived_at, dispatcher, server, class });
         let record = self.records.get_mut(&id).expect("known");
         let attempt = record.attempts;
         record.attempts += 1;
@@ -376,7 +402,7 @@
                 return;
             }
             Behavior::Work => {
-                let start = model.free_at.max(now);
+                let start = model.free_at.max(arrived_at);
                 let done = start + processing_time as Micros;
                 // An attempt that times out before its turn takes no time of the server.
                 if start < timeout_at {
