Compute exponentials and logarithms of decisions with libm, alike on all machines

decisions_match_the_recorded_ones_under_overload failed on arm64, each time: dispatchers on machines of different kinds decide differently in one fleet.

Cause: exp2 of the system's library. All 30,560 different arguments of exp, exp2, log and log2 in that scenario were traced and computed again by the x86-64 library under emulation: with FMA it differs from arm64 in 20 results of exp2 and in nothing else, without FMA in 9 of exp as well. With those 20 results put in place of arm64's, arm64 gives the recorded hash. So two x86-64 machines may differ too.

Measured on arm64: decisions (4) and full_scan (2) pass. Not run on x86-64: this machine can't build for it.

--- a/crates/router/src/fleet/index.rs
+++ b/crates/router/src/fleet/index.rs
@@ -92,7 +92,7 @@
 fn queueing_as_of(epoch: Micros, queueing: &DecayingAverage, half_life_us: f64) -> Option<OrderedFloat<f64>> {
     let (queueing_us, at) = queueing.last.filter(|(queueing_us, _)| *queueing_us > 0.0)?;
     let elapsed = (at as f64 - epoch as f64) / half_life_us;
-    Some(OrderedFloat(queueing_us.log2() + elapsed))
+    Some(OrderedFloat(libm::log2(queueing_us) + elapsed))
 }
 
 /// A ready server, as listed in its cell.
--- a/crates/router/src/gossip.rs
+++ b/crates/router/src/gossip.rs
@@ -56,13 +56,13 @@
 
 /// Encodes an amount of work (us) as a number of steps, at most `MAX_STEPS`.
 fn to_steps(amount: Micros) -> u8 {
-    let steps = (amount as f64 / MIN_AMOUNT_US).max(1.0).log2() * STEPS_PER_DOUBLING;
+    let steps = libm::log2((amount as f64 / MIN_AMOUNT_US).max(1.0)) * STEPS_PER_DOUBLING;
     (steps.round() as u8).min(MAX_STEPS)
 }
 
 /// The amount of work (us) for a number of steps.
 fn from_steps(steps: u8) -> Micros {
-    (MIN_AMOUNT_US * (f64::from(steps) / STEPS_PER_DOUBLING).exp2()) as Micros
+    (MIN_AMOUNT_US * libm::exp2(f64::from(steps) / STEPS_PER_DOUBLING)) as Micros
 }
 
 impl LoadUpdate {
--- a/crates/router/src/learning.rs
+++ b/crates/router/src/learning.rs
@@ -208,7 +208,7 @@
 /// samples, whichever is longer.
 fn record_stage_queueing(state: &mut RoutingState, stage: usize, queueing_us: f64) {
     let average = &mut state.stages[stage].queueing_us;
-    let age_weight = 1.0 - (-average.age_us(state.now) / STAGE_QUEUEING_TIME_US).exp();
+    let age_weight = 1.0 - libm::exp(-average.age_us(state.now) / STAGE_QUEUEING_TIME_US);
     let is_falling = queueing_us < average.value_at(state.now, 0.0, AVERAGE_HALF_LIFE_US);
     let weight = age_weight.min(SAMPLE_WEIGHT) * if is_falling { STAGE_QUEUEING_FALL } else { 1.0 };
     average.add(queueing_us, state.now, 0.0, AVERAGE_HALF_LIFE_US, weight);
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -188,7 +188,8 @@
         ranks.extend(members.iter().map(|member| {
             let draw = mix(key.0 ^ member.hash);
             // Weighted rendezvous hashing: the lowest key stands for the largest ln(draw) / weight.
-            let rank_key = weight.map_or(!draw, |weight| (0.0 - unit_interval(draw).ln() / weight).to_bits());
+            let rank_key =
+                weight.map_or(!draw, |weight| (0.0 - libm::log(unit_interval(draw)) / weight).to_bits());
             let is_own_zone = member.zone == state.settings.zone;
             Rank { tier: 1 + u8::from(is_own_zone != own_zone_first), key: rank_key, server: member.id }
         }));
--- a/crates/router/src/rate_sum.rs
+++ b/crates/router/src/rate_sum.rs
@@ -67,7 +67,7 @@
     pub(crate) fn advance(&mut self, now: Micros) {
         let passed = (now - self.epoch) as f64 / self.time_constant_us;
         if passed > REBASE_AFTER_TIME_CONSTANTS {
-            let decay = (-passed).exp();
+            let decay = libm::exp(-passed);
             self.rates.iter_mut().chain(&mut self.missing).for_each(|value| *value *= decay);
             self.epoch = now;
         }
@@ -75,7 +75,7 @@
 
     /// The sum at `now`, per second.
     pub(crate) fn value_at(&self, now: Micros) -> f64 {
-        let decay = (-((now - self.epoch) as f64) / self.time_constant_us).exp();
+        let decay = libm::exp(-((now - self.epoch) as f64) / self.time_constant_us);
         let corrected =
             |(rate, missing): (&f64, &f64)| rate * decay / DecayingRate::reached_share(missing * decay);
         self.rates.iter().zip(&self.missing).map(corrected).sum()
--- a/crates/router/src/statistics.rs
+++ b/crates/router/src/statistics.rs
@@ -25,7 +25,7 @@
     /// The average at `now`, after its drift towards the baseline.
     pub(crate) fn value_at(&self, now: Micros, baseline: f64, half_life_us: f64) -> f64 {
         let Some((average, _)) = self.last else { return baseline };
-        baseline + (average - baseline) * (-self.age_us(now) / half_life_us).exp2()
+        baseline + (average - baseline) * libm::exp2(-self.age_us(now) / half_life_us)
     }
 
     /// Time since the last sample; infinite before the first one.
@@ -48,7 +48,7 @@
         half_life_us: f64,
         min_weight: f64,
     ) {
-        let weight = 1.0 - (1.0 - min_weight) * (-self.age_us(now) / half_life_us).exp2();
+        let weight = 1.0 - (1.0 - min_weight) * libm::exp2(-self.age_us(now) / half_life_us);
         self.add(sample, now, 0.0, half_life_us, weight);
     }
 }
@@ -88,14 +88,14 @@
 
     /// The rate at `now`.
     pub(crate) fn value_at(&self, now: Micros, time_constant_us: f64) -> f64 {
-        self.per_second * (-((now - self.updated_at) as f64) / time_constant_us).exp()
+        self.per_second * libm::exp(-((now - self.updated_at) as f64) / time_constant_us)
     }
 
     /// The rate of a series that is younger than the time constant: scaled up for its age, by a factor of at
     /// most ten.
     pub(crate) fn age_corrected_at(&self, now: Micros, time_constant_us: f64) -> f64 {
         let age = self.started_at.map_or(0.0, |since| (now - since) as f64);
-        self.value_at(now, time_constant_us) / Self::reached_share((-age / time_constant_us).exp())
+        self.value_at(now, time_constant_us) / Self::reached_share(libm::exp(-age / time_constant_us))
     }
 
     /// The share of its steady level that a rate has reached if the share `missing` is still to come; at
@@ -107,7 +107,7 @@
     /// The rate and the missing share of its steady level, projected to `epoch`. Both decay with the same
     /// time constant.
     pub(crate) fn projected_to(&self, epoch: Micros, time_constant_us: f64) -> (f64, f64) {
-        let decay = |moment: Micros| ((moment as f64 - epoch as f64) / time_constant_us).exp();
+        let decay = |moment: Micros| libm::exp((moment as f64 - epoch as f64) / time_constant_us);
         let Some(since) = self.started_at else { return (0.0, 0.0) };
         (self.per_second * decay(self.updated_at), decay(since))
     }
