Slow start: bound what arrives at a server in any window, by its work and least capacity

What callers saw: a server that had come back 4.8 s before collapsed amid a release and stayed down.

Cause, one class: the budget of a server in slow start was an estimate where the rule is a bound. (1) A bucket that fills up and leaks lets twice its depth through in one window. (2) Sends counted as they were decided; connections that come up late bring them together. (3) The capacity was assumed to grow to 2.5 times the promised share. (4) Requests were counted, not their work: the home of a prefix of a class with long prompts gets those only. (5) Warm servers of any kind and size were the measure. (6) A rate counted from its first event is too high where events are rare. (7) A process that restarts, or is given a larger share of the limits, did not know what had been sent just before; nor did a server's new budget know what its last start was sent.

Change: the budget holds attempts in transit (Event::AttemptWritten) and those that arrived within a window; its limit is the promised share of what warm servers of the kind and size serve, weighted by the mean work of classes, 0.9 of it. Where the limit is below one request, dispatchers take turns that end if unused. The shares of all dispatchers are rounded at random, so that they add up.

Old handovers are still read; a rate without events is not taken over from them.

--- a/crates/router/src/attempts.rs
+++ b/crates/router/src/attempts.rs
@@ -17,8 +17,8 @@
 pub(crate) struct PlannedAttempt {
     pub(crate) attempt: Attempt,
     pub(crate) timeout_us: Micros,
-    /// Requests per window that slow start permits to the server; `None` for a warm server.
-    slow_start_per_window: Option<f64>,
+    /// Work of the attempt at its server, in tokens.
+    server_tokens: f64,
 }
 
 /// What is to be done with the state that servers hold for a request after one of its attempts has ended.
@@ -62,23 +62,22 @@
     PlannedAttempt {
         attempt,
         timeout_us: timeout_us.min(info.not_after - state.now).max(1),
-        slow_start_per_window: slow_start::requests_per_window(state, server.role, server.entry.started),
+        server_tokens: work.server_tokens,
     }
 }
 
 /// Records that an attempt is being sent: in the load of its server, in the load gossip and in its request.
 pub(crate) fn record_sent(state: &mut RoutingState, request: &mut RequestState, planned: PlannedAttempt) {
-    let PlannedAttempt { attempt, slow_start_per_window, .. } = planned;
+    let PlannedAttempt { attempt, server_tokens, .. } = planned;
     let id: RequestId = request.info.id;
-    let (now, window_us) = (state.now, state.settings.overload_window);
+    let relative_work = slow_start::relative_work(state, attempt.stage, attempt.class);
+    state.stages[attempt.stage as usize].class_work.record(attempt.class, server_tokens);
     let unloaded_us_per_token = state.stage(attempt.stage).unloaded_us_per_token;
     if attempt.stage != Stage::Write {
         state.gossip.record_sent(attempt.server, attempt.work_tokens * unloaded_us_per_token);
     }
     state.fleet.change(attempt.server, |server| {
-        if let Some(per_window) = slow_start_per_window {
-            server.slow_start_budget.spend(now, per_window, window_us);
-        }
+        server.slow_start_budget.record_sent(id, relative_work);
         server.add_attempt(id, &attempt);
     });
     if attempt.stage != Stage::Write {
@@ -88,6 +87,26 @@
     request.in_flight = Some(attempt);
 }
 
+/// Records that an attempt of a request has reached its server.
+pub(crate) fn record_arrived(state: &mut RoutingState, id: RequestId, attempt: &Attempt) {
+    let (now, window_us) = (state.now, state.settings.overload_window);
+    state.fleet.change(attempt.server, |server| server.slow_start_budget.record_arrived(id, now, window_us));
+}
+
+/// Records whether an attempt that has ended has reached its server. One that may have does count.
+pub(crate) fn record_arrival_by_outcome(
+    state: &mut RoutingState,
+    id: RequestId,
+    attempt: &Attempt,
+    outcome: Outcome,
+) {
+    if matches!(outcome, Outcome::ConnectFailed | Outcome::NotSent) {
+        state.fleet.change(attempt.server, |server| server.slow_start_budget.record_not_arrived(id));
+    } else {
+        record_arrived(state, id, attempt);
+    }
+}
+
 /// Updates a request after its attempt has ended: where its held state is now, whether the attempt may have
 /// run, and whether the server counts as one that failed it. `attempt` is no longer in flight.
 pub(crate) fn record_outcome(
--- a/crates/router/src/eligibility.rs
+++ b/crates/router/src/eligibility.rs
@@ -4,7 +4,6 @@
 //! [`CandidatePool`] also leaves out servers that are unhealthy or have already failed the request, as long
 //! as enough servers remain.
 
-use crate::fleet::SlowStartingServer;
 use crate::health;
 use crate::interface::{CellId, DedupGroup, Effect, Health, Role, ZoneId};
 use crate::records::{RequestState, Server};
@@ -68,20 +67,21 @@
     state: &'a RoutingState,
     is_open: bool,
     scope: RepeatScope,
+    class: u32,
 }
 
 impl<'a> Permissions<'a> {
     fn of(state: &'a RoutingState, request: &RequestState) -> Self {
         let is_idle = !request.is_completed && request.in_flight.is_none();
         let is_open = is_idle && request.info.not_after > state.now;
-        Self { state, is_open, scope: repeat_scope(state, request) }
+        Self { state, is_open, scope: repeat_scope(state, request), class: request.info.class }
     }
 
     fn permits(&self, server: &Server) -> bool {
         self.is_open
             && server.entry.health == Health::Ready
             && self.scope.contains(server)
-            && slow_start::allows(self.state, server.role, server.entry.started, &server.slow_start_budget)
+            && slow_start::allows(self.state, server, self.class)
     }
 
     /// Number of servers of a role that the rules permit. Where possible, the few exceptions are subtracted
@@ -91,10 +91,8 @@
         if self.scope != RepeatScope::Everywhere {
             return fleet.ready(role).filter(|server| self.permits(server)).count();
         }
-        let lacks_slow_start_budget = |server: &&SlowStartingServer| {
-            !slow_start::allows(self.state, role, server.started, &server.budget)
-        };
-        fleet.ready_count(role) - fleet.slow_starting(role).iter().filter(lacks_slow_start_budget).count()
+        let is_exhausted = |server: &&Server| !slow_start::allows(self.state, server, self.class);
+        fleet.ready_count(role) - fleet.slow_starting(role).filter(is_exhausted).count()
     }
 }
 
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -16,8 +16,8 @@
 use crate::prefix_table::{CachedPrefix, PREFIX_EXPIRY_US};
 use crate::records::{Server, ServerStatistics};
 
-use index::{CellIndex, FleetIndex, IndexedServer};
-pub(crate) use index::{FleetTimes, ReadyServer, SlowStartingServer};
+use index::{CellIndex, FleetIndex, IndexedServer, TotalSize};
+pub(crate) use index::{FleetTimes, ReadyServer};
 
 /// A cell's shares of all ready servers.
 #[derive(Clone, Copy, Debug)]
@@ -39,11 +39,13 @@
     pub(crate) ready: usize,
 }
 
-/// The combined request rate of the ready servers of a role that are not in slow start (warm servers).
+/// What the ready servers of a kind that are not in slow start (warm servers) serve together.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct WarmServing {
+    /// In requests of mean work.
     pub(crate) served_per_second: f64,
-    pub(crate) servers: usize,
+    /// The sum of their sizes.
+    pub(crate) size: f64,
 }
 
 /// The servers known to a dispatcher. See the [module](self).
@@ -85,8 +87,8 @@
             self.index.replace(id, &before, &after);
         }
         self.now = now;
-        for role in &mut self.index.roles {
-            role.served_by_warm.advance(now);
+        for kind in self.index.warm_kinds.values_mut() {
+            kind.rates.advance(now);
         }
     }
 
@@ -122,10 +124,13 @@
             return;
         }
         self.remove_holder(id);
+        let now = self.now;
         self.change(id, |server| {
+            let started = new_server.entry.started.unwrap_or(now);
+            let previous = std::mem::replace(&mut server.slow_start_budget, new_server.slow_start_budget);
+            server.slow_start_budget.inherit(previous, started);
             server.prefixes = new_server.prefixes;
-            server.slow_start_budget = new_server.slow_start_budget;
-            server.statistics = ServerStatistics::default();
+            server.statistics = ServerStatistics::since(now);
         });
     }
 
@@ -273,6 +278,15 @@
         self.index.roles[role as usize].known.max(1) as f64
     }
 
+    /// The sum of the sizes of the servers of a role, whatever their health; 1 if there are none, so that it can
+    /// be divided by.
+    pub(crate) fn known_size(&self, role: Role) -> f64 {
+        match self.index.roles[role as usize].known_size {
+            TotalSize::NONE => 1.0,
+            size => size.value(),
+        }
+    }
+
     /// Number of ready servers of a role.
     pub(crate) fn ready_count(&self, role: Role) -> usize {
         self.index.roles[role as usize].ready
@@ -313,18 +327,20 @@
     }
 
     /// Ready servers of a role that are in slow start, ordered by id.
-    pub(crate) fn slow_starting(&self, role: Role) -> &[SlowStartingServer] {
-        &self.index.roles[role as usize].slow_starting
-    }
-
-    /// The combined request rate of the warm ready servers of a role. The sum is cached until the time or one
-    /// of its rates changes.
-    pub(crate) fn served_by_warm(&self, role: Role) -> WarmServing {
-        let role = &self.index.roles[role as usize];
-        let cached = role.served_by_warm_cache.get().filter(|(at, _)| *at == self.now);
-        let sum = cached.map_or_else(|| role.served_by_warm.value_at(self.now), |(_, sum)| sum);
-        role.served_by_warm_cache.set(Some((self.now, sum)));
-        WarmServing { served_per_second: sum, servers: role.served_by_warm.len() }
+    pub(crate) fn slow_starting(&self, role: Role) -> impl Iterator<Item = &Server> {
+        self.index.roles[role as usize].slow_starting.iter().map(|id| &self.servers[id])
+    }
+
+    /// What the warm ready servers of a kind serve together. The sum is cached until the time or one of their
+    /// rates changes.
+    pub(crate) fn served_by_warm(&self, kind: u32) -> WarmServing {
+        let Some(kind) = self.index.warm_kinds.get(&kind) else {
+            return WarmServing { served_per_second: 0.0, size: 0.0 };
+        };
+        let cached = kind.sum_cache.get().filter(|(at, _)| *at == self.now);
+        let sum = cached.map_or_else(|| kind.rates.value_at(self.now), |(_, sum)| sum);
+        kind.sum_cache.set(Some((self.now, sum)));
+        WarmServing { served_per_second: sum, size: kind.size.value() }
     }
 
     /// Ready servers of a role with a failure, in some class, since they last served a request of that class.
--- a/crates/router/src/fleet/consistency.rs
+++ b/crates/router/src/fleet/consistency.rs
@@ -1,6 +1,6 @@
 //! Checks the fleet's index against a recount of all servers. Tests run the check after every event.
 
-use super::index::{FleetIndex, IndexedServer, RoleIndex};
+use super::index::{FleetIndex, IndexedServer, TotalSize, WarmIndex};
 use super::Fleet;
 use crate::prefix_table::PREFIX_EXPIRY_US;
 
@@ -23,12 +23,18 @@
     pub(crate) fn index_disagreement(&self) -> Option<String> {
         let recounted = self.recount();
         for (role, (kept, recounted)) in self.index.roles.iter().zip(&recounted.roles).enumerate() {
-            if !self.role_agrees(kept, recounted) {
+            if kept != recounted {
                 return Some(format!("role {role}: {kept:?}, recounted {recounted:?}"));
             }
         }
+        for (kind, kept) in &self.index.warm_kinds {
+            let recounted = recounted.warm_kinds.get(kind);
+            if !self.warm_agrees(kept, recounted) {
+                return Some(format!("warm servers of kind {kind}: {kept:?}, recounted {recounted:?}"));
+            }
+        }
         self.holders_disagreement().or_else(|| {
-            let FleetIndex { roles: _, stages, cells, busy, suspects, gone, warming } = &self.index;
+            let FleetIndex { stages, cells, busy, suspects, gone, warming, .. } = &self.index;
             let agreements = [
                 ("stages", *stages == recounted.stages),
                 ("cells", *cells == recounted.cells),
@@ -42,16 +48,13 @@
         })
     }
 
-    /// Whether the index of one role agrees with its recount.
-    fn role_agrees(&self, kept: &RoleIndex, recounted: &RoleIndex) -> bool {
-        let sum = kept.served_by_warm.value_at(self.now);
-        let recounted_sum = recounted.served_by_warm.value_at(self.now);
-        kept.known == recounted.known
-            && kept.ready == recounted.ready
-            && kept.memory_tokens_in_flight == recounted.memory_tokens_in_flight
-            && kept.zones == recounted.zones
-            && kept.slow_starting == recounted.slow_starting
-            && kept.served_by_warm.len() == recounted.served_by_warm.len()
+    /// Whether the index of the warm servers of a kind agrees with its recount; `None` if the recount found none.
+    fn warm_agrees(&self, kept: &WarmIndex, recounted: Option<&WarmIndex>) -> bool {
+        let Some(recounted) = recounted else { return kept.rates.len() == 0 && kept.size == TotalSize::NONE };
+        let sum = kept.rates.value_at(self.now);
+        let recounted_sum = recounted.rates.value_at(self.now);
+        kept.size == recounted.size
+            && kept.rates.len() == recounted.rates.len()
             && (sum - recounted_sum).abs() <= SUM_TOLERANCE * recounted_sum.max(SMALL_SUM)
     }
 
--- a/crates/router/src/fleet/index.rs
+++ b/crates/router/src/fleet/index.rs
@@ -12,7 +12,6 @@
 use crate::rate_sum::RateSum;
 use crate::records::stage::STAGES;
 use crate::records::Server;
-use crate::slow_start_budget::SlowStartBudget;
 use crate::statistics::{mix, DecayingAverage, DecayingRate, SortedValues};
 
 /// Number of roles: arrays by role have this length.
@@ -37,10 +36,10 @@
     cell: CellId,
     is_ready: bool,
     is_gone: bool,
-    started: Option<Micros>,
+    kind: u32,
+    size: f64,
     /// When its slow start ends; `None` for a server that is not in slow start (a warm one).
     pub(super) slow_start_until: Option<Micros>,
-    slow_start_budget: SlowStartBudget,
     /// It has unanswered attempts of this dispatcher.
     is_busy: bool,
     /// It has a failure, in some class, since it last served a request of that class.
@@ -64,9 +63,9 @@
             cell: server.entry.cell,
             is_ready: server.entry.health == Health::Ready,
             is_gone: server.entry.health == Health::Gone,
-            started: server.entry.started,
+            kind: server.entry.kind,
+            size: server.size,
             slow_start_until: slow_start_until.filter(|until| now < *until),
-            slow_start_budget: server.slow_start_budget,
             is_busy: server.is_busy(),
             is_suspect: !statistics.outlier_states.is_empty(),
             memory_tokens_in_flight: server.memory_tokens_in_flight,
@@ -104,12 +103,26 @@
     pub(crate) hash: u64,
 }
 
-/// A ready server in slow start.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) struct SlowStartingServer {
-    id: ServerId,
-    pub(crate) started: Option<Micros>,
-    pub(crate) budget: SlowStartBudget,
+/// A sum of the sizes of servers, in whole millionths: so that it is exact, whatever is added and removed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct TotalSize(u64);
+
+impl TotalSize {
+    /// The sum over no servers.
+    pub(crate) const NONE: Self = Self(0);
+
+    /// The sum as a number.
+    pub(crate) fn value(self) -> f64 {
+        self.0 as f64 / 1e6
+    }
+
+    fn count(&mut self, size: f64, operation: Operation) {
+        let millionths = (size * 1e6) as u64;
+        match operation {
+            Operation::Add => self.0 += millionths,
+            Operation::Remove => self.0 -= millionths,
+        }
+    }
 }
 
 /// Whether a server is added to the index or removed from it.
@@ -139,7 +152,7 @@
 }
 
 /// Aggregates over the servers of one role.
-#[derive(Debug)]
+#[derive(Debug, Default, PartialEq)]
 pub(super) struct RoleIndex {
     /// Number of servers, whatever their health.
     pub(super) known: usize,
@@ -149,35 +162,35 @@
     pub(super) memory_tokens_in_flight: u64,
     /// Number of ready servers in each zone that has any.
     pub(super) zones: BTreeMap<ZoneId, usize>,
-    /// Ready servers in slow start, ordered by id.
-    pub(super) slow_starting: Vec<SlowStartingServer>,
-    /// Sum of the request rates of ready servers that are not in slow start.
-    pub(super) served_by_warm: RateSum,
-    /// The value of `served_by_warm` and the time it was computed for; `None` after a change.
-    pub(super) served_by_warm_cache: Cell<Option<(Micros, f64)>>,
+    /// Sizes of all servers, whatever their health.
+    pub(super) known_size: TotalSize,
+    /// Ready servers in slow start.
+    pub(super) slow_starting: BTreeSet<ServerId>,
+}
+
+/// Aggregates over the ready servers of one kind that are not in slow start.
+#[derive(Debug)]
+pub(super) struct WarmIndex {
+    /// Sum of the rates at which they serve.
+    pub(super) rates: RateSum,
+    /// The value of `rates` and the time it was computed for; `None` after a change.
+    pub(super) sum_cache: Cell<Option<(Micros, f64)>>,
+    pub(super) size: TotalSize,
 }
 
-impl RoleIndex {
+impl WarmIndex {
     fn new(times: FleetTimes, epoch: Micros) -> Self {
-        Self {
-            known: 0,
-            ready: 0,
-            memory_tokens_in_flight: 0,
-            zones: BTreeMap::new(),
-            slow_starting: Vec::new(),
-            served_by_warm: RateSum::new(times.rate_time_constant_us, epoch),
-            served_by_warm_cache: Cell::new(None),
-        }
+        let rates = RateSum::new(times.rate_time_constant_us, epoch);
+        Self { rates, sum_cache: Cell::new(None), size: TotalSize::NONE }
     }
 
-    /// Adds a server to those in slow start or replaces its entry there, or removes it.
-    fn set_slow_starting(&mut self, id: ServerId, of: &IndexedServer, operation: Operation) {
-        let server = SlowStartingServer { id, started: of.started, budget: of.slow_start_budget };
-        match (self.slow_starting.binary_search_by_key(&id, |other| other.id), operation) {
-            (Err(position), Operation::Add) => self.slow_starting.insert(position, server),
-            (Ok(position), Operation::Add) => self.slow_starting[position] = server,
-            (Ok(position), Operation::Remove) => drop(self.slow_starting.remove(position)),
-            (Err(_), Operation::Remove) => {}
+    /// Adds a server or removes it.
+    fn count(&mut self, id: ServerId, server: &IndexedServer, operation: Operation) {
+        self.sum_cache.set(None);
+        self.size.count(server.size, operation);
+        match operation {
+            Operation::Add => self.rates.set(id, &server.served_per_second),
+            Operation::Remove => self.rates.remove(id),
         }
     }
 }
@@ -230,6 +243,11 @@
 #[derive(Debug)]
 pub(super) struct FleetIndex {
     pub(super) roles: [RoleIndex; ROLES],
+    /// Warm servers by the number of their kind.
+    pub(super) warm_kinds: BTreeMap<u32, WarmIndex>,
+    times: FleetTimes,
+    /// Sums of decaying rates that are added start from this time.
+    epoch: Micros,
     pub(super) stages: [StageIndex; STAGES],
     pub(super) cells: BTreeMap<CellId, CellIndex>,
     /// Servers with unanswered attempts of this dispatcher.
@@ -246,7 +264,10 @@
     /// An empty index. Sums of decaying rates start from `epoch`.
     pub(super) fn new(times: FleetTimes, epoch: Micros) -> Self {
         Self {
-            roles: std::array::from_fn(|_| RoleIndex::new(times, epoch)),
+            roles: std::array::from_fn(|_| RoleIndex::default()),
+            warm_kinds: BTreeMap::new(),
+            times,
+            epoch,
             stages: std::array::from_fn(|_| StageIndex::default()),
             cells: BTreeMap::new(),
             busy: BTreeSet::new(),
@@ -291,11 +312,10 @@
             role.memory_tokens_in_flight - before.memory_tokens_in_flight + after.memory_tokens_in_flight;
         let is_warm = after.slow_start_until.is_none();
         if before.served_per_second != after.served_per_second && after.is_ready && is_warm {
-            role.served_by_warm.set(id, &after.served_per_second);
-            role.served_by_warm_cache.set(None);
-        }
-        if before.slow_start_budget != after.slow_start_budget && after.is_ready && !is_warm {
-            role.set_slow_starting(id, after, Operation::Add);
+            if let Some(kind) = self.warm_kinds.get_mut(&after.kind) {
+                kind.rates.set(id, &after.served_per_second);
+                kind.sum_cache.set(None);
+            }
         }
         if before.is_busy != after.is_busy {
             set_member(&mut self.busy, id, after.is_busy);
@@ -307,6 +327,7 @@
     fn count(&mut self, id: ServerId, server: &IndexedServer, operation: Operation) {
         let role = &mut self.roles[server.role as usize];
         operation.count(&mut role.known);
+        role.known_size.count(server.size, operation);
         role.memory_tokens_in_flight = match operation {
             Operation::Add => role.memory_tokens_in_flight + server.memory_tokens_in_flight,
             Operation::Remove => role.memory_tokens_in_flight - server.memory_tokens_in_flight,
@@ -340,11 +361,12 @@
         if *in_zone == 0 {
             role.zones.remove(&server.zone);
         }
-        role.served_by_warm_cache.set(None);
-        match (server.slow_start_until, operation) {
-            (Some(_), _) => role.set_slow_starting(id, server, operation),
-            (None, Operation::Add) => role.served_by_warm.set(id, &server.served_per_second),
-            (None, Operation::Remove) => role.served_by_warm.remove(id),
+        if server.slow_start_until.is_some() {
+            set_member(&mut role.slow_starting, id, operation == Operation::Add);
+        } else {
+            let (times, epoch) = (self.times, self.epoch);
+            let of_kind = self.warm_kinds.entry(server.kind).or_insert_with(|| WarmIndex::new(times, epoch));
+            of_kind.count(id, server, operation);
         }
         let members = self.cells.entry(server.cell).or_default();
         let ready = ReadyServer { id, zone: server.zone, hash: mix(u64::from(id.0)) };
@@ -375,7 +397,6 @@
     let after_with_load_before = IndexedServer {
         memory_tokens_in_flight: before.memory_tokens_in_flight,
         is_busy: before.is_busy,
-        slow_start_budget: before.slow_start_budget,
         served_per_second: before.served_per_second.clone(),
         us_per_token: before.us_per_token,
         queueing: before.queueing,
--- a/crates/router/src/handover.rs
+++ b/crates/router/src/handover.rs
@@ -202,7 +202,8 @@
                     *own = record;
                 }
             }
-            if statistics.served_per_second.is_new() && self.served_per_second.is_plausible(now) {
+            let served = &self.served_per_second;
+            if statistics.served_per_second.is_new() && !served.is_new() && served.is_plausible(now) {
                 statistics.served_per_second = self.served_per_second;
             }
             let invalid_until = self.prefixes_invalid_until.min(now);
--- a/crates/router/src/interface/messages.rs
+++ b/crates/router/src/interface/messages.rs
@@ -29,6 +29,10 @@
         /// Time from sending the attempt to its first token (us).
         elapsed: Micros,
     },
+    /// The last byte of a request's attempt in flight was written to its server, so that it counts as work of
+    /// the server from now on. Until then it may still arrive. Who can't tell when it was written reports it at
+    /// once.
+    AttemptWritten(RequestId),
     /// An attempt ended, with any outcome.
     AttemptFinished(AttemptFinished),
     /// The client disconnected before its request was completed.
--- a/crates/router/src/interface/settings.rs
+++ b/crates/router/src/interface/settings.rs
@@ -106,8 +106,10 @@
     pub max_hold_time: Micros,
     /// Minimum time between two batches of events (us).
     pub min_batch_interval: Micros,
-    /// Minimum share of its full capacity that a server has when it starts. The share rises linearly to 1
-    /// over `slow_start_window`.
+    /// The weights of the list are the sizes of the servers, at least roughly.
+    pub weight_is_size: bool,
+    /// Minimum share of its full capacity that a server has when it starts. How the share grows to 1 within
+    /// `slow_start_window` is not known.
     pub slow_start_min_share: f64,
     /// Length of slow start, counted from a server's start (us).
     pub slow_start_window: Micros,
--- a/crates/router/src/learning.rs
+++ b/crates/router/src/learning.rs
@@ -10,6 +10,7 @@
 use crate::prefix_table::PREFIX_KEYS;
 use crate::records::{Attempt, Server, Stage};
 use crate::routing_state::RoutingState;
+use crate::slow_start;
 use crate::statistics::DecayingRate;
 use crate::work::READ_OVERHEAD_TOKENS;
 
@@ -122,8 +123,10 @@
     let stage = attempt.stage as usize;
     let us_per_token = elapsed_us as f64 / attempt.work_tokens;
     let median = state.stages[stage].median_us_per_token;
-    let served =
-        |server: &mut Server| server.statistics.record_served(attempt.class, now, RATE_TIME_CONSTANT_US);
+    let work = slow_start::relative_work(state, attempt.stage, attempt.class);
+    let served = |server: &mut Server| {
+        server.statistics.record_served(attempt.class, work, now, RATE_TIME_CONSTANT_US);
+    };
     let Some(()) = state.fleet.change(attempt.server, served) else { return };
     if attempt.crosses_cells {
         let remote = &mut state.remote_fetch_us_per_token;
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -18,6 +18,7 @@
 mod health;
 pub mod interface;
 mod learning;
+mod limit_share;
 mod list_backoff;
 mod load;
 mod metrics;
--- a/crates/router/src/records/mod.rs
+++ b/crates/router/src/records/mod.rs
@@ -1,6 +1,7 @@
 //! State that a dispatcher keeps of requests, servers, cells and stages. The records contain no rules.
 
 pub(crate) mod cell;
+pub(crate) mod class_work;
 pub(crate) mod request;
 pub(crate) mod server;
 pub(crate) mod stage;
--- a/crates/router/src/records/server.rs
+++ b/crates/router/src/records/server.rs
@@ -17,6 +17,8 @@
     pub(crate) role: Role,
     /// The server's memory in tokens; 0 if unknown.
     pub(crate) memory_tokens: u64,
+    /// The server's size, in proportion to its capacity; 1 where the list doesn't tell sizes.
+    pub(crate) size: f64,
     /// Attempts that have neither a first token nor an end yet, by the time at which they were sent.
     pub(crate) unanswered: BTreeSet<(Micros, RequestId)>,
     /// Work of the unanswered attempts in tokens, by stage.
@@ -29,18 +31,24 @@
 }
 
 impl Server {
-    /// A server that is listed for the first time. Role and memory are set from its kind afterwards.
-    pub(crate) fn new(entry: ServerEntry, prefixes: PrefixTable, slow_start_budget: SlowStartBudget) -> Self {
+    /// A server that is listed at `now` for the first time. Role, memory and size are set afterwards.
+    pub(crate) fn new(
+        entry: ServerEntry,
+        prefixes: PrefixTable,
+        slow_start_budget: SlowStartBudget,
+        now: Micros,
+    ) -> Self {
         Self {
             entry,
             role: Role::Mixed,
             memory_tokens: 0,
+            size: 1.0,
             unanswered: BTreeSet::new(),
             unanswered_tokens: [0.0; STAGES],
             memory_tokens_in_flight: 0,
             prefixes,
             slow_start_budget,
-            statistics: ServerStatistics::default(),
+            statistics: ServerStatistics::since(now),
         }
     }
 
@@ -92,7 +100,7 @@
     pub(crate) queueing_us: [DecayingAverage; STAGES],
     /// Consecutive failures by class: a server may fail one class and serve the others.
     pub(crate) outlier_states: BTreeMap<u32, OutlierState>,
-    /// Rate of requests that the server served for this dispatcher.
+    /// Rate of work that the server served for this dispatcher, in requests of mean work.
     pub(crate) served_per_second: DecayingRate,
     /// The time until which the server gets no new work because it rejected a request as full.
     pub(crate) full_until: Micros,
@@ -101,10 +109,16 @@
 }
 
 impl ServerStatistics {
-    /// Records that the server has served a request of a class, or read its prompt.
-    pub(crate) fn record_served(&mut self, class: u32, now: Micros, time_constant_us: f64) {
+    /// Statistics of a server that is observed from `now` on.
+    pub(crate) fn since(now: Micros) -> Self {
+        Self { served_per_second: DecayingRate::observed_since(now), ..Self::default() }
+    }
+
+    /// Records that the server has served a request of a class, or read its prompt. `work` is in requests of
+    /// mean work.
+    pub(crate) fn record_served(&mut self, class: u32, work: f64, now: Micros, time_constant_us: f64) {
         self.outlier_states.remove(&class);
-        self.served_per_second.add(1.0, now, time_constant_us);
+        self.served_per_second.add(work, now, time_constant_us);
     }
 
     /// Applies a class renumbering: `class_renumbering` maps each new number to the old one. Statistics
--- a/crates/router/src/records/stage.rs
+++ b/crates/router/src/records/stage.rs
@@ -2,7 +2,8 @@
 
 use std::collections::VecDeque;
 
-use crate::interface::Micros;
+use crate::interface::{Micros, Role};
+use crate::records::class_work::ClassWork;
 use crate::statistics::{DecayingAverage, DecayingRate};
 
 /// Number of stages: the length of arrays that are indexed by stage.
@@ -19,6 +20,17 @@
     ReadAndWrite = 2,
 }
 
+impl Stage {
+    /// The stage that servers of a role perform for most requests.
+    pub(crate) fn of(role: Role) -> Self {
+        match role {
+            Role::Reader => Self::Read,
+            Role::Writer => Self::Write,
+            Role::Mixed => Self::ReadAndWrite,
+        }
+    }
+}
+
 /// The end of an attempt, and how long the attempt queued.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct QueueingSample {
@@ -43,6 +55,8 @@
     pub(crate) queueing_us: DecayingAverage,
     /// Attempts that have recently ended, the newest first.
     pub(crate) recent_queueing: VecDeque<QueueingSample>,
+    /// How much work the requests of each class are.
+    pub(crate) class_work: ClassWork,
 }
 
 impl StageStatistics {
@@ -55,6 +69,7 @@
             tokens_in_flight: DecayingRate::default(),
             queueing_us: DecayingAverage::default(),
             recent_queueing: VecDeque::new(),
+            class_work: ClassWork::default(),
         }
     }
 
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -35,6 +35,7 @@
     ServerId, Settings,
 };
 use crate::learning;
+use crate::limit_share::LimitShare;
 use crate::list_backoff::ListBackoff;
 use crate::metrics;
 use crate::popularity::INITIAL_TOKENS_PER_OBJECTIVE;
@@ -102,7 +103,8 @@
                 self.on_settings_reloaded(*settings, &class_renumbering);
             }
             Event::StateImported(handover) => handover.import(&mut self.state),
-            Event::LimitShareChanged(share) => self.state.limit_share = share,
+            Event::LimitShareChanged(share) => self.on_limit_share_changed(share),
+            Event::AttemptWritten(id) => self.on_attempt_written(id),
             Event::DeadlinesCapped(at) => self.on_deadlines_capped(at),
             Event::TimerFired(_) | Event::Ignored => {}
         }
@@ -179,6 +181,7 @@
         attempt.is_streaming = true;
         request.held_state = None;
         let attempt = attempt.clone();
+        attempts::record_arrived(&mut self.state, id, &attempt);
         learning::record_first_token(&mut self.state, id, &attempt, elapsed_us);
     }
 
@@ -196,6 +199,7 @@
             actions.push(Action::ReleaseHeldState(id));
         }
         let (prompt_tokens, is_completed) = (request.info.prompt_tokens, request.is_completed);
+        attempts::record_arrival_by_outcome(&mut self.state, id, &attempt, ended.outcome);
         learning::record_end(&mut self.state, attempt, &ended, prompt_tokens, &mut self.rng);
         if is_completed {
             self.close(id, actions);
@@ -222,12 +226,28 @@
     fn on_settings_reloaded(&mut self, settings: Settings, class_renumbering: &BTreeMap<u32, u32>) {
         let state = &mut self.state;
         state.fleet.renumber_classes(class_renumbering, &settings.classes);
+        for stage in &mut state.stages {
+            stage.class_work.renumber_classes(class_renumbering, &settings.classes);
+        }
         state.gossip.reload(&settings);
         state.fleet.set_slow_start_window(settings.slow_start_window);
         state.shortest_objective_us = settings.shortest_latency_objective();
         state.settings = settings;
     }
 
+    fn on_limit_share_changed(&mut self, share: f64) {
+        let RoutingState { limit_share, now, settings, .. } = &mut self.state;
+        limit_share.change(share, *now, settings.overload_window);
+    }
+
+    /// Records that the attempt of a request has reached its server.
+    fn on_attempt_written(&mut self, id: RequestId) {
+        let in_flight = self.requests.get(&id).and_then(|request| request.in_flight.as_ref());
+        if let Some(attempt) = in_flight {
+            attempts::record_arrived(&mut self.state, id, attempt);
+        }
+    }
+
     /// Limits the deadlines of all open requests to `at`. The result does not depend on the order of
     /// iteration.
     fn on_deadlines_capped(&mut self, at: Micros) {
@@ -330,6 +350,7 @@
     };
     RoutingState {
         now,
+        created_at: now,
         shortest_objective_us: settings.shortest_latency_objective(),
         fleet: Fleet::new(times, now),
         stages: std::array::from_fn(|_| StageStatistics::new(us_per_token, WRITE_OVERHEAD_TOKENS)),
@@ -339,7 +360,7 @@
         recent_request_rate: DecayingRate::default(),
         shared_prefixes: LruCache::unbounded(),
         gossip: LoadGossip::new(&settings),
-        limit_share: 1.0,
+        limit_share: LimitShare::WHOLE,
         settings,
     }
 }
--- a/crates/router/src/routing_state.rs
+++ b/crates/router/src/routing_state.rs
@@ -11,6 +11,7 @@
 use crate::fleet::Fleet;
 use crate::gossip::LoadGossip;
 use crate::interface::{CellId, Class, Key, Micros, Settings};
+use crate::limit_share::LimitShare;
 use crate::records::stage::STAGES;
 use crate::records::{CellBalance, Stage, StageStatistics};
 use crate::statistics::{DecayingAverage, DecayingRate};
@@ -20,6 +21,8 @@
 pub(crate) struct RoutingState {
     pub(crate) settings: Settings,
     pub(crate) now: Micros,
+    /// When this process started.
+    pub(crate) created_at: Micros,
     /// The shortest latency objective of any class (us), cached because it is read often.
     pub(crate) shortest_objective_us: f64,
     pub(crate) fleet: Fleet,
@@ -37,7 +40,7 @@
     pub(crate) gossip: LoadGossip,
     /// The part (0 to 1) of the dispatcher's limits that this process may use; below 1 only while another
     /// process takes over from it.
-    pub(crate) limit_share: f64,
+    pub(crate) limit_share: LimitShare,
 }
 
 impl RoutingState {
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -199,6 +199,7 @@
         max_retry_after: values.time_us("limits.max_retry_after_s", 0)?,
         max_hold_time: values.time_us("domain.release_within_s", 0)?,
         min_batch_interval: values.time_us("resolution_s", 0)?,
+        weight_is_size: matches!(values.text("weights"), "nominal" | "rough"),
         slow_start_min_share: values.number_up_to("rules.cold_from", 0.0, 1.0)?,
         slow_start_window: values.time_us("rules.cold_s", 0)?,
         overload_multiple: values.number_up_to("rules.fall_multiple", 1.0, MAX_NUMBER)?,
--- a/crates/router/src/slow_start.rs
+++ b/crates/router/src/slow_start.rs
@@ -1,51 +1,67 @@
-//! Slow start: how many requests may be sent to a server that has recently started (rule 4 in
+//! Slow start: how much work may be sent to a server that has recently started (rule 4 in
 //! [`eligibility`](crate::eligibility)). A server after slow start is called warm.
 //!
-//! A server fails if it is sent more than `overload_multiple` times its current capacity for
-//! `overload_window`. Its capacity rises from `slow_start_min_share` to 1 within `slow_start_window`. The
-//! warm servers of its role show what a capacity of 1 is.
+//! A server fails if all dispatchers together send it more than `overload_multiple` times its current capacity
+//! within any `overload_window`. Its capacity is at least `slow_start_min_share` of the full one until the end
+//! of `slow_start_window`; how it grows until then is not known. The warm servers of its kind show what the
+//! full capacity is, in proportion to their size.
 
 use crate::averaging::RATE_TIME_CONSTANT_US;
-use crate::interface::{Micros, Role};
+use crate::interface::Micros;
+use crate::records::{Server, Stage};
 use crate::routing_state::RoutingState;
-use crate::slow_start_budget::SlowStartBudget;
+use crate::slow_start_budget::{SlowStartBudget, SlowStartLimit};
 
-/// Share of the permitted rate that is used. The rest is a margin for random variation and for crowded peers
-/// (warm servers of the role, whose rate is the measure of capacity).
-const BUDGET_MARGIN: f64 = 0.75;
-/// Rate of a warm server, as a share of an even part of all requests, while no server of the role is warm.
+/// Share of the permitted work that is used. The rest is a margin for errors of the estimate.
+const BUDGET_MARGIN: f64 = 0.9;
+/// Rate of a warm server, as a share of an even part of all requests, while no server of the kind is warm.
 const SHARE_WITHOUT_WARM_PEERS: f64 = 0.5;
-/// Growth of the capacity over slow start that can be relied on, as a multiple of the capacity at the start.
-const CAPACITY_GAIN: f64 = 1.5;
 
-/// Whether a server's slow start budget has room for one more request. A warm server has no limit.
-pub(crate) fn allows(
-    state: &RoutingState,
-    role: Role,
-    started: Option<Micros>,
-    budget: &SlowStartBudget,
-) -> bool {
-    let window_us = state.settings.overload_window;
-    let permitted = requests_per_window(state, role, started);
-    permitted.is_none_or(|per_window| budget.allows(state.now, per_window, window_us))
+/// Whether a server's slow start has room for one more request of a class. A warm server has no limit.
+pub(crate) fn allows(state: &RoutingState, server: &Server, class: u32) -> bool {
+    let Some(limit) = limit(state, server) else { return true };
+    let work = relative_work(state, Stage::of(server.role), class);
+    server.slow_start_budget.allows(state.now, work, limit)
 }
 
-/// Requests that this dispatcher may send to a server in slow start within one window: its part of the
-/// capacity that the server has by now at least, measured by what a warm server of the role serves for this
-/// dispatcher. `None` for a warm server.
-pub(crate) fn requests_per_window(state: &RoutingState, role: Role, started: Option<Micros>) -> Option<f64> {
-    let (started, settings) = (started?, &state.settings);
-    let age = state.now.saturating_sub(started) as f64 / settings.slow_start_window.max(1) as f64;
-    let capacity = settings.slow_start_min_share * (1.0 + CAPACITY_GAIN * age);
-    let warm = state.fleet.served_by_warm(role);
-    let warm_rate = if warm.servers > 0 {
-        warm.served_per_second / warm.servers as f64
-    } else {
-        let requests = state.request_rate.age_corrected_at(state.now, RATE_TIME_CONSTANT_US);
-        SHARE_WITHOUT_WARM_PEERS * (requests / state.fleet.known_count(role))
-    };
-    let per_second = state.limit_share * BUDGET_MARGIN * settings.overload_multiple * capacity * warm_rate;
-    let per_window = per_second * settings.overload_window as f64 / 1e6;
-    let is_in_slow_start = state.now < started.saturating_add(settings.slow_start_window);
-    is_in_slow_start.then_some(per_window)
+/// Work of a request of a class at a stage, as a multiple of the mean work of all requests there.
+pub(crate) fn relative_work(state: &RoutingState, stage: Stage, class: u32) -> f64 {
+    state.stage(stage).class_work.relative(class)
+}
+
+/// What may arrive at a server in slow start from this dispatcher: its part of the capacity that the server has
+/// at least, measured by what a warm server of the kind serves for this dispatcher. `None` for a warm server.
+fn limit(state: &RoutingState, server: &Server) -> Option<SlowStartLimit> {
+    let settings = &state.settings;
+    let warm_from = server.entry.started?.saturating_add(settings.slow_start_window);
+    if state.now >= warm_from {
+        return None;
+    }
+    let share = state.limit_share.at(state.now) * BUDGET_MARGIN;
+    let capacity = settings.slow_start_min_share * warm_rate(state, server);
+    let window_us = settings.overload_window;
+    let work = share * settings.overload_multiple * capacity * window_us as f64 / 1e6;
+    Some(SlowStartLimit { work, window_us })
+}
+
+/// Estimated work per second that this dispatcher has served by a warm server of the same kind and size, in
+/// requests of mean work.
+fn warm_rate(state: &RoutingState, server: &Server) -> f64 {
+    let warm = state.fleet.served_by_warm(server.entry.kind);
+    if warm.size > 0.0 {
+        return warm.served_per_second * server.size / warm.size;
+    }
+    let requests = state.request_rate.age_corrected_at(state.now, RATE_TIME_CONSTANT_US);
+    SHARE_WITHOUT_WARM_PEERS * requests * server.size / state.fleet.known_size(server.role)
+}
+
+/// The budget of a server that is listed under a new start time. `rounding` is a random draw in (0, 1].
+pub(crate) fn new_budget(state: &RoutingState, started: Option<Micros>, rounding: f64) -> SlowStartBudget {
+    let budget = SlowStartBudget::new(rounding, state.now);
+    match started {
+        Some(started) if started <= state.created_at => {
+            budget.opening_after_window(state.created_at, state.settings.overload_window)
+        }
+        _ => budget,
+    }
 }
--- a/crates/router/src/statistics.rs
+++ b/crates/router/src/statistics.rs
@@ -61,7 +61,7 @@
     per_second: f64,
     #[serde(rename = "at")]
     updated_at: Micros,
-    /// The time of the first event; `None` before it.
+    /// Since when events are counted: a given time, or else that of the first event; `None` before it.
     #[serde(rename = "since")]
     started_at: Option<Micros>,
 }
@@ -73,9 +73,15 @@
         self.started_at = self.started_at.map(|since| since.saturating_add_signed(ahead_us));
     }
 
+    /// A rate of events that are counted from `now` on. Without that, the first event would count as the rate of
+    /// a very short time.
+    pub(crate) fn observed_since(now: Micros) -> Self {
+        Self { per_second: 0.0, updated_at: now, started_at: Some(now) }
+    }
+
     /// Whether nothing has been added yet.
     pub(crate) fn is_new(&self) -> bool {
-        self.started_at.is_none()
+        self.per_second <= 0.0
     }
 
     /// Whether this rate can be the result of additions up to `now`; a deserialized one need not be.
--- a/crates/router/src/work.rs
+++ b/crates/router/src/work.rs
@@ -16,6 +16,8 @@
     pub(crate) memory_tokens: u64,
     /// Server time until the read is done or the first token comes, in tokens.
     pub(crate) work_tokens: f64,
+    /// All work of the attempt at a server that has nothing in its cache, in tokens.
+    pub(crate) server_tokens: f64,
 }
 
 /// Estimates the work of one stage of a request at a server that has `cached_tokens` of its prompt in its
@@ -28,13 +30,14 @@
 ) -> WorkEstimate {
     let unread_tokens = info.prompt_tokens - cached_tokens;
     let read_tokens = unread_tokens as f64 + READ_OVERHEAD_TOKENS;
-    let total_tokens = info.prompt_tokens + answer_tokens(state, info);
-    let (memory_tokens, work_tokens) = match stage {
-        Stage::Read => (unread_tokens, read_tokens),
-        Stage::Write => (total_tokens, info.prompt_tokens as f64 + WRITE_OVERHEAD_TOKENS),
-        Stage::ReadAndWrite => (total_tokens, read_tokens),
+    let answer_tokens = answer_tokens(state, info);
+    let total_tokens = info.prompt_tokens + answer_tokens;
+    let (memory_tokens, work_tokens, server_tokens) = match stage {
+        Stage::Read => (unread_tokens, read_tokens, info.prompt_tokens),
+        Stage::Write => (total_tokens, info.prompt_tokens as f64 + WRITE_OVERHEAD_TOKENS, answer_tokens),
+        Stage::ReadAndWrite => (total_tokens, read_tokens, total_tokens),
     };
-    WorkEstimate { memory_tokens, work_tokens }
+    WorkEstimate { memory_tokens, work_tokens, server_tokens: server_tokens as f64 }
 }
 
 /// Expected length of an answer in tokens: by the client's hint, else half of the maximum that it allows.
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -62,6 +62,7 @@
         max_retry_after: SECOND,
         max_hold_time: 300_000,
         min_batch_interval: 4_000,
+        weight_is_size: true,
         slow_start_min_share: 0.3,
         slow_start_window: 12 * SECOND,
         memory_field: Some(0),
@@ -363,7 +364,14 @@
         let mut actions = Vec::new();
         self.router.handle(self.now, event, &mut actions);
         for action in actions {
+            let sent = match &action {
+                Action::Assign { id, .. } => Some(*id),
+                _ => None,
+            };
             self.take(action);
+            if let Some(id) = sent {
+                self.handle_event(Event::AttemptWritten(id));
+            }
         }
     }
 
--- a/crates/router/tests/fleet_model/mod.rs
+++ b/crates/router/tests/fleet_model/mod.rs
@@ -78,6 +78,8 @@
 /// Something that is scheduled to happen at a dispatcher.
 #[derive(Debug)]
 enum Step {
+    /// The last byte of an attempt, given by its request and number, is written.
+    AttemptWritten(RequestId, u32),
     /// A timer expires.
     TimerExpires(TimerToken),
     /// An attempt, given by its request and number, ends.
@@ -277,6 +279,12 @@
     /// Performs a scheduled step.
     fn step(&mut self, dispatcher: usize, step: Step) {
         match step {
+            Step::AttemptWritten(id, attempt) => {
+                let in_flight = self.dispatchers[dispatcher].in_flight.get(&id);
+                if in_flight.is_some_and(|in_flight| in_flight.0 == attempt) {
+                    self.handle_event(dispatcher, Event::AttemptWritten(id));
+                }
+            }
             Step::TimerExpires(token) => self.handle_event(dispatcher, Event::TimerFired(token)),
             Step::ClientLeaves(id) => {
                 let record = &self.records[&id];
@@ -379,6 +387,7 @@
         record.attempts += 1;
         let timeout_at = (now + attempt_timeout.max(1)).min(record.info.not_after);
         let tokens = record.info.prompt_tokens as f64;
+        self.schedule_step(arrived_at, dispatcher, Step::AttemptWritten(id, attempt));
         self.dispatchers[dispatcher].in_flight.insert(id, (attempt, server, now));
         let mut model = self.servers.remove(&server).expect("a simulated server");
         let of_role = || self.servers.values().filter(|other| other.role == model.role);
--- a/crates/router/tests/full_scan/pair.rs
+++ b/crates/router/tests/full_scan/pair.rs
@@ -50,6 +50,7 @@
         max_retry_after: SECOND,
         max_hold_time: SECOND / 2,
         min_batch_interval: 4_000,
+        weight_is_size: true,
         slow_start_min_share: 0.3,
         slow_start_window: 6 * SECOND,
         memory_field: Some(0),
@@ -143,6 +144,10 @@
                     };
                     *number += 1;
                     self.in_flight.insert(id, attempt);
+                    // The others stay in transit until they stream or end.
+                    if !(id.0 + self.now).is_multiple_of(5) {
+                        self.handle(Event::AttemptWritten(id));
+                    }
                 }
                 Action::StartTimer { delay, token } => self.timers.push((self.now + delay, token)),
                 Action::CancelAttempt { id, .. } => {
--- a/crates/scale/src/shape.rs
+++ b/crates/scale/src/shape.rs
@@ -74,6 +74,7 @@
         max_retry_after: 1_000_000,
         max_hold_time: 500_000,
         min_batch_interval: 2_000,
+        weight_is_size: true,
         slow_start_min_share: 0.26,
         slow_start_window,
         memory_field: Some(0),
--- a/src/bin/dewladder-simulator-adapter.rs
+++ b/src/bin/dewladder-simulator-adapter.rs
@@ -7,7 +7,7 @@
 use std::io::{stdin, stdout, BufReader, BufWriter};
 use std::process::ExitCode;
 
-use dewladder::interface::{Action, Micros};
+use dewladder::interface::{Action, Event, Micros, RequestId};
 use dewladder::simulator_adapter::{write_reply, Batch, BatchReader, Message, WireError};
 use dewladder::Router;
 
@@ -69,8 +69,24 @@
         }
         Message::Event(event) => {
             if let Some(router) = routers.get_mut(&dispatcher) {
+                let first = actions.len();
                 router.handle(now, event, actions);
+                report_written(router, now, first, actions);
             }
         }
     }
 }
+
+/// Reports the attempts among the actions from `first` on as written: the simulator doesn't tell when they are.
+fn report_written(router: &mut Router, now: Micros, first: usize, actions: &mut Vec<Action>) {
+    let sent: Vec<RequestId> = actions[first..]
+        .iter()
+        .filter_map(|action| match action {
+            Action::Assign { id, .. } => Some(*id),
+            _ => None,
+        })
+        .collect();
+    for id in sent {
+        router.handle(now, Event::AttemptWritten(id), actions);
+    }
+}
--- a/src/edge/core/request_table.rs
+++ b/src/edge/core/request_table.rs
@@ -200,12 +200,13 @@
         id: RequestId,
         attempt_no: u32,
         connection: ConnectionKind,
-        step: &Step,
+        step: &mut Step,
     ) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(attempt) = request.in_flight.get_mut(&attempt_no) else { return };
         attempt.written = true;
         request.history.add(step.now, Transition::Written { attempt: attempt_no, connection });
+        step.events.push_back(Event::AttemptWritten(id));
     }
 
     /// Ends an attempt that finished by itself or whose cancellation has been carried out.
--- a/tests/connection_model.rs
+++ b/tests/connection_model.rs
@@ -44,6 +44,7 @@
         max_retry_after: SECOND,
         max_hold_time: SECOND / 2,
         min_batch_interval: 2_000,
+        weight_is_size: true,
         slow_start_min_share: 0.3,
         slow_start_window: 10 * SECOND,
         memory_field: Some(0),
--- a/tests/crossings_handover.rs
+++ b/tests/crossings_handover.rs
@@ -629,6 +629,7 @@
         max_retry_after: SECOND,
         max_hold_time: MAX_HOLD_TIME,
         min_batch_interval: 2_000,
+        weight_is_size: true,
         slow_start_min_share: 0.3,
         slow_start_window: 10 * SECOND,
         memory_field: Some(0),
