Slow start: use the whole of the promised budget, and record arrivals without the index

The estimate itself stays below what a warm server can take, as it is what one serves.

An arrival changes only the budget, which the index doesn't contain; so it is recorded without comparing the server's indexed properties.

--- a/crates/router/src/attempts.rs
+++ b/crates/router/src/attempts.rs
@@ -1,7 +1,7 @@
 //! Attempts: the planning and bookkeeping of a send to a server, and how the end of an attempt changes its
 //! request.
 
-use crate::interface::{AttemptFinished, HeldStateAfter, Micros, Outcome, RequestId};
+use crate::interface::{AttemptFinished, HeldStateAfter, Micros, Outcome, RequestId, ServerId};
 use crate::records::{Attempt, HeldState, PossibleRun, RequestState, Server, Stage};
 use crate::routing_state::RoutingState;
 use crate::slow_start;
@@ -88,22 +88,26 @@
 }
 
 /// Records that an attempt of a request has reached its server.
-pub(crate) fn record_arrived(state: &mut RoutingState, id: RequestId, attempt: &Attempt) {
+pub(crate) fn record_arrived(state: &mut RoutingState, id: RequestId, server: ServerId) {
     let (now, window_us) = (state.now, state.settings.overload_window);
-    state.fleet.change(attempt.server, |server| server.slow_start_budget.record_arrived(id, now, window_us));
+    if let Some(budget) = state.fleet.slow_start_budget(server) {
+        budget.record_arrived(id, now, window_us);
+    }
 }
 
 /// Records whether an attempt that has ended has reached its server. One that may have does count.
 pub(crate) fn record_arrival_by_outcome(
     state: &mut RoutingState,
     id: RequestId,
-    attempt: &Attempt,
+    server: ServerId,
     outcome: Outcome,
 ) {
-    if matches!(outcome, Outcome::ConnectFailed | Outcome::NotSent) {
-        state.fleet.change(attempt.server, |server| server.slow_start_budget.record_not_arrived(id));
-    } else {
-        record_arrived(state, id, attempt);
+    let has_not_arrived = matches!(outcome, Outcome::ConnectFailed | Outcome::NotSent);
+    if !has_not_arrived {
+        return record_arrived(state, id, server);
+    }
+    if let Some(budget) = state.fleet.slow_start_budget(server) {
+        budget.record_not_arrived(id);
     }
 }
 
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -15,6 +15,7 @@
 use crate::prefix_holders::PrefixHolders;
 use crate::prefix_table::{CachedPrefix, PREFIX_EXPIRY_US};
 use crate::records::{Server, ServerStatistics};
+use crate::slow_start_budget::SlowStartBudget;
 
 use index::{CellIndex, FleetIndex, IndexedServer, TotalSize};
 pub(crate) use index::{FleetTimes, ReadyServer};
@@ -203,6 +204,12 @@
         }
     }
 
+    /// What this dispatcher has sent to a server, to be updated; `None` if the server is not known.
+    pub(crate) fn slow_start_budget(&mut self, id: ServerId) -> Option<&mut SlowStartBudget> {
+        // The index doesn't contain it.
+        self.servers.get_mut(&id).map(|server| &mut server.slow_start_budget)
+    }
+
     /// Stores a server's load report, if there is one, with the time of its arrival.
     pub(crate) fn record_report(&mut self, id: ServerId, report: Option<Report>) {
         let (Some(server), Some(report)) = (self.servers.get_mut(&id), report) else { return };
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -181,7 +181,7 @@
         attempt.is_streaming = true;
         request.held_state = None;
         let attempt = attempt.clone();
-        attempts::record_arrived(&mut self.state, id, &attempt);
+        attempts::record_arrived(&mut self.state, id, attempt.server);
         learning::record_first_token(&mut self.state, id, &attempt, elapsed_us);
     }
 
@@ -199,7 +199,7 @@
             actions.push(Action::ReleaseHeldState(id));
         }
         let (prompt_tokens, is_completed) = (request.info.prompt_tokens, request.is_completed);
-        attempts::record_arrival_by_outcome(&mut self.state, id, &attempt, ended.outcome);
+        attempts::record_arrival_by_outcome(&mut self.state, id, attempt.server, ended.outcome);
         learning::record_end(&mut self.state, attempt, &ended, prompt_tokens, &mut self.rng);
         if is_completed {
             self.close(id, actions);
@@ -244,7 +244,7 @@
     fn on_attempt_written(&mut self, id: RequestId) {
         let in_flight = self.requests.get(&id).and_then(|request| request.in_flight.as_ref());
         if let Some(attempt) = in_flight {
-            attempts::record_arrived(&mut self.state, id, attempt);
+            attempts::record_arrived(&mut self.state, id, attempt.server);
         }
     }
 
--- a/crates/router/src/slow_start.rs
+++ b/crates/router/src/slow_start.rs
@@ -12,8 +12,6 @@
 use crate::routing_state::RoutingState;
 use crate::slow_start_budget::{SlowStartBudget, SlowStartLimit};
 
-/// Share of the permitted work that is used. The rest is a margin for errors of the estimate.
-const BUDGET_MARGIN: f64 = 0.9;
 /// Rate of a warm server, as a share of an even part of all requests, while no server of the kind is warm.
 const SHARE_WITHOUT_WARM_PEERS: f64 = 0.5;
 
@@ -37,7 +35,7 @@
     if state.now >= warm_from {
         return None;
     }
-    let share = state.limit_share.at(state.now) * BUDGET_MARGIN;
+    let share = state.limit_share.at(state.now);
     let capacity = settings.slow_start_min_share * warm_rate(state, server);
     let window_us = settings.overload_window;
     let work = share * settings.overload_multiple * capacity * window_us as f64 / 1e6;
--- a/crates/router/src/slow_start_budget.rs
+++ b/crates/router/src/slow_start_budget.rs
@@ -12,7 +12,7 @@
 
 /// Time between two attempts whose work is more than the limit, as a multiple of the time in which the limit allows
 /// that work. It leaves a margin for turns of several dispatchers that come together.
-const TURN_SPACING: f64 = 1.2;
+const TURN_SPACING: f64 = 1.35;
 /// Length of a turn of an attempt whose work is more than the limit, relative to the wait for a turn.
 const TURN_SHARE_OF_WAIT: f64 = 1.0;
 
