Soak: releases of servers of limited capacity, judged by what arrives at each in slow start

Need: the soak had no oracle for the rule on servers in slow start, and its servers took all that came.

Change: a plan may limit the capacity of its servers, which then queue, turn away, and start cold at the least share that the settings promise. New faults: a server drains and starts again, or crashes and starts again; a burst. draw_released draws releases one by one, bursts every 4 s, restart loops, a colder start, servers of two sizes, one to twice as many dispatchers, early kills after signals in series, restarts, upgrades, processes held up for 150 ms, and crowds of idle clients. The oracle weighs attempts by their class, counts what is turned away too, looks at each window that ends with an arrival, and excuses one of which a third or more came before the agents told of the start. The report says what servers in slow start got.

--- a/crates/soak/src/agent.rs
+++ b/crates/soak/src/agent.rs
@@ -45,9 +45,36 @@
         )
     }
 
-    /// The list revision at a time: each drain raises it by one.
+    /// The list revision at a time: each drain and each start raises it by one.
     fn revision(&self, now_ms: u64) -> u64 {
-        1 + self.draining_servers(now_ms).count() as u64
+        let starts = self.plan.server_starts();
+        let drained =
+            starts.iter().filter(|start| start.drains_at_ms < start.at_ms && start.drains_at_ms <= now_ms);
+        let listed = starts.iter().filter(|start| start.listed_at_ms <= now_ms);
+        1 + (self.draining_servers(now_ms).count() + drained.count() + listed.count()) as u64
+    }
+
+    /// Whether a server is reported as draining before it starts again.
+    fn drains_before_start(&self, server: usize, now_ms: u64) -> bool {
+        self.plan.server_starts().iter().any(|start| {
+            let drains = start.drains_at_ms < start.at_ms;
+            start.server == server && drains && (start.drains_at_ms..start.listed_at_ms).contains(&now_ms)
+        })
+    }
+
+    /// The reported start time of a server (Unix time, ms), 0 if that is long ago.
+    fn started_unix_ms(&self, server: usize, now_ms: u64) -> u64 {
+        let starts = self.plan.server_starts();
+        let listed = starts.iter().filter(|start| start.server == server && start.listed_at_ms <= now_ms);
+        if let Some(last) = listed.max_by_key(|start| start.at_ms) {
+            return self.up_since_ms + last.at_ms;
+        }
+        let is_last_of_role = server % self.plan.servers_per_role + 1 == self.plan.servers_per_role;
+        if is_last_of_role && self.plan.slow_start.is_none() {
+            self.up_since_ms
+        } else {
+            0
+        }
     }
 
     /// The whole list of servers at a time (ms since the start of the run), in the format of the agent.
@@ -58,11 +85,16 @@
         let member = |(index, address): (usize, &SocketAddr)| {
             let (flavor, phase) = (
                 if index < servers_of_role { "prefill" } else { "decode" },
-                if draining.contains(&index) { "draining" } else { "up" },
+                if draining.contains(&index) || self.drains_before_start(index, now_ms) {
+                    "draining"
+                } else {
+                    "up"
+                },
             );
-            let started = if index % servers_of_role + 1 == servers_of_role { self.up_since_ms } else { 0 };
+            let started = self.started_unix_ms(index, now_ms);
+            let size = self.plan.slow_start.map_or(1.0, |slow_start| slow_start.size(index));
             json!({"id": format!("s-{:08x}", index + 1), "host_port": address.to_string(), "locality": "a",
-                "flavor": flavor, "cell": 1, "phase": phase, "size": 1.0, "up_since_ms": started})
+                "flavor": flavor, "cell": 1, "phase": phase, "size": size, "up_since_ms": started})
         };
         let members: Vec<Value> = self.addresses.iter().enumerate().map(member).collect();
         json!({"revision": self.revision(now_ms), "complete": true, "members": members})
--- a/crates/soak/src/campaign.rs
+++ b/crates/soak/src/campaign.rs
@@ -9,7 +9,7 @@
 use crate::failed_seeds;
 use crate::harness::{run_plan, Options, RunError};
 use crate::options::Settings;
-use crate::oracle::{check, counts, Counts, Rule, Violation, LIMITS};
+use crate::oracle::{check, counts, slow_start_use, Counts, Rule, SlowStartUse, Violation, LIMITS};
 use crate::plan::Plan;
 use crate::shrink::shrink;
 
@@ -39,6 +39,8 @@
 struct RunResult {
     counts: Counts,
     violations: Vec<Violation>,
+    /// What servers in slow start got; `None` in plans without slow start.
+    slow_start: Option<SlowStartUse>,
 }
 
 /// Sums over all runs so far.
@@ -85,6 +87,7 @@
     let others: Vec<u64> = settings.seeds.clone().filter(|seed| !seeds.contains(seed)).collect();
     seeds.extend(others);
     let draw = match settings {
+        Settings { released: true, .. } => Plan::draw_released,
         Settings { replaced: true, .. } => Plan::draw_replaced,
         Settings { stopped: true, .. } => Plan::draw_stopped,
         Settings { .. } => Plan::draw,
@@ -115,7 +118,8 @@
 
 async fn run_and_check(plan: &Plan, options: &Options) -> Result<RunResult, RunError> {
     let entries = run_plan(plan, options).await?;
-    Ok(RunResult { counts: counts(&entries), violations: check(plan, &entries, &LIMITS) })
+    let (counts, violations) = (counts(&entries), check(plan, &entries, &LIMITS));
+    Ok(RunResult { counts, violations, slow_start: slow_start_use(plan, &entries) })
 }
 
 async fn shrink_and_print(plan: &Plan, rule: Rule, options: &Options) {
@@ -136,6 +140,9 @@
             self.counts.served,
             self.violations.len()
         );
+        if let Some(SlowStartUse { arrived, allowed, busiest }) = self.slow_start {
+            println!("  slow start: {arrived:.0} of {allowed:.0} requests of mean work, busiest window {busiest:.2}");
+        }
         for violation in &self.violations {
             let Violation { rule, at, id, what } = violation;
             println!("  {:.3} s {rule:?} {id:016x}: {what}", *at as f64 / 1e6);
@@ -148,7 +155,7 @@
 
 impl Totals {
     fn add(&mut self, plan: Plan, result: RunResult) {
-        let RunResult { counts, violations } = result;
+        let RunResult { counts, violations, .. } = result;
         self.runs += 1;
         self.faults += plan.faults.len();
         self.counts.asked += counts.asked;
--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -17,13 +17,15 @@
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 use crate::event_log::{Class, ClientOutcome, EventLog, Micros, Observation};
-use crate::plan::{FaultKind, Plan};
+use crate::plan::{prompt_tokens, FaultKind, Plan};
 use bad_clients::{BadClients, OpenStreams};
 
 /// Time that a client waits for a response beyond the request's timeout. Also the timeout of its connect.
 const GIVE_UP_AFTER: Duration = Duration::from_millis(1_500);
 /// Time that a client waits for the rest of a stream from its first event on; before, each read starts it again.
 const STREAM_TIMEOUT: Duration = Duration::from_secs(10);
+/// Number of shared prefixes of the requests of a class.
+const PREFIXES_PER_CLASS: u64 = 5;
 /// Bytes per write of a request that is sent in pieces.
 const PIECE_BYTES: usize = 7;
 /// Number of pieces of a request that is written slowly.
@@ -76,6 +78,8 @@
     leaves_after: Option<Duration>,
     /// Whether the connection is kept for further requests.
     keeps_connection: bool,
+    /// Whether its prompt is as long as its class says.
+    has_work: bool,
     is_sent_in_pieces: bool,
     /// Time over which the request is written; `None` writes it at once.
     is_written_over: Option<Duration>,
@@ -83,10 +87,10 @@
 
 impl Request {
     fn text(&self) -> String {
-        let body = "{\"stream\":true}";
+        let (labels, body) = self.labels_and_body();
         format!(
             "POST /v1/chat/completions HTTP/1.1\r\nHost: backend.local\r\nX-Txn: {:016x}\r\nX-Lane: {}\r\n\
-             X-Org: acme\r\nX-Entity: e{}\r\nX-Remaining: {:.6}\r\nX-Labels: prompt_len=100,max_out=8\r\n\
+             X-Org: acme\r\nX-Entity: e{}\r\nX-Remaining: {:.6}\r\nX-Labels: {labels}\r\n\
              Content-Length: {}\r\n\r\n{body}",
             self.id,
             self.class.name(),
@@ -96,6 +100,20 @@
         )
     }
 
+    /// The lengths in the header, and the body. Servers of limited capacity know the work by the length of the body.
+    fn labels_and_body(&self) -> (String, String) {
+        if !self.has_work {
+            return ("prompt_len=100,max_out=8".to_owned(), "{\"stream\":true}".to_owned());
+        }
+        let tokens = prompt_tokens(self.class);
+        let prefix = tokens + self.id % PREFIXES_PER_CLASS;
+        let labels =
+            format!("prefix={prefix:016x},prompt_len={tokens},prefix_len=300,max_out={}", tokens / 2);
+        let mut body = "{\"stream\":true}".to_owned();
+        body.extend(std::iter::repeat_n(' ', tokens as usize - body.len()));
+        (labels, body)
+    }
+
     /// Writes the request, whole or in pieces.
     async fn write(&self, stream: &mut TcpStream) -> std::io::Result<()> {
         let text = self.text();
@@ -168,6 +186,8 @@
         };
         let bad_clients = tokio::spawn(bad_clients.run());
         while self.event_log.now() / 1_000 < until_ms {
+            let is_burst = self.has(|kind| matches!(kind, FaultKind::Burst { .. }));
+            let interval_us = if is_burst { interval_us / 2 } else { interval_us };
             sleep(Duration::from_micros(interval_us / 2 + rng.next_u64() % interval_us)).await;
             let request = self.draw_request(&mut rng);
             let is_new_wanted = rng.next_u64().is_multiple_of(3);
@@ -204,7 +224,17 @@
         let keeps_connection = !rng.next_u64().is_multiple_of(4);
         let is_sent_in_pieces = self.has(|kind| matches!(kind, FaultKind::Pieces { .. }));
         let is_written_over = self.slow_write_time();
-        Request { id, class, timeout, leaves_after, keeps_connection, is_sent_in_pieces, is_written_over }
+        let has_work = self.plan.slow_start.is_some();
+        Request {
+            id,
+            class,
+            timeout,
+            leaves_after,
+            keeps_connection,
+            has_work,
+            is_sent_in_pieces,
+            is_written_over,
+        }
     }
 
     /// The time over which requests are written now, if a fault makes that slow.
--- a/crates/soak/src/harness/dispatcher.rs
+++ b/crates/soak/src/harness/dispatcher.rs
@@ -322,6 +322,7 @@
 fn settings(agent: SocketAddr, listen: SocketAddr, index: usize, plan: &Plan, server_list: &Value) -> Value {
     let (dispatchers, objective_s) = (plan.processes, plan.objective_ms as f64 / 1e3);
     let deadline_s = plan.deadline_ms as f64 / 1e3;
+    let rules = slow_start_rules(plan);
     let class = |name: &str, effect: &str| {
         json!({"name": name, "aim_s": objective_s, "give_up_s": deadline_s, "effect": effect, "group": "all",
             "worth": 2.0, "dedup_window_s": 0.4})
@@ -335,8 +336,18 @@
                 "release_within_s": 0.5, "resume": false},
             "lanes": [class("ask", "idempotent"), class("book", "at_most_once"),
                 class("note", "deduplicated")],
-            "rules": {"stop_sending_within_s": 1.0, "cold_from": 0.26, "cold_s": 14.0, "fall_multiple": 2.5,
-                "fall_s": 1.5},
+            "weights": "nominal", "rules": rules,
             "limits": {"cancel": true, "connect_timeout_s": 0.25, "keepalive_s": 6.0, "max_attempts": 5,
                 "max_retry_after_s": 1.0}, "resolution_s": 0.002}})
 }
+
+/// The rules in a dispatcher's settings, with the figures of the plan's slow start.
+fn slow_start_rules(plan: &Plan) -> Value {
+    match plan.slow_start {
+        Some(slow_start) => json!({"stop_sending_within_s": 1.0, "cold_from": slow_start.min_share,
+            "cold_s": slow_start.warm_after_ms as f64 / 1e3, "fall_multiple": slow_start.overload_multiple,
+            "fall_s": slow_start.window_ms as f64 / 1e3}),
+        None => json!({"stop_sending_within_s": 1.0, "cold_from": 0.26, "cold_s": 14.0, "fall_multiple": 2.5,
+            "fall_s": 1.5}),
+    }
+}
--- a/crates/soak/src/options.rs
+++ b/crates/soak/src/options.rs
@@ -17,6 +17,7 @@
   --seeds A..B        seeds of the plans to draw and run, both included (1..10)
   --stopped           draw plans of stalled servers, series of signals and early kills instead
   --replaced          draw plans of upgrades, restarts and early kills under long streams, and of large bodies, instead
+  --released          draw plans of releases of servers of limited capacity, with bursts and restart loops, instead
   --processes N       dispatchers in each run (12)
   --seconds N         length of each run (20)
   --parallel N        runs at the same time (4)
@@ -49,6 +50,9 @@
     /// Whether plans are drawn by [`Plan::draw_replaced`](crate::plan::Plan::draw_replaced) (upgrades, restarts and
     /// early kills under long streams, large bodies).
     pub replaced: bool,
+    /// Whether plans are drawn by [`Plan::draw_released`](crate::plan::Plan::draw_released) (releases of servers of
+    /// limited capacity) instead of [`Plan::draw`](crate::plan::Plan::draw).
+    pub released: bool,
     /// Number of dispatchers in each run, at least 1.
     pub processes: usize,
     /// Length of each run in seconds.
@@ -114,6 +118,7 @@
         let shrink = arguments.contains("--shrink");
         let stopped = arguments.contains("--stopped");
         let replaced = arguments.contains("--replaced");
+        let released = arguments.contains("--released");
         if let Some(unknown) = arguments.finish().first() {
             return Err(OptionsError::Unknown(unknown.to_string_lossy().into_owned()));
         }
@@ -129,6 +134,7 @@
             seeds: seeds.as_deref().map_or(Ok(DEFAULT_SEEDS), seed_range)?,
             stopped,
             replaced,
+            released,
             processes: processes.max(1) as usize,
             seconds,
             parallel: parallel.max(1) as usize,
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -3,6 +3,7 @@
 mod outages;
 mod planned_kills;
 mod request;
+mod slow_start;
 
 use std::collections::BTreeMap;
 
@@ -13,6 +14,7 @@
 use outages::PlannedOutages;
 use planned_kills::PlannedKills;
 use request::RequestHistory;
+pub use slow_start::{slow_start_use, SlowStartUse};
 
 /// One millisecond.
 const MS: Micros = 1_000;
@@ -45,6 +47,8 @@
     RunTwice,
     /// A server received new work too long after its drain was reported.
     SentToDraining,
+    /// A server in slow start got more work than it takes.
+    SlowStart,
     /// An attempt began too long after its client had disconnected.
     SentAfterClientLeft,
     /// A state was held for too long while its request had no attempt in flight.
@@ -65,10 +69,11 @@
 
 impl Rule {
     /// All rules.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 12] = [
         Self::Dropped,
         Self::RunTwice,
         Self::SentToDraining,
+        Self::SlowStart,
         Self::SentAfterClientLeft,
         Self::Held,
         Self::DeadlineTold,
@@ -141,6 +146,7 @@
             history.check(plan, &excuses, limits, &mut violations);
         }
     }
+    violations.extend(slow_start::check(plan, entries));
     violations.extend(entries.iter().filter_map(|entry| check_process(entry, &excuses)));
     violations.sort_by_key(|violation| violation.at);
     violations
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -2,9 +2,12 @@
 //! names differ from the field names here: they are older and must not change, or stored plans could not be read.
 
 mod draw;
+mod slow_start;
 
 use serde::{Deserialize, Serialize};
 
+pub use slow_start::{prompt_tokens, work, ServerStart, SlowStart};
+
 /// Everything that determines a run: its size, load, limits and faults.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Plan {
@@ -35,6 +38,9 @@
     /// The memory limit of the dispatchers (MiB).
     #[serde(default = "default_memory_mb", skip_serializing_if = "is_default_memory")]
     pub memory_mb: u64,
+    /// Capacity and slow start of the servers; `None` if they serve all that comes.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub slow_start: Option<SlowStart>,
     /// The faults to inject, in any order; they may overlap.
     #[serde(rename = "troubles")]
     pub faults: Vec<Fault>,
@@ -222,6 +228,17 @@
         /// Index of the server.
         server: usize,
     },
+    /// The server drains from the beginning of the fault, and starts again, cold, at its end. A fault without length is
+    /// a crash: all connections are reset, and the agents report nothing before the start.
+    ServerStarts {
+        /// Index of the server.
+        server: usize,
+    },
+    /// The clients of a dispatcher send twice as many requests.
+    Burst {
+        /// Index of the dispatcher.
+        dispatcher: usize,
+    },
     /// The discovery agent of a dispatcher does not respond.
     AgentDown {
         /// Index of the dispatcher.
@@ -311,6 +328,7 @@
             | Self::Signals { dispatcher, .. }
             | Self::AgentDown { dispatcher }
             | Self::WatchSilent { dispatcher }
+            | Self::Burst { dispatcher }
             | Self::ClientsLeave { dispatcher }
             | Self::Idlers { dispatcher, .. }
             | Self::Pieces { dispatcher }
@@ -342,6 +360,7 @@
             | Self::CloseOnUse { server }
             | Self::AnswerTwice { server }
             | Self::NeverEnd { server }
+            | Self::ServerStarts { server }
             | Self::Drain { server } => Some(server),
             _ => None,
         }
--- a/crates/soak/src/servers.rs
+++ b/crates/soak/src/servers.rs
@@ -12,8 +12,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
-use crate::event_log::EventLog;
-use crate::plan::{FaultKind, Plan};
+use crate::event_log::{EventLog, Micros};
+use crate::plan::{work, FaultKind, Plan};
 
 /// Length of the accept queue; once it is full, no further connection is established.
 const ACCEPT_QUEUE_LENGTH: i32 = 48;
@@ -23,6 +23,8 @@
 const CUT_LEAD_MS: u64 = 30;
 /// Interval at which a server checks the plan.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Longest time that requests wait in the queue of a server of limited capacity (us).
+const MAX_QUEUE_US: Micros = 400_000;
 /// Number of events in a writer's stream.
 pub const EVENTS: usize = 6;
 
@@ -42,6 +44,17 @@
     event_log: EventLog,
     /// Held states, shared by all servers of the run.
     states: Arc<Mutex<States>>,
+    /// The queue of the server, if its capacity is limited.
+    queue: Arc<Mutex<Queue>>,
+}
+
+/// The queue of a server that does one request after the other.
+#[derive(Debug, Default)]
+struct Queue {
+    /// When the server has done all that it has accepted (us since the start of the run).
+    free_at: Micros,
+    /// The start of the server that the queue belongs to (ms since the start of the run).
+    started_ms: u64,
 }
 
 /// Ids of the requests whose state a reader holds, and of those that are being read, over all readers.
@@ -92,6 +105,7 @@
                 plan: plan.clone(),
                 event_log: event_log.clone(),
                 states: Arc::clone(&states),
+                queue: Arc::default(),
             };
             tokio::spawn(accept(listener, shared));
         }
@@ -230,7 +244,30 @@
             let is_reset = matches!(fault.kind, FaultKind::Reset { server } if server == self.server);
             is_reset && fault.from_ms >= opened_ms
         });
-        resets.map(|fault| fault.from_ms).min()
+        let starts = self.plan.server_starts();
+        let starts = starts.iter().filter(|start| start.server == self.server && start.at_ms > opened_ms);
+        resets.map(|fault| fault.from_ms).chain(starts.map(|start| start.at_ms)).min()
+    }
+
+    /// Takes a place in the server's queue for a request with a prompt of this length. Returns how long its work takes
+    /// from now on; `None` if the queue is full.
+    fn take_place(&self, prompt_tokens: u64) -> Option<Duration> {
+        let now = self.event_log.now();
+        let now_ms = now / 1_000;
+        let Some(capacity) = self.plan.capacity_at(self.server, now_ms) else { return Some(Duration::ZERO) };
+        let starts = self.plan.server_starts();
+        let started = starts.iter().filter(|start| start.server == self.server && start.at_ms <= now_ms);
+        let mut queue = self.queue.lock().unwrap_or_else(PoisonError::into_inner);
+        let started_ms = started.map(|start| start.at_ms).max().unwrap_or(0);
+        if queue.started_ms != started_ms {
+            *queue = Queue { free_at: now, started_ms };
+        }
+        let begin = queue.free_at.max(now);
+        if begin > now + MAX_QUEUE_US {
+            return None;
+        }
+        queue.free_at = begin + (work(prompt_tokens) / capacity * 1e6) as Micros;
+        Some(Duration::from_micros(queue.free_at - now))
     }
 
     fn states(&self) -> MutexGuard<'_, States> {
--- a/crates/soak/src/servers/connection.rs
+++ b/crates/soak/src/servers/connection.rs
@@ -69,6 +69,8 @@
 struct Message {
     request_line: String,
     head: String,
+    /// Length of its body (bytes).
+    body_length: u64,
     /// When its first byte was available.
     first_byte: Micros,
 }
@@ -117,12 +119,12 @@
         let mut was_stalled = false;
         let mut first_byte = (!self.read.is_empty()).then(|| self.shared.event_log.now());
         loop {
-            if let Some((request_line, head)) = self.take_message() {
+            if let Some((request_line, head, body_length)) = self.take_message() {
                 if was_stalled {
                     self.end_if_closed()?;
                 }
                 let first_byte = first_byte.unwrap_or_else(|| self.shared.event_log.now());
-                return Ok(Message { request_line, head, first_byte });
+                return Ok(Message { request_line, head, body_length, first_byte });
             }
             if self.stream.readable().await.is_err() {
                 return Err(ConnectionEnd::Closed);
@@ -143,18 +145,20 @@
         }
     }
 
-    /// Removes a complete request from the bytes that were read. Returns its request line and its head.
-    fn take_message(&mut self) -> Option<(String, String)> {
+    /// Removes a complete request from the bytes that were read. Returns its request line, its head and the length of its
+    /// body.
+    fn take_message(&mut self) -> Option<(String, String, u64)> {
         let head_end = self.read.windows(END_OF_HEAD.len()).position(|window| window == END_OF_HEAD)?;
         let head = String::from_utf8_lossy(&self.read[..head_end]).into_owned();
-        let body_length = field(&head, "content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
-        let end = head_end + END_OF_HEAD.len() + body_length;
+        let body_length =
+            field(&head, "content-length").and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
+        let end = head_end + END_OF_HEAD.len() + body_length as usize;
         if self.read.len() < end {
             return None;
         }
         self.read.drain(..end);
         let request_line = head.lines().next().unwrap_or("").to_owned();
-        Some((request_line, head))
+        Some((request_line, head, body_length))
     }
 
     /// Ends the connection if the other side has closed it already: a process that was stalled sees the request and
@@ -228,7 +232,10 @@
             return self.turn_away(id, 503).await;
         }
         self.wait_while_hanging().await?;
-        let delay = self.shared.delay();
+        let Some(queued) = self.shared.take_place(message.body_length) else {
+            return self.turn_away(id, 503).await;
+        };
+        let delay = self.shared.delay() + queued;
         if self.shared.is_reader {
             self.shared.states().begin_read(id);
             self.wait(READ_DURATION + delay).await?;
--- a/crates/soak/tests/sees_each_rule.rs
+++ b/crates/soak/tests/sees_each_rule.rs
@@ -6,7 +6,7 @@
 
 use dewladder_soak::harness::{run_plan, Options};
 use dewladder_soak::oracle::{check, Rule, LIMITS};
-use dewladder_soak::plan::{Fault, FaultKind, Plan};
+use dewladder_soak::plan::{Fault, FaultKind, Plan, SlowStart};
 
 fn plan(seed: u64, faults: Vec<Fault>) -> Plan {
     Plan {
@@ -20,19 +20,24 @@
         kills_at_earliest: false,
         event_interval_ms: 12,
         memory_mb: 192,
+        slow_start: None,
         faults,
     }
 }
 
 /// Runs the test dispatcher that violates `rule` on purpose, and returns the rules whose violations the oracle reports.
 async fn violated_rules(rule: &str, seed: u64, faults: Vec<Fault>) -> BTreeSet<Rule> {
+    violated_rules_in(rule, plan(seed, faults)).await
+}
+
+/// As [`violated_rules`], in a given plan.
+async fn violated_rules_in(rule: &str, plan: Plan) -> BTreeSet<Rule> {
     let options = Options {
         program: PathBuf::from(env!("CARGO_BIN_EXE_false-dispatcher")),
         shim: None,
         folder: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("false-{rule}")),
         environment: vec![("FALSE_RULE".to_owned(), rule.to_owned())],
     };
-    let plan = plan(seed, faults);
     let entries = run_plan(&plan, &options).await.unwrap();
     let violations = check(&plan, &entries, &LIMITS);
     violations.iter().for_each(|violated| println!("{violated:?}"));
@@ -116,3 +121,23 @@
 async fn leaked_descriptors_are_detected() {
     assert!(violated_rules("leak", 11, Vec::new()).await.contains(&Rule::Leak));
 }
+
+/// The test dispatcher sends as much to a server that has just started as to any other. One that starts warm is not in
+/// slow start, so that the same traffic violates no rule.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_overload_of_a_server_in_slow_start_is_detected() {
+    let starts = Fault { from_ms: 1_000, to_ms: 1_000, kind: FaultKind::ServerStarts { server: 3 } };
+    let released = |seed, warm_after_ms| {
+        let slow_start = SlowStart {
+            capacity: 100.0,
+            min_share: 0.01,
+            warm_after_ms,
+            overload_multiple: 2.5,
+            window_ms: 1_000,
+            sizes_differ: false,
+        };
+        Plan { slow_start: Some(slow_start), ..plan(seed, vec![starts.clone()]) }
+    };
+    assert!(violated_rules_in("none", released(16, 3_000)).await.contains(&Rule::SlowStart));
+    assert!(!violated_rules_in("none", released(17, 0)).await.contains(&Rule::SlowStart));
+}
--- a/crates/soak/tests/written_plans.rs
+++ b/crates/soak/tests/written_plans.rs
@@ -44,6 +44,8 @@
         FaultKind::Signals { dispatcher, series: SignalSeries::TermHup },
         FaultKind::Signals { dispatcher, series: SignalSeries::StopTermCont },
         FaultKind::Signals { dispatcher, series: SignalSeries::TermAtStart },
+        FaultKind::ServerStarts { server },
+        FaultKind::Burst { dispatcher },
     ];
     let faults = kinds.into_iter().enumerate().map(|(index, kind)| Fault {
         from_ms: 100 * index as u64,
@@ -61,6 +63,7 @@
         kills_at_earliest: false,
         event_interval_ms: 12,
         memory_mb: 192,
+        slow_start: None,
         faults: faults.collect(),
     }
 }
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -1,7 +1,7 @@
-//! Short soaks, with stopped servers and with replaced processes: drawn plans are run with the built program, and the
+//! Short soaks, with stopped servers, with replaced processes and with releases of servers: drawn plans are run with the built program, and the
 //! oracle checks what clients, servers and agents observed. Processes get series of signals and are killed in their
 //! shutdown as early as the platform may kill them, while clients keep sending on their open connections. The long soak is
-//! started by hand: `dewladder-soak --stopped`, `dewladder-soak --replaced`.
+//! started by hand: `dewladder-soak --stopped`, `dewladder-soak --replaced`, `dewladder-soak --released`.
 
 use std::ops::RangeInclusive;
 use std::path::PathBuf;
@@ -14,6 +14,9 @@
 const SEEDS: RangeInclusive<u64> = 1..=12;
 /// Seeds of the plans with replaced processes; all of their faults occur in them.
 const REPLACED_SEEDS: RangeInclusive<u64> = 1..=8;
+/// Seeds of the plans with releases, and the length of their runs: long enough for a release.
+const RELEASED_SEEDS: RangeInclusive<u64> = 1..=8;
+const RELEASED_RUN_SECONDS: u64 = 20;
 const PROCESSES: usize = 2;
 const RUN_SECONDS: u64 = 10;
 /// Plans that run at once; each has some ten tasks and two or three processes.
@@ -43,12 +46,17 @@
 }
 
 /// Runs the plans of all seeds, a few at once, and checks that none violates a rule.
-async fn run_all(draw: fn(u64, usize, u64) -> Plan, mut seeds: RangeInclusive<u64>, folder: &'static str) {
+async fn run_all(
+    draw: fn(u64, usize, u64) -> Plan,
+    mut seeds: RangeInclusive<u64>,
+    seconds: u64,
+    folder: &'static str,
+) {
     let (mut running, mut broken) = (JoinSet::new(), Vec::new());
     loop {
         while running.len() < PARALLEL_RUNS {
             let Some(seed) = seeds.next() else { break };
-            running.spawn(violations(draw(seed, PROCESSES, RUN_SECONDS), folder));
+            running.spawn(violations(draw(seed, PROCESSES, seconds), folder));
         }
         let Some(finished) = running.join_next().await else { break };
         broken.extend(finished.unwrap());
@@ -58,7 +66,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn drawn_plans_with_stopped_servers_break_no_rule() {
-    run_all(Plan::draw_stopped, SEEDS, "soak").await;
+    run_all(Plan::draw_stopped, SEEDS, RUN_SECONDS, "soak").await;
 }
 
 /// Upgrades while bad clients repeat open ids, restarts with an early kill while clients write slowly, and floods of large
@@ -66,5 +74,12 @@
 /// the time, and the process is held up as it closes its listener.
 #[tokio::test(flavor = "multi_thread")]
 async fn drawn_plans_with_replaced_processes_break_no_rule() {
-    run_all(Plan::draw_replaced, REPLACED_SEEDS, "soak-replaced").await;
+    run_all(Plan::draw_replaced, REPLACED_SEEDS, RUN_SECONDS, "soak-replaced").await;
+}
+
+/// Servers that start one after the other in a release, again and again or under a burst are not overloaded, judged by
+/// what they got and by the least capacity that the settings promise.
+#[tokio::test(flavor = "multi_thread")]
+async fn drawn_plans_with_releases_of_servers_break_no_rule() {
+    run_all(Plan::draw_released, RELEASED_SEEDS, RELEASED_RUN_SECONDS, "soak-released").await;
 }
