--- a/crates/router/src/limit_share.rs
+++ b/crates/router/src/limit_share.rs
@@ -1,10 +1,10 @@
-//! The part of the dispatcher's limits that this process may use, while another process of the dispatcher runs
-//! beside it.
+//! The part of the dispatcher's limits that this process may use, while another process of the dispatcher
+//! runs beside it.
 
 use crate::interface::Micros;
 
-/// A share from 0 to 1 that falls at once and rises a window later: until then, the other process may have used
-/// up what it has given away.
+/// A share from 0 to 1 that falls at once and rises a window later: until then, the other process may have
+/// used up what it has given away.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct LimitShare {
     share: f64,
--- a/crates/router/src/slow_start.rs
+++ b/crates/router/src/slow_start.rs
@@ -1,10 +1,10 @@
 //! Slow start: how much work may be sent to a server that has recently started (rule 4 in
 //! [`eligibility`](crate::eligibility)). A server after slow start is called warm.
 //!
-//! A server fails if all dispatchers together send it more than `overload_multiple` times its current capacity
-//! within any `overload_window`. Its capacity is at least `slow_start_min_share` of the full one until the end
-//! of `slow_start_window`; how it grows until then is not known. The warm servers of its kind show what the
-//! full capacity is, in proportion to their size.
+//! A server fails if all dispatchers together send it more than `overload_multiple` times its current
+//! capacity within any `overload_window`. Its capacity is at least `slow_start_min_share` of the full one
+//! until the end of `slow_start_window`; how it grows until then is not known. The warm servers of its kind
+//! show what the full capacity is, in proportion to their size.
 
 use crate::averaging::RATE_TIME_CONSTANT_US;
 use crate::interface::Micros;
@@ -27,8 +27,9 @@
     state.stage(stage).class_work.relative(class)
 }
 
-/// What may arrive at a server in slow start from this dispatcher: its part of the capacity that the server has
-/// at least, measured by what a warm server of the kind serves for this dispatcher. `None` for a warm server.
+/// What may arrive at a server in slow start from this dispatcher: its part of the capacity that the server
+/// has at least, measured by what a warm server of the kind serves for this dispatcher. `None` for a warm
+/// server.
 fn limit(state: &RoutingState, server: &Server) -> Option<SlowStartLimit> {
     let settings = &state.settings;
     let warm_from = server.entry.started?.saturating_add(settings.slow_start_window);
--- a/crates/router/src/slow_start_budget.rs
+++ b/crates/router/src/slow_start_budget.rs
@@ -1,7 +1,7 @@
 //! Budget of sends to one server in slow start: at most so much work may arrive at the server in any window.
 //!
-//! Work counts from the moment at which it arrives, since connections that come up late bring together what was
-//! sent at different times. Until then it is in transit and counts in every window.
+//! Work counts from the moment at which it arrives, since connections that come up late bring together what
+//! was sent at different times. Until then it is in transit and counts in every window.
 
 use std::collections::VecDeque;
 
@@ -10,8 +10,8 @@
 /// Difference between the arrival of an attempt and the record of it (us).
 const ARRIVAL_JITTER_US: Micros = 50_000;
 
-/// Time between two attempts whose work is more than the limit, as a multiple of the time in which the limit allows
-/// that work. It leaves a margin for turns of several dispatchers that come together.
+/// Time between two attempts whose work is more than the limit, as a multiple of the time in which the
+/// limit allows that work. It leaves a margin for turns of several dispatchers that come together.
 const TURN_SPACING: f64 = 1.35;
 /// Length of a turn of an attempt whose work is more than the limit, relative to the wait for a turn.
 const TURN_SHARE_OF_WAIT: f64 = 1.0;
@@ -54,15 +54,15 @@
         Self { in_transit: Vec::new(), arrived: VecDeque::new(), rounding, created_at: now, opens_at: 0 }
     }
 
-    /// The same budget, for a server that had started before this process: an earlier process may have used up
-    /// the windows that had begun before `process_started_at`.
+    /// The same budget, for a server that had started before this process: an earlier process may have used
+    /// up the windows that had begun before `process_started_at`.
     pub(crate) fn opening_after_window(mut self, process_started_at: Micros, window_us: Micros) -> Self {
         self.opens_at = process_started_at + window_us + ARRIVAL_JITTER_US;
         self
     }
 
-    /// Takes over what was sent to the same server under its previous start. What has arrived before `started`
-    /// does not count any more.
+    /// Takes over what was sent to the same server under its previous start. What has arrived before
+    /// `started` does not count any more.
     pub(crate) fn inherit(&mut self, previous: Self, started: Micros) {
         self.in_transit = previous.in_transit;
         self.arrived = previous.arrived;
@@ -84,8 +84,9 @@
         used <= 0.0 && self.has_turn(now, work, limit)
     }
 
-    /// Whether an attempt whose work is more than the limit has its turn. The turns of the dispatchers begin at random
-    /// times, and an unused turn ends: if all were kept, they could be used together when a burst comes.
+    /// Whether an attempt whose work is more than the limit has its turn. The turns of the dispatchers
+    /// begin at random times, and an unused turn ends: if all were kept, they could be used together when a
+    /// burst comes.
     fn has_turn(&self, now: Micros, work: f64, limit: SlowStartLimit) -> bool {
         let first = match self.arrived.back() {
             Some(last) => last.at + wait_us(last.work, limit) + ARRIVAL_JITTER_US,
@@ -142,7 +143,8 @@
     }
 }
 
-/// Time between two attempts whose work is more than the limit (us); more than any run lasts if the limit is 0.
+/// Time between two attempts whose work is more than the limit (us); more than any run lasts if the limit
+/// is 0.
 fn wait_us(work: f64, limit: SlowStartLimit) -> Micros {
     const MAX_WAIT_US: f64 = 1e15;
     (TURN_SPACING * limit.window_us as f64 * work / limit.work).min(MAX_WAIT_US) as Micros
