Soak: excuse closed new connections by the idle clients seen, not by the planned ones

Cause: the oracle excuses such a reset by the plan, at the time at which the client sees it. Beside load the dispatcher accepts late.

The clients of a crowd now log when they connect and when their connections end, and a reset is excused if at least 128 of them (a quarter of the dispatcher's sockets) were connected at some time from when the connection was established until it ended. This is stricter elsewhere: a crowd of 50, or a planned crowd that did not come, excuses nothing.

--- a/crates/soak/src/clients/half_requests.rs
+++ b/crates/soak/src/clients/half_requests.rs
@@ -35,12 +35,13 @@
         let mut half_requests = JoinSet::new();
         for index in 0..count {
             let Ok(stream) = TcpStream::connect(address).await else { continue };
+            let logged = LoggedClient::new(&event_log, dispatcher);
             // Half of the clients send a part of a request, each part in turn.
             match HALF_REQUESTS.get(index % (2 * HALF_REQUESTS.len())) {
                 Some(part) => {
-                    half_requests.spawn(stop_and_stay(stream, part, event_log.clone(), dispatcher));
+                    half_requests.spawn(stop_and_stay(stream, part, logged));
                 }
-                None => idle.push(stream),
+                None => idle.push((stream, logged)),
             }
         }
         sleep_until(event_log.instant(fault.to_ms)).await;
@@ -49,14 +50,34 @@
     }
 }
 
+/// The log entries about one client: that it connected, and once this is dropped, that its connection has ended.
+struct LoggedClient {
+    event_log: EventLog,
+    dispatcher: usize,
+}
+
+impl LoggedClient {
+    fn new(event_log: &EventLog, dispatcher: usize) -> Self {
+        event_log.write(0, Observation::IdleClientConnected { dispatcher });
+        Self { event_log: event_log.clone(), dispatcher }
+    }
+}
+
+impl Drop for LoggedClient {
+    fn drop(&mut self) {
+        self.event_log.write(0, Observation::IdleClientEnded { dispatcher: self.dispatcher });
+    }
+}
+
 /// Writes a part of a request, and logs if the dispatcher neither responds nor closes in time.
-async fn stop_and_stay(mut stream: TcpStream, part: &str, event_log: EventLog, dispatcher: usize) {
+async fn stop_and_stay(mut stream: TcpStream, part: &str, client: LoggedClient) {
+    let LoggedClient { event_log, dispatcher } = &client;
     let began = event_log.now();
     if stream.write_all(part.as_bytes()).await.is_err() {
         return;
     }
     // A byte is the start of an error response; an end of file or a failed read is a close.
     if timeout(ENDED_WITHIN, stream.read_u8()).await.is_err() {
-        event_log.write(0, Observation::HalfRequestIgnored { dispatcher, began });
+        event_log.write(0, Observation::HalfRequestIgnored { dispatcher: *dispatcher, began });
     }
 }
--- a/crates/soak/src/event_log.rs
+++ b/crates/soak/src/event_log.rs
@@ -149,6 +149,16 @@
         /// Whether the process was killed, which excuses the requests that it had accepted too.
         killed: bool,
     },
+    /// A client established a connection on which it sends nothing, or only a part of a request.
+    IdleClientConnected {
+        /// Index of the dispatcher.
+        dispatcher: usize,
+    },
+    /// The connection of such a client has ended: the client left, or it received an error or a close.
+    IdleClientEnded {
+        /// Index of the dispatcher.
+        dispatcher: usize,
+    },
     /// A client sent a part of a request and kept its connection open, but received neither an error nor a close in
     /// time.
     HalfRequestIgnored {
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -1,5 +1,6 @@
 //! The oracle: checks a run against the rules, using only its plan and its event log.
 
+mod idle_crowds;
 mod outages;
 mod planned_kills;
 mod request;
@@ -11,6 +12,7 @@
 
 use crate::event_log::{ClientOutcome, LogEntry, Micros, Observation};
 use crate::plan::Plan;
+use idle_crowds::IdleCrowds;
 use outages::PlannedOutages;
 use planned_kills::PlannedKills;
 use request::RequestHistory;
@@ -135,11 +137,12 @@
 pub fn check(plan: &Plan, entries: &[LogEntry], limits: &Limits) -> Vec<Violation> {
     let outages = PlannedOutages::new(plan, entries);
     let kills = PlannedKills::new(entries);
+    let idle_crowds = IdleCrowds::new(entries);
     let mut by_request: BTreeMap<u64, Vec<&LogEntry>> = BTreeMap::new();
     for entry in entries.iter().filter(|entry| entry.id != 0) {
         by_request.entry(entry.id).or_default().push(entry);
     }
-    let excuses = Excuses { outages: &outages, kills: &kills };
+    let excuses = Excuses { outages: &outages, kills: &kills, idle_crowds: &idle_crowds };
     let mut violations = Vec::new();
     for (id, entries) in by_request {
         if let Some(history) = RequestHistory::new(id, entries) {
@@ -152,15 +155,16 @@
     violations
 }
 
-/// Planned faults of dispatcher processes, which excuse violations of some rules.
+/// Faults of the plan that excuse violations of some rules.
 struct Excuses<'a> {
     outages: &'a PlannedOutages,
     kills: &'a PlannedKills,
+    idle_crowds: &'a IdleCrowds,
 }
 
 /// The violation that follows from a single observation that is not about a request, if it is one.
 fn check_process(entry: &LogEntry, excuses: &Excuses) -> Option<Violation> {
-    let Excuses { outages, kills } = excuses;
+    let Excuses { outages, kills, .. } = excuses;
     let (rule, dispatcher, what) = match &entry.observation {
         Observation::BadExit { dispatcher, what } if what.starts_with("not ready") => {
             (Rule::NotReady, dispatcher, what.as_str())
--- a/crates/soak/src/oracle/request.rs
+++ b/crates/soak/src/oracle/request.rs
@@ -54,7 +54,7 @@
         violations: &mut Vec<Violation>,
     ) {
         let outages = excuses.outages;
-        self.check_answer(plan, excuses, violations);
+        self.check_answer(excuses, violations);
         self.check_repeated_ids(violations);
         self.check_runs(limits, violations);
         self.check_attempts_after_leaving(plan, outages, violations);
@@ -181,7 +181,7 @@
         excuses: &Excuses,
         limits: &Limits,
     ) -> Option<Violation> {
-        let Excuses { outages, kills } = excuses;
+        let Excuses { outages, kills, .. } = excuses;
         let since = idle_since?;
         let due = since + limits.release_within + MAX_HELD_BEYOND_SETTING + TOLERANCE;
         if now <= due
@@ -218,7 +218,7 @@
     /// Checks that events reach the client in time, and that a stream that its server completed is not cut
     /// ([`Rule::Stream`]).
     fn check_stream(&self, plan: &Plan, excuses: &Excuses, violations: &mut Vec<Violation>) {
-        let Excuses { outages, kills } = excuses;
+        let Excuses { outages, kills, .. } = excuses;
         let ended_at = self.entries.last().map_or(self.asked_at, |entry| entry.at);
         if outages.any_within(self.dispatcher, self.asked_at, ended_at) {
             return;
--- a/crates/soak/tests/new_connections.rs
+++ b/crates/soak/tests/new_connections.rs
@@ -81,3 +81,42 @@
     assert_eq!(violated(Some(CONNECTED_AT - 1), sent_at + 5), [Rule::Dropped]);
     assert_eq!(violated(None, sent_at + 5), [Rule::Dropped]);
 }
+
+/// The verdict on a request whose new connection was reset, beside this many idle clients that were connected for a
+/// time: the violated rules.
+fn violated_rules_beside_idle_clients(count: usize, from: u64, to: u64) -> Vec<Rule> {
+    let sent = Observation::RequestSent {
+        dispatcher: 0,
+        class: Class::Idempotent,
+        timeout: 500_000,
+        connected_at: Some(CONNECTED_AT),
+    };
+    let reset = Observation::ExchangeEnded(ClientOutcome::Reset);
+    let mut entries = vec![
+        LogEntry { at: CONNECTED_AT, id: 7, observation: sent },
+        LogEntry { at: ENDED_AT, id: 7, observation: reset },
+    ];
+    for _ in 0..count {
+        let observation = Observation::IdleClientConnected { dispatcher: 0 };
+        entries.push(LogEntry { at: from, id: 0, observation });
+        let observation = Observation::IdleClientEnded { dispatcher: 0 };
+        entries.push(LogEntry { at: to, id: 0, observation });
+    }
+    entries.sort_by_key(|entry| entry.at);
+    let violations = check(&Plan::draw_replaced(1, 1, 10), &entries, &LIMITS);
+    violations.into_iter().map(|violation| violation.rule).collect()
+}
+
+/// Under load the clients of a crowd connect for longer than planned, and the dispatcher accepts a connection later than
+/// it was established: what clients observed counts, not the plan. A few idle clients excuse nothing.
+#[test]
+fn a_crowd_of_idle_clients_excuses_connections_of_its_time() {
+    let second = 1_000_000;
+    let (before, after) = (CONNECTED_AT - second, ENDED_AT + second);
+    assert_eq!(violated_rules_beside_idle_clients(300, before, after), []);
+    assert_eq!(violated_rules_beside_idle_clients(300, before, CONNECTED_AT + 1), []);
+    assert_eq!(violated_rules_beside_idle_clients(300, CONNECTED_AT + 1, after), []);
+    assert_eq!(violated_rules_beside_idle_clients(50, before, after), [Rule::Dropped]);
+    assert_eq!(violated_rules_beside_idle_clients(300, before, CONNECTED_AT - second / 2), [Rule::Dropped]);
+    assert_eq!(violated_rules_beside_idle_clients(300, after, after + second), [Rule::Dropped]);
+}
