Slow start: compute what does not depend on the server once a request

Each server in slow start was checked with its own look-ups of the class's work and of the warm rate, and five divisions.

`SlowStartCheck` has the work of the class by stage and the limit for each unit of capacity; the fleet keeps the warm rate for each unit of size.

A test is added for an open point: all servers start while the traffic is four times what they can take.

--- a/crates/router/src/eligibility.rs
+++ b/crates/router/src/eligibility.rs
@@ -8,7 +8,7 @@
 use crate::interface::{CellId, DedupGroup, Effect, Health, Role, ZoneId};
 use crate::records::{RequestState, Server};
 use crate::routing_state::RoutingState;
-use crate::slow_start;
+use crate::slow_start::SlowStartCheck;
 
 /// The servers at which another attempt of a request cannot take effect a second time.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -67,21 +67,22 @@
     state: &'a RoutingState,
     is_open: bool,
     scope: RepeatScope,
-    class: u32,
+    slow_start: SlowStartCheck<'a>,
 }
 
 impl<'a> Permissions<'a> {
     fn of(state: &'a RoutingState, request: &RequestState) -> Self {
         let is_idle = !request.is_completed && request.in_flight.is_none();
         let is_open = is_idle && request.info.not_after > state.now;
-        Self { state, is_open, scope: repeat_scope(state, request), class: request.info.class }
+        let slow_start = SlowStartCheck::of(state, request.info.class);
+        Self { state, is_open, scope: repeat_scope(state, request), slow_start }
     }
 
     fn permits(&self, server: &Server) -> bool {
         self.is_open
             && server.entry.health == Health::Ready
             && self.scope.contains(server)
-            && slow_start::allows(self.state, server, self.class)
+            && self.slow_start.allows(server)
     }
 
     /// Number of servers of a role that the rules permit. Where possible, the few exceptions are subtracted
@@ -91,7 +92,7 @@
         if self.scope != RepeatScope::Everywhere {
             return fleet.ready(role).filter(|server| self.permits(server)).count();
         }
-        let is_exhausted = |server: &&Server| !slow_start::allows(self.state, server, self.class);
+        let is_exhausted = |server: &&Server| !self.slow_start.allows(server);
         fleet.ready_count(role) - fleet.slow_starting(role).filter(is_exhausted).count()
     }
 }
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -40,15 +40,6 @@
     pub(crate) ready: usize,
 }
 
-/// What the ready servers of a kind that are not in slow start (warm servers) serve together.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct WarmServing {
-    /// In requests of mean work.
-    pub(crate) served_per_second: f64,
-    /// The sum of their sizes.
-    pub(crate) size: f64,
-}
-
 /// The servers known to a dispatcher. See the [module](self).
 #[derive(Debug)]
 pub(crate) struct Fleet {
@@ -338,16 +329,18 @@
         self.index.roles[role as usize].slow_starting.iter().map(|id| &self.servers[id])
     }
 
-    /// What the warm ready servers of a kind serve together. The sum is cached until the time or one of their
-    /// rates changes.
-    pub(crate) fn served_by_warm(&self, kind: u32) -> WarmServing {
-        let Some(kind) = self.index.warm_kinds.get(&kind) else {
-            return WarmServing { served_per_second: 0.0, size: 0.0 };
-        };
-        let cached = kind.sum_cache.get().filter(|(at, _)| *at == self.now);
-        let sum = cached.map_or_else(|| kind.rates.value_at(self.now), |(_, sum)| sum);
-        kind.sum_cache.set(Some((self.now, sum)));
-        WarmServing { served_per_second: sum, size: kind.size.value() }
+    /// Rate at which the ready servers of a kind that are not in slow start (warm servers) serve, in requests of
+    /// mean work per second, for each unit of their size; `None` if there are none. The rate is cached until
+    /// the time or one of their rates changes.
+    pub(crate) fn warm_rate_per_size(&self, kind: u32) -> Option<f64> {
+        let kind = self.index.warm_kinds.get(&kind).filter(|kind| kind.size != TotalSize::NONE)?;
+        let cached = kind.rate_cache.get().filter(|(at, _)| *at == self.now);
+        if let Some((_, rate)) = cached {
+            return Some(rate);
+        }
+        let rate = kind.rates.value_at(self.now) / kind.size.value();
+        kind.rate_cache.set(Some((self.now, rate)));
+        Some(rate)
     }
 
     /// Ready servers of a role with a failure, in some class, since they last served a request of that class.
--- a/crates/router/src/fleet/index.rs
+++ b/crates/router/src/fleet/index.rs
@@ -173,20 +173,20 @@
 pub(super) struct WarmIndex {
     /// Sum of the rates at which they serve.
     pub(super) rates: RateSum,
-    /// The value of `rates` and the time it was computed for; `None` after a change.
-    pub(super) sum_cache: Cell<Option<(Micros, f64)>>,
+    /// The value of `rates` for each unit of `size`, and the time it was computed for; `None` after a change.
+    pub(super) rate_cache: Cell<Option<(Micros, f64)>>,
     pub(super) size: TotalSize,
 }
 
 impl WarmIndex {
     fn new(times: FleetTimes, epoch: Micros) -> Self {
         let rates = RateSum::new(times.rate_time_constant_us, epoch);
-        Self { rates, sum_cache: Cell::new(None), size: TotalSize::NONE }
+        Self { rates, rate_cache: Cell::new(None), size: TotalSize::NONE }
     }
 
     /// Adds a server or removes it.
     fn count(&mut self, id: ServerId, server: &IndexedServer, operation: Operation) {
-        self.sum_cache.set(None);
+        self.rate_cache.set(None);
         self.size.count(server.size, operation);
         match operation {
             Operation::Add => self.rates.set(id, &server.served_per_second),
@@ -314,7 +314,7 @@
         if before.served_per_second != after.served_per_second && after.is_ready && is_warm {
             if let Some(kind) = self.warm_kinds.get_mut(&after.kind) {
                 kind.rates.set(id, &after.served_per_second);
-                kind.sum_cache.set(None);
+                kind.rate_cache.set(None);
             }
         }
         if before.is_busy != after.is_busy {
--- a/crates/router/src/records/stage.rs
+++ b/crates/router/src/records/stage.rs
@@ -21,6 +21,9 @@
 }
 
 impl Stage {
+    /// All stages, in the order of their numbers.
+    pub(crate) const ALL: [Self; STAGES] = [Self::Read, Self::Write, Self::ReadAndWrite];
+
     /// The stage that servers of a role perform for most requests.
     pub(crate) fn of(role: Role) -> Self {
         match role {
--- a/crates/router/src/slow_start_budget.rs
+++ b/crates/router/src/slow_start_budget.rs
@@ -88,11 +88,11 @@
     /// begin at random times, and an unused turn ends: if all were kept, they could be used together when a
     /// burst comes.
     fn has_turn(&self, now: Micros, work: f64, limit: SlowStartLimit) -> bool {
+        let wait = wait_us(work, limit);
         let first = match self.arrived.back() {
             Some(last) => last.at + wait_us(last.work, limit) + ARRIVAL_JITTER_US,
-            None => self.created_at + wait_us(self.rounding * work, limit),
+            None => self.created_at + (self.rounding * wait as f64) as Micros,
         };
-        let wait = wait_us(work, limit);
         let turn = (wait as f64 * TURN_SHARE_OF_WAIT) as Micros;
         now >= first && (now - first) % (wait + turn).max(1) <= turn
     }
--- a/crates/router/tests/slow_start_release.rs
+++ b/crates/router/tests/slow_start_release.rs
@@ -251,6 +251,14 @@
     }
 }
 
+/// While no server is warm, nothing but the traffic itself shows what servers can take, and most of it is repeats.
+#[test]
+fn servers_that_all_start_under_four_times_their_load_are_not_overloaded() {
+    for (dispatchers, capacity, seed) in [(1, 100.0, 901), (3, 12.0, 901), (30, 12.0, 901)] {
+        assert_within_limit(Release { dispatchers, capacity, load: 4.0, all_start: true, seed, ..RELEASE });
+    }
+}
+
 #[test]
 fn a_server_that_starts_again_and_again_is_not_overloaded() {
     for (dispatchers, interval, seed) in
