--- a/crates/router/src/slow_start.rs
+++ b/crates/router/src/slow_start.rs
@@ -16,8 +16,9 @@
 /// Rate of a warm server, as a share of an even part of all requests, while no server of the kind is warm.
 const SHARE_WITHOUT_WARM_PEERS: f64 = 0.5;
 
-/// Checks for one class of requests whether the slow start of servers has room for one more. The parts that do
-/// not depend on the server are computed once, as many servers are checked for one request.
+/// Checks for one class of requests whether the slow start of servers has room for one more.
+///
+/// The parts that do not depend on the server are computed once, as many servers are checked for one request.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct SlowStartCheck<'a> {
     state: &'a RoutingState,
