Control of the replicas' test: kill after ten executions, not after 30 ms

The control killed the instance 30 ms after its clients began; on a machine so busy hardly a request has reached a server by then, and one that was not executed before the kill is executed once only.

The kill now waits for ten executions in the round, or for the end of all requests. The number that must be executed twice stays.

--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -131,6 +131,9 @@
     );
 }
 
+/// Requests of a round that servers have begun to execute when the instance is killed, in the control below.
+const MIN_EXECUTED: usize = 10;
+
 /// The control of the test above: without replicas, instances do not know of each other's requests, and the same kind
 /// of trials executes some of them twice.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -147,7 +150,11 @@
                 })
             })
             .collect();
-        sleep(Duration::from_millis(30)).await;
+        let runs_of = |index: u64| cluster.fleet.runs_of(&format!("r{round}-{index}\""));
+        let all_ended = || requests.iter().all(|request| request.is_finished());
+        while (0..40).filter(|&index| runs_of(index) > 0).count() < MIN_EXECUTED && !all_ended() {
+            sleep(Duration::from_millis(1)).await;
+        }
         cluster.instances[0].as_ref().unwrap().signal("-KILL");
         cluster.kill(0).await;
         for request in requests {
