--- a/src/edge/clients/chunked_framing.rs
+++ b/src/edge/chunked_framing.rs
@@ -1,8 +1,8 @@
 //! Follows a chunked body (RFC 9112, section 7.1) to its end. It accepts no more than hyper does: where the two could
 //! differ, the end is not known.
 
-/// Maximum number of digits of a chunk's size.
-const MAX_SIZE_DIGITS: u32 = 15;
+/// Maximum number of digits of a chunk's size; more might not fit into 64 bits.
+const MAX_SIZE_DIGITS: u32 = 16;
 
 /// The position within a chunked body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,6 +29,17 @@
     EndLineFeed,
 }
 
+/// What lies behind bytes that were followed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Boundary {
+    /// The data of a chunk of this size (bytes) begins.
+    ChunkBegins { size: u64 },
+    /// A chunk has ended, with the line end behind its data.
+    ChunkEnds,
+    /// The body has ended, with its last chunk and the trailers.
+    BodyEnds,
+}
+
 /// What came of following some bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Followed {
@@ -50,26 +61,39 @@
     pub(crate) fn push(&mut self, bytes: &[u8]) -> Followed {
         let mut at = 0;
         while at < bytes.len() {
-            if let Self::Data { remaining } = self {
-                let length = usize::try_from(*remaining).unwrap_or(usize::MAX).min(bytes.len() - at);
-                *remaining -= length as u64;
-                at += length;
-                if *remaining == 0 {
-                    *self = Self::DataCarriageReturn;
-                }
-                continue;
-            }
-            let byte = bytes[at];
-            at += 1;
-            if (*self, byte) == (Self::EndLineFeed, b'\n') {
+            let Some((length, boundary)) = self.advance(&bytes[at..]) else { return Followed::Malformed };
+            at += length;
+            if boundary == Some(Boundary::BodyEnds) {
                 return Followed::EndsAfter(at);
             }
-            let Some(next) = self.after(byte) else { return Followed::Malformed };
-            *self = next;
         }
         Followed::GoesOn
     }
 
+    /// Follows some of these bytes, at least one and no further than the next boundary. Returns how many and the boundary
+    /// behind them, if there is one; `None` if the bytes are no chunked body.
+    pub(crate) fn advance(&mut self, bytes: &[u8]) -> Option<(usize, Option<Boundary>)> {
+        if let Self::Data { remaining } = self {
+            let length = usize::try_from(*remaining).unwrap_or(usize::MAX).min(bytes.len());
+            *remaining -= length as u64;
+            if *remaining == 0 {
+                *self = Self::DataCarriageReturn;
+            }
+            return Some((length, None));
+        }
+        let byte = *bytes.first()?;
+        if (*self, byte) == (Self::EndLineFeed, b'\n') {
+            return Some((1, Some(Boundary::BodyEnds)));
+        }
+        let before = std::mem::replace(self, self.after(byte)?);
+        let boundary = match (before, *self) {
+            (Self::SizeLineFeed { size }, Self::Data { .. }) => Some(Boundary::ChunkBegins { size }),
+            (Self::DataLineFeed, Self::Size { .. }) => Some(Boundary::ChunkEnds),
+            _ => None,
+        };
+        Some((1, boundary))
+    }
+
     /// The position after a byte that is not data of a chunk; `None` if the byte is not allowed there.
     fn after(self, byte: u8) -> Option<Self> {
         Some(match (self, byte) {
--- a/src/edge/clients/framing.rs
+++ b/src/edge/clients/framing.rs
@@ -4,7 +4,7 @@
 
 use std::collections::VecDeque;
 
-use crate::edge::clients::chunked_framing::{ChunkedBody, Followed};
+use crate::edge::chunked_framing::{ChunkedBody, Followed};
 
 /// Maximum length of a request head.
 pub const MAX_HEAD_BYTES: usize = 16 << 10;
--- a/src/edge/clients/mod.rs
+++ b/src/edge/clients/mod.rs
@@ -14,7 +14,6 @@
 pub mod answer_reader;
 pub mod body_buffer;
 pub mod chat;
-mod chunked_framing;
 pub mod client_stream;
 mod closing_listener;
 pub mod connection;
--- a/src/edge/connections.rs
+++ b/src/edge/connections.rs
@@ -6,6 +6,7 @@
 //! were told that a second more was left than really was. And it reuses a connection the moment a response has
 //! ended: a second response, written some milliseconds later, was taken for that of the next request.
 
+mod response_framing;
 mod stream;
 
 use std::collections::HashMap;
@@ -18,22 +19,20 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::client::legacy::Client;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use log::debug;
 use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::sync::{oneshot, Notify};
 use tokio::time::{sleep_until, timeout_at, Instant};
 
+use crate::edge::connections::response_framing::MAX_HEAD_BYTES;
 pub use crate::edge::connections::stream::{ConnectionHandle, WrittenCallback};
 use crate::edge::connections::stream::{Stream, WriteObserver};
 use crate::edge::core::ConnectionKind;
 use crate::edge::settings::Config;
 use crate::edge::transient::{self, is_transient};
 
-/// Buffer size of a connection: limits the head of a response, and how much of a response is read at once.
-const MAX_HEAD_BYTES: usize = 32 << 10;
-
 /// Servers close idle connections after `limits.keepalive_s` at the latest, and a request that is written then
 /// is reset. An idle connection is kept for this share of that time at most.
 const IDLE_SHARE_OF_KEEPALIVE: f64 = 0.6;
@@ -240,12 +239,12 @@
         }
         let (stream, opened) = Stream::new(stream, self.0.write_observer.clone());
         let (sender, connection) = http1::Builder::new()
-            // Limits a response head that does not end.
+            // Limits a response head that does not end, and how much of a response is read at once.
             .max_buf_size(MAX_HEAD_BYTES)
             // An unreadable header line, for example of a load report, must not spoil a response that is good
             // otherwise.
             .ignore_invalid_headers_in_responses(true)
-            .handshake(stream)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
--- a/src/edge/connections/stream.rs
+++ b/src/edge/connections/stream.rs
@@ -6,12 +6,13 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{ready, Context, Poll};
 
-use hyper::rt::{Read, ReadBufCursor, Write};
-use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
+use tokio::time::Instant;
 
+use crate::edge::connections::response_framing::{BodyProgress, DeclaredTooLong, ResponseFraming};
 use crate::edge::tcp::UninterruptedStream;
 
 /// Called for each request whose last byte has been handed to the operating system.
@@ -61,7 +62,10 @@
 /// The byte stream of a connection. `_open` must be dropped after `io` is closed, so the order of the fields
 /// matters.
 pub(super) struct Stream {
-    io: TokioIo<UninterruptedStream>,
+    io: UninterruptedStream,
+    framing: ResponseFraming,
+    /// The server has declared more data than is allowed: nothing more is read.
+    declares_too_much: bool,
     write_observer: WriteObserver,
     request: Arc<CarriedRequest>,
     _open: watch::Sender<()>,
@@ -70,12 +74,13 @@
 /// The parts of a [`ConnectionHandle`], until the task of the connection has been spawned.
 pub(super) struct HandleParts {
     request: Arc<CarriedRequest>,
+    progress: Arc<BodyProgress>,
     open: watch::Receiver<()>,
 }
 
 impl HandleParts {
     pub(super) fn handle(self, task: AbortHandle) -> ConnectionHandle {
-        ConnectionHandle { request: self.request, open: self.open, task }
+        ConnectionHandle { request: self.request, progress: self.progress, open: self.open, task }
     }
 }
 
@@ -83,8 +88,16 @@
     pub(super) fn new(stream: TcpStream, write_observer: WriteObserver) -> (Self, HandleParts) {
         let (sender, open) = watch::channel(());
         let request = Arc::<CarriedRequest>::default();
-        let io = TokioIo::new(UninterruptedStream(stream));
-        (Self { io, write_observer, request: request.clone(), _open: sender }, HandleParts { request, open })
+        let progress = Arc::<BodyProgress>::default();
+        let stream = Self {
+            io: UninterruptedStream(stream),
+            framing: ResponseFraming::new(progress.clone()),
+            declares_too_much: false,
+            write_observer,
+            request: request.clone(),
+            _open: sender,
+        };
+        (stream, HandleParts { request, progress, open })
     }
 }
 
@@ -92,6 +105,7 @@
 #[derive(Clone, Debug)]
 pub struct ConnectionHandle {
     request: Arc<CarriedRequest>,
+    progress: Arc<BodyProgress>,
     open: watch::Receiver<()>,
     task: AbortHandle,
 }
@@ -109,6 +123,18 @@
         self.request.is_unfinished()
     }
 
+    /// Waits, from now on, for the end of the chunk with the last of the first `bytes` bytes of the current response's
+    /// body; see [`chunk_ended_at`](Self::chunk_ended_at).
+    pub fn await_chunk_end(&self, bytes: u64) {
+        self.progress.await_whole(bytes);
+    }
+
+    /// When the chunk that [`await_chunk_end`](Self::await_chunk_end) waits for had ended; `None` if it has not.
+    #[must_use]
+    pub fn chunk_ended_at(&self) -> Option<Instant> {
+        self.progress.reached_at()
+    }
+
     /// Closes the connection, even in the middle of a response, and waits until it is closed.
     pub async fn close(self) {
         self.task.abort();
@@ -121,17 +147,29 @@
     }
 }
 
-impl Read for Stream {
+impl AsyncRead for Stream {
+    /// Passes on what has been received, up to a declaration of too much data; behind that, the read fails.
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
-        into: ReadBufCursor<'_>,
+        into: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_read(context, into)
+        let before = into.filled().len();
+        if !self.declares_too_much {
+            ready!(Pin::new(&mut self.io).poll_read(context, into))?;
+            let received = &into.filled()[before..];
+            let accepted = self.framing.accept(received);
+            self.declares_too_much = accepted < received.len();
+            into.set_filled(before + accepted);
+        }
+        if self.declares_too_much && into.filled().len() == before {
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, DeclaredTooLong)));
+        }
+        Poll::Ready(Ok(()))
     }
 }
 
-impl Write for Stream {
+impl AsyncWrite for Stream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -4,6 +4,7 @@
 pub mod accept;
 pub mod admin;
 pub mod balancers;
+mod chunked_framing;
 pub mod clients;
 pub mod clock;
 pub mod cluster;
--- a/src/edge/servers.rs
+++ b/src/edge/servers.rs
@@ -12,6 +12,7 @@
 mod release;
 mod report;
 mod send_error;
+mod stall_timer;
 mod unanswered_releases;
 
 use std::sync::Arc;
--- a/src/edge/servers/answer.rs
+++ b/src/edge/servers/answer.rs
@@ -12,7 +12,7 @@
 use crate::edge::connections::ConnectionHandle;
 use crate::edge::contiguous_body::collect;
 use crate::edge::core::AttemptResult;
-use crate::edge::event_shape::EventStreamValidator;
+use crate::edge::event_shape::{EventStreamValidator, MAX_EVENT_BYTES};
 use crate::edge::servers::report::{load_report, number_after, CACHED_TOKENS, LOAD_HEADER};
 use crate::interface::Outcome;
 
@@ -30,7 +30,9 @@
     pub(super) first: Option<Bytes>,
     pub(super) rest: Incoming,
     pub(super) validator: EventStreamValidator,
-    handle: ConnectionHandle,
+    /// Where the last event in `first` ends in the stream (bytes); 0 if there is none.
+    pub(super) event_end: u64,
+    pub(super) handle: ConnectionHandle,
 }
 
 impl OpenedStream {
@@ -75,11 +77,12 @@
         // end: the head must have been damaged.
         StatusCode::OK | StatusCode::ACCEPTED if !is_framed => Outcome::Reset,
         StatusCode::OK if !reads => match first_event(&mut body).await {
-            Some((first, validator)) => {
+            Some(Beginning { first, validator, event_end }) => {
                 return AttemptOutcome::OpenedStream(Box::new(OpenedStream {
                     first,
                     rest: body,
                     validator,
+                    event_end,
                     handle,
                 }))
             }
@@ -107,18 +110,30 @@
     AttemptOutcome::Ended(AttemptResult { outcome, cached_tokens, report })
 }
 
-/// Reads the beginning of a stream, to the end of its first event. Returns no bytes for a stream that ended
-/// properly without any, and `None` if the stream broke or is not one of events: then the attempt may have run,
-/// and nothing of it has been relayed.
-async fn first_event(body: &mut Incoming) -> Option<(Option<Bytes>, EventStreamValidator)> {
-    let (mut validator, mut first) = (EventStreamValidator::default(), Bytes::new());
+/// The beginning of a stream, up to its first event with data.
+struct Beginning {
+    /// What has been received; `None` for a stream that ended properly without any bytes.
+    first: Option<Bytes>,
+    validator: EventStreamValidator,
+    /// Where the last event with data ends in the stream (bytes); 0 if there is none.
+    event_end: u64,
+}
+
+/// Reads the beginning of a stream. Returns `None` if the stream broke, ended in the middle, is not one of events, or has
+/// no data where one event could have ended: then the attempt may have run, and nothing of it has been relayed.
+async fn first_event(body: &mut Incoming) -> Option<Beginning> {
+    let (mut validator, mut first) = (EventStreamValidator::default(), Vec::new());
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.ok()?.into_data() else { continue };
-        let event_ended = validator.push(&data)?;
-        first = if first.is_empty() { data } else { [first, data].concat().into() };
-        if event_ended {
-            return Some((Some(first), validator));
+        let event_end = validator.push(&data)?;
+        if event_end > 0 {
+            let first = if first.is_empty() { data } else { [&first[..], &data].concat().into() };
+            return Some(Beginning { first: Some(first), validator, event_end });
+        }
+        first.extend_from_slice(&data);
+        if first.len() > MAX_EVENT_BYTES {
+            return None;
         }
     }
-    Some((None, validator)).filter(|_| first.is_empty())
+    Some(Beginning { first: None, validator, event_end: 0 }).filter(|_| first.is_empty())
 }
--- a/src/edge/servers/relay.rs
+++ b/src/edge/servers/relay.rs
@@ -1,6 +1,7 @@
 //! The relay of a server's stream to its client.
 
-use std::future::Future as _;
+use std::error::Error as _;
+use std::io;
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
@@ -8,11 +9,11 @@
 use bytes::Bytes;
 use http_body::{Body, Frame};
 use log::{debug, warn};
-use tokio::time::{sleep_until, Instant, Sleep};
 
 use crate::edge::core::AttemptResult;
 use crate::edge::servers::answer::OpenedStream;
 use crate::edge::servers::report::{load_report, number_after, CACHED_TOKENS, LOAD_COMMENT};
+use crate::edge::servers::stall_timer::StallTimer;
 use crate::interface::{Outcome, RequestId};
 
 /// Length of the end of a stream that is searched for cached tokens and the load report (bytes).
@@ -33,8 +34,7 @@
 pub struct Relay {
     opened: OpenedStream,
     tail: Vec<u8>,
-    stall_timer: Pin<Box<Sleep>>,
-    stall_timeout: Duration,
+    stall_timer: StallTimer,
     /// Why the stream was cut, until the error has been returned to the HTTP server.
     cut_reason: Option<Cut>,
     /// Taken once it has been told how the relay ended.
@@ -51,7 +51,7 @@
     /// The connection to the server broke.
     #[error("the server's stream broke")]
     Broken,
-    /// The server sent nothing more, or did not come to the end of an event, for the stall timeout.
+    /// The server gave no sign of life for the stall timeout.
     #[error("the server's stream stalled")]
     Stalled,
     /// The server sent data that is not an event stream.
@@ -62,9 +62,20 @@
     ClientTooSlow,
 }
 
+impl Cut {
+    /// The reason of a cut after this error of the server's connection.
+    fn of(error: &hyper::Error) -> Self {
+        let cause = error.source().and_then(|cause| cause.downcast_ref::<io::Error>());
+        match cause.map(io::Error::kind) {
+            Some(io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput) => Self::Malformed,
+            _ => Self::Broken,
+        }
+    }
+}
+
 impl Relay {
-    /// Creates the relay of a stream, which is cut if no event ends for `stall_timeout`; `listener` is told how
-    /// the relay ends.
+    /// Creates the relay of a stream, which is cut if its server gives no sign of life for `stall_timeout`; `listener` is
+    /// told how the relay ends.
     pub(super) fn new(
         opened: OpenedStream,
         stall_timeout: Duration,
@@ -72,11 +83,11 @@
         attempt: u32,
         listener: Box<dyn StreamEndListener>,
     ) -> Self {
+        let stall_timer = StallTimer::new(stall_timeout, opened.handle.clone(), opened.event_end);
         Self {
             opened,
             tail: Vec::new(),
-            stall_timer: Box::pin(sleep_until(Instant::now() + stall_timeout)),
-            stall_timeout,
+            stall_timer,
             cut_reason: None,
             listener: Some(listener),
             id,
@@ -92,19 +103,20 @@
         self.tail.extend_from_slice(new);
     }
 
-    /// Relays a piece of the stream, unless it is not part of an event stream, or no event has ended for too
+    /// Relays a piece of the stream, unless it is not part of an event stream, or there has been no sign of life for too
     /// long.
     fn forward(&mut self, context: &mut Context<'_>, data: Bytes) -> Poll<Option<FrameResult>> {
-        let Some(event_ended) = self.opened.validator.push(&data) else {
+        let Some(event_end) = self.opened.validator.push(&data) else {
             return self.cut(context, Outcome::Reset, Cut::Malformed);
         };
-        if event_ended {
-            let stall_deadline = Instant::now() + self.stall_timeout;
-            self.stall_timer.as_mut().reset(stall_deadline);
-        } else if self.stall_timer.as_mut().poll(context).is_ready() {
+        if event_end > 0 {
+            self.stall_timer.event_ended(event_end);
+        }
+        if self.stall_timer.poll(context).is_ready() {
             return self.cut(context, Outcome::Timeout, Cut::Stalled);
         }
         self.keep_tail(&data);
+        self.stall_timer.pause();
         Poll::Ready(Some(Ok(Frame::data(data))))
     }
 
@@ -147,8 +159,10 @@
         }
         if let Some(first) = self.opened.first.take() {
             self.keep_tail(&first);
+            self.stall_timer.pause();
             return Poll::Ready(Some(Ok(Frame::data(first))));
         }
+        self.stall_timer.go_on();
         loop {
             match Pin::new(&mut self.opened.rest).poll_frame(context) {
                 Poll::Ready(Some(Ok(frame))) => {
@@ -157,14 +171,14 @@
                 }
                 Poll::Ready(Some(Err(error))) => {
                     debug!(request_id:% = self.id, attempt = self.attempt, reason:% = error; "relay: stream broke");
-                    return self.cut(context, Outcome::Reset, Cut::Broken);
+                    return self.cut(context, Outcome::Reset, Cut::of(&error));
                 }
                 Poll::Ready(None) => {
                     self.report_end(Outcome::Served);
                     return Poll::Ready(None);
                 }
                 Poll::Pending => {
-                    ready!(self.stall_timer.as_mut().poll(context));
+                    ready!(self.stall_timer.poll(context));
                     return self.cut(context, Outcome::Timeout, Cut::Stalled);
                 }
             }
--- a/src/edge/servers/send_error.rs
+++ b/src/edge/servers/send_error.rs
@@ -23,12 +23,13 @@
     fn from(error: hyper::Error) -> Self {
         let cause = error.source().and_then(|cause| cause.downcast_ref::<io::Error>());
         match cause.map(io::Error::kind) {
-            // The peer reset or closed the connection, or this side closed it.
+            // The peer reset or closed the connection or declared too much data, or this side closed it.
             Some(
                 io::ErrorKind::ConnectionReset
                 | io::ErrorKind::ConnectionAborted
                 | io::ErrorKind::BrokenPipe
-                | io::ErrorKind::NotConnected,
+                | io::ErrorKind::NotConnected
+                | io::ErrorKind::InvalidData,
             )
             | None => Self::Broken(error),
             // ETIMEDOUT, or instead of it an error that routers have reported in the meantime (tcp(7)):
