--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -357,7 +357,7 @@
         let Some(opened) = self.attempts.take_stream(id, attempt) else { return };
         self.releases.abort(id); // once the first token is there, servers release all held state by themselves
         self.clients.start_streaming(id, attempt);
-        let relay = self.servers.relay(*opened, id, attempt, Box::new(self.own_handle.clone()));
+        let relay = self.servers.relay(opened, id, attempt, Box::new(self.own_handle.clone()));
         self.clients.reply(id, Reply::Stream(relay));
     }
 
--- a/src/edge/servers.rs
+++ b/src/edge/servers.rs
@@ -174,7 +174,7 @@
     #[must_use]
     pub fn relay(
         &self,
-        opened: OpenedStream,
+        opened: Box<OpenedStream>,
         id: RequestId,
         attempt: u32,
         listener: Box<dyn StreamEndListener>,
--- a/src/edge/servers/answer.rs
+++ b/src/edge/servers/answer.rs
@@ -18,9 +18,9 @@
 
 /// The header by which a server says that it has rejected a request without executing it.
 const TURNED_AWAY_HEADER: &str = "x-turned-away";
-/// Once the status has settled the outcome, the rest of the response is read for this long at most, then the
-/// connection is closed. After a read, what it left must be released or used by a write within 500 ms.
-const DRAIN_TIME: Duration = Duration::from_millis(50);
+/// Once the status has settled the outcome, the rest of the response is read for this long at most, so that the
+/// connection can be kept.
+pub(super) const DRAIN_TIME: Duration = Duration::from_millis(50);
 /// Maximum size of a response that is not a stream.
 pub(super) const MAX_ANSWER_BYTES: usize = 64 << 10;
 
@@ -61,7 +61,8 @@
 
 /// Reads a response and returns the outcome of its attempt. A success status that only servers of the other role
 /// send is not trusted: the outcome is an error, and the attempt may have run. If the end of a response is not
-/// reached, its connection is closed before the outcome is returned.
+/// reached, its connection is closed before the outcome is returned. How long the answer to a read may take is up to the
+/// caller: the attempt is in flight until its last byte.
 pub(super) async fn read_answer(
     response: Response<Incoming>,
     reads: bool,
@@ -95,6 +96,7 @@
     };
     let rest = match outcome {
         Outcome::Reset => None,
+        Outcome::Read => Some(collect(body, MAX_ANSWER_BYTES).await),
         _ => timeout_at(Instant::now() + DRAIN_TIME, collect(body, MAX_ANSWER_BYTES)).await.ok(),
     };
     match rest {
--- a/src/edge/servers/relay.rs
+++ b/src/edge/servers/relay.rs
@@ -32,7 +32,7 @@
 /// the client's connection is cut.
 #[derive(Debug)]
 pub struct Relay {
-    opened: OpenedStream,
+    opened: Box<OpenedStream>,
     tail: Vec<u8>,
     stall_timer: StallTimer,
     /// Why the stream was cut, until the error has been returned to the HTTP server.
@@ -77,7 +77,7 @@
     /// Creates the relay of a stream, which is cut if its server gives no sign of life for `stall_timeout`; `listener` is
     /// told how the relay ends.
     pub(super) fn new(
-        opened: OpenedStream,
+        opened: Box<OpenedStream>,
         stall_timeout: Duration,
         id: RequestId,
         attempt: u32,
--- a/src/edge/servers/release.rs
+++ b/src/edge/servers/release.rs
@@ -11,7 +11,7 @@
 
 use crate::edge::connections::{IdleChoice, Pool};
 use crate::edge::contiguous_body::collect;
-use crate::edge::servers::answer::MAX_ANSWER_BYTES;
+use crate::edge::servers::answer::{DRAIN_TIME, MAX_ANSWER_BYTES};
 use crate::edge::servers::last_answers::LastAnswers;
 use crate::edge::servers::progress::AttemptBody;
 
@@ -145,8 +145,9 @@
     let response = ready.sender.send_request(request).await.map_err(ReleaseError::Send)?;
     pool.keep(address.to_owned(), ready);
     let status = response.status();
-    // The body is read to its end so that the connection can be reused; errors in it do not matter.
-    let _ = collect(response.into_body(), MAX_ANSWER_BYTES).await;
+    // The body is read to its end, if that comes soon, so that the connection can be reused. Nothing in it matters.
+    let rest = collect(response.into_body(), MAX_ANSWER_BYTES);
+    tokio::spawn(timeout_at(Instant::now() + DRAIN_TIME, rest));
     if status.is_success() {
         Ok(())
     } else {
