--- a/crates/router/src/attempts.rs
+++ b/crates/router/src/attempts.rs
@@ -5,7 +5,7 @@
 use crate::records::{Attempt, HeldState, PossibleRun, RequestState, Server, Stage};
 use crate::routing_state::RoutingState;
 use crate::slow_start;
-use crate::timeouts::attempt_timeout_us;
+use crate::timeouts::{attempt_timeout_us, telling_wait_us};
 use crate::work;
 
 /// Multiplies the attempt timeout of a write whose state leaves the reader's cell: a retry would transfer the
@@ -16,7 +16,6 @@
 #[derive(Debug)]
 pub(crate) struct PlannedAttempt {
     pub(crate) attempt: Attempt,
-    pub(crate) timeout_us: Micros,
     /// Work of the attempt at its server, in tokens.
     server_tokens: f64,
 }
@@ -41,8 +40,8 @@
     let work = work::estimate(state, info, stage, cached.map_or(0, |prefix| prefix.tokens));
     let reader = request.held_state.and_then(|held| state.fleet.get(held.reader));
     let crosses_cells = reader.is_some_and(|reader| reader.entry.cell != server.entry.cell);
-    let objective_us =
-        state.class(info.class).map_or(0.0, |class| class.latency_objective_for(info.prompt_tokens));
+    let class = state.class(info.class);
+    let objective_us = class.map_or(0.0, |class| class.latency_objective_for(info.prompt_tokens));
     let failures = request.failed_at.len();
     let timeout_us = attempt_timeout_us(state, server, stage, work.work_tokens, failures, objective_us);
     let timeout_us = if crosses_cells { timeout_us * REMOTE_TIMEOUT_MULTIPLE } else { timeout_us };
@@ -51,6 +50,8 @@
         server: server.entry.server,
         stage,
         sent_at: state.now,
+        timeout_us: timeout_us.min(info.not_after - state.now).max(1),
+        telling_wait_us: telling_wait_us(class, objective_us, state.shortest_objective_us),
         memory_tokens: work.memory_tokens,
         work_tokens: work.work_tokens,
         expected_queueing_us: state.gossip.estimated_queueing_us(server.entry.server, state.now),
@@ -59,11 +60,7 @@
         is_streaming: false,
         crosses_cells,
     };
-    PlannedAttempt {
-        attempt,
-        timeout_us: timeout_us.min(info.not_after - state.now).max(1),
-        server_tokens: work.server_tokens,
-    }
+    PlannedAttempt { attempt, server_tokens: work.server_tokens }
 }
 
 /// Records that an attempt is being sent: in the load of its server, in the load gossip and in its request.
--- a/crates/router/src/learning.rs
+++ b/crates/router/src/learning.rs
@@ -91,11 +91,22 @@
     }
     if has_succeeded {
         record_success(state, &attempt, ended.elapsed);
-    } else {
+    } else if says_something(&attempt, ended) {
         record_failure(state, &attempt, ended.outcome, rng);
     }
 }
 
+/// Whether an attempt that has failed says something about its server. One that had hardly any time, because its client
+/// waits no longer, does not by running out of it, nor by being turned away: servers also turn away what is over.
+fn says_something(attempt: &Attempt, ended: &AttemptFinished) -> bool {
+    let had_time = attempt.timeout_us >= attempt.telling_wait_us;
+    match ended.outcome {
+        Outcome::Timeout | Outcome::Full => had_time,
+        Outcome::ConnectFailed | Outcome::Unacknowledged => had_time || ended.elapsed < attempt.timeout_us,
+        _ => true,
+    }
+}
+
 /// Updates each stage's median pace over the servers.
 pub(crate) fn update_medians(state: &mut RoutingState) {
     for (stage, stage_statistics) in state.stages.iter_mut().enumerate() {
--- a/crates/router/src/records/request.rs
+++ b/crates/router/src/records/request.rs
@@ -12,6 +12,10 @@
     pub(crate) server: ServerId,
     pub(crate) stage: Stage,
     pub(crate) sent_at: Micros,
+    /// How long the server has for an answer (us).
+    pub(crate) timeout_us: Micros,
+    /// The least time without an answer that says something about the server (us).
+    pub(crate) telling_wait_us: Micros,
     /// Tokens of the server's memory that the attempt takes.
     pub(crate) memory_tokens: u64,
     /// Estimated work until the read is done or the first token comes, in tokens.
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -311,7 +311,7 @@
             return self.answer(id, EndReason::NotAllowed, actions);
         }
         let planned = attempts::plan(state, request, server, stage);
-        actions.push(Action::Assign { id, server: to, attempt_timeout: planned.timeout_us });
+        actions.push(Action::Assign { id, server: to, attempt_timeout: planned.attempt.timeout_us });
         attempts::record_sent(state, request, planned);
         self.awaiting_writer.remove(&id);
     }
--- a/crates/router/tests/failures.rs
+++ b/crates/router/tests/failures.rs
@@ -3,6 +3,8 @@
 
 mod common;
 
+use std::collections::BTreeMap;
+
 use common::serving::serve;
 use common::*;
 use dewladder_router::interface::*;
@@ -199,3 +201,96 @@
     assert_eq!(count_at_failing_writer(&mut world, 100, 0), 0, "the writer must be ejected for class 0");
     assert!(count_at_failing_writer(&mut world, 200, 3) > 0, "the writer must still serve class 3");
 }
+
+/// What happens to the attempts of requests that have no time left.
+#[derive(Clone, Copy, Debug)]
+enum NoTimeLeft {
+    /// Their servers answer as to any other request, which is too late.
+    TooLate,
+    /// Their servers say that the request is over.
+    TurnedAway,
+    /// Their servers can't be reached within the time.
+    NotConnected,
+}
+
+/// An idle fleet that serves each request in 52 ms; the first five of each hundred requests have 30 ms left. Returns how
+/// many of the others get no attempt.
+fn refused_beside_requests_without_time(case: NoTimeLeft, classes: u32, interval_us: Micros) -> usize {
+    let mut world = World::new(settings(), fleet(false));
+    let (mut refused, mut open) = (0, BTreeMap::new());
+    for id in 1..=400u64 {
+        let is_short = id % 100 < 5;
+        let mut info = request_info(id, world.now);
+        info.class = (id / 3 % u64::from(classes)) as u32;
+        info.not_after = world.now + if is_short { 30_000 } else { 5 * SECOND };
+        world.send_request(info);
+        if !is_short && world.in_flight(RequestId(id)).is_none() {
+            refused += 1;
+        }
+        open.insert(RequestId(id), is_short);
+        let until = world.now + interval_us;
+        while world.now < until {
+            world.pass(2_000);
+            open.retain(|&id, &mut is_short| {
+                let Some(sent) = world.in_flight(id) else { return false };
+                let waited = world.now - sent.at;
+                match case {
+                    NoTimeLeft::TurnedAway if is_short => world.end(id, Outcome::Full),
+                    NoTimeLeft::NotConnected if is_short && waited >= 28_000 => {
+                        world.end(id, Outcome::ConnectFailed);
+                    }
+                    _ if sent.reads && waited >= 40_000 => world.end_with(id, Outcome::Read, 1_000),
+                    _ if !sent.reads && waited >= 12_000 => {
+                        world.stream_first_token(id);
+                        world.end(id, Outcome::Served);
+                    }
+                    _ => {}
+                }
+                true
+            });
+        }
+    }
+    refused
+}
+
+/// That a request with no time left ends without an answer says nothing about its server: 5 such requests in 100 had 75 of
+/// 190 others refused on an idle fleet.
+#[test]
+fn requests_without_time_left_have_no_other_request_refused() {
+    for case in [NoTimeLeft::TooLate, NoTimeLeft::TurnedAway, NoTimeLeft::NotConnected] {
+        for classes in [1, 4] {
+            for interval_us in [10_000, 20_000, 100_000] {
+                let refused = refused_beside_requests_without_time(case, classes, interval_us);
+                assert_eq!(refused, 0, "{case:?}, {classes} classes, every {interval_us} us");
+            }
+        }
+    }
+}
+
+/// A server that hangs is ejected even where no request has as much time as the latency objective of its class.
+#[test]
+fn a_hanging_reader_is_ejected_by_requests_with_short_deadlines() {
+    let mut settings = settings();
+    for class in settings.classes.values_mut() {
+        class.default_timeout = 400_000;
+    }
+    let mut world = World::new(settings, fleet(false));
+    let hanging = ServerId(0);
+    let mut late = 0;
+    for id in 1..200 {
+        let info = RequestInfo { not_after: world.now + 300_000, ..request_info(id, world.now) };
+        world.send_request(info);
+        let id = RequestId(id);
+        if world.in_flight(id).is_some_and(|sent| sent.server == hanging) {
+            world.pass(300_000);
+            late += 1;
+            continue;
+        }
+        world.pass(5_000);
+        world.end_with(id, Outcome::Read, 1_000);
+        world.pass(5_000);
+        world.stream_first_token(id);
+        world.end(id, Outcome::Served);
+    }
+    assert!(late < 10, "{late} of 199 requests were sent to a reader that hangs");
+}
--- a/crates/router/tests/full_scan/oracle/requests.rs
+++ b/crates/router/tests/full_scan/oracle/requests.rs
@@ -244,6 +244,7 @@
         let attempt_timeout = (attempt_timeout * if crosses_cells { REMOTE_TIMEOUT_MULTIPLE } else { 1 })
             .min(info.not_after - self.now)
             .max(1);
+        let telling_wait_us = self.telling_wait(info.class, latency_objective);
         let class_work = &mut self.stages[stage as usize].class_work;
         let work = class_work.relative(info.class);
         class_work.record(info.class, server_tokens as f64);
@@ -267,6 +268,8 @@
             server: to,
             stage,
             sent_at: self.now,
+            timeout_us: attempt_timeout,
+            telling_wait_us,
             memory_tokens: tokens,
             work_tokens,
             expected_queueing_us: expected_queueing,
@@ -301,6 +304,15 @@
         (attempt_timeout * f64::from(1u32 << failures.min(6))) as Micros
     }
 
+    /// The least time without an answer that says something about a server (us): half of what the latency objectives allow,
+    /// at most half of what clients of the class wait.
+    fn telling_wait(&self, class: u32, latency_objective: f64) -> Micros {
+        let objective = latency_objective.max(self.settings.shortest_latency_objective());
+        let client_timeout =
+            self.settings.classes.get(&class).map_or(f64::MAX, |class| class.default_timeout as f64);
+        (objective.min(client_timeout) / 2.0) as Micros
+    }
+
     /// Whether a state that has been held since `since` can wait for a writer until the next sweep, with a margin
     /// before its deadline and the end of its hold time.
     pub(super) fn can_wait_for_sweep(&self, since: Micros, not_after: Micros) -> bool {
