--- a/src/edge/clients/connection.rs
+++ b/src/edge/clients/connection.rs
@@ -24,7 +24,7 @@
 use crate::edge::clients::client_stream::ClientStream;
 use crate::edge::clients::connection_slot::{ConnectionSlot, TakenRequest};
 use crate::edge::clients::framing::{BodyFraming, MAX_HEAD_BYTES};
-use crate::edge::clients::memory_budget::MemoryBudget;
+use crate::edge::clients::memory_budget::{MemoryBudget, NoRoom, Reservation};
 use crate::edge::clients::plain_response::{over_capacity_response, plain_response};
 use crate::edge::clients::request_timing::{AcceptDelay, ReceiveLimits};
 use crate::edge::phase::Phase;
@@ -35,6 +35,11 @@
 /// on its way.
 const MIN_AGE_AT_CLOSE: Duration = Duration::from_millis(60);
 
+/// Header fields of a request for which the memory of its connection is enough.
+const FREE_FIELDS: usize = 24;
+/// What each further header field takes while a front handles the request (bytes), beside its text.
+const FIELD_MEMORY: usize = 256;
+
 /// Handles the requests of one connection: passes them to the front, or refuses them itself.
 pub struct RequestHandler {
     front: Router,
@@ -59,6 +64,14 @@
         Self { front, slot, memory, figures, phase }
     }
 
+    /// Takes the memory for the head of a request with many fields. It is held until the front has an answer.
+    fn reserve_head(&self, request: &Request<Incoming>) -> Result<Reservation, NoRoom> {
+        let headers = request.headers();
+        let excess = headers.len().saturating_sub(FREE_FIELDS);
+        let text: usize = headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
+        self.memory.reserve(if excess == 0 { 0 } else { excess * FIELD_MEMORY + text })
+    }
+
     /// Starts to handle a request whose head has been received. The future resolves to its response.
     fn handle(
         &self,
@@ -68,6 +81,7 @@
         let accept_delay = self.slot.take_accept_delay();
         let open_request = OpenRequest(self.slot.clone());
         let (mut front, figures, phase) = (self.front.clone(), self.figures.clone(), self.phase.clone());
+        let head_memory = self.reserve_head(&request);
         let limits = ReceiveLimits { deadline, memory: self.memory.clone(), phase: phase.clone() };
         async move {
             let over_capacity = open_request.0.over_capacity;
@@ -75,7 +89,7 @@
                 // Prevents request smuggling, where the body of a request hides another one: this request is
                 // not passed on, and no bytes behind it are read as a request.
                 plain_response(StatusCode::BAD_REQUEST, "where the request ends can't be told")
-            } else if over_capacity {
+            } else if over_capacity || head_memory.is_err() {
                 figures.answered_by_front(header(request.headers(), "x-lane"), End::Rejected);
                 over_capacity_response()
             } else {
@@ -83,6 +97,7 @@
                 request.extensions_mut().insert(AcceptDelay(accept_delay));
                 front.call(request).await?
             };
+            drop(head_memory);
             let is_shutting_down = *phase.borrow() > Phase::Serving;
             if framing != BodyFraming::KnownLength || over_capacity || is_shutting_down {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
--- a/src/edge/clients/platform.rs
+++ b/src/edge/clients/platform.rs
@@ -86,11 +86,13 @@
     let received_at = front.clock.now();
     let info = headers.request_info(class_number, body.len(), received_at, accept_delay_us(&head.extensions));
     let target = head.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
-    let key = head.headers.get(IDEMPOTENCY_KEY).cloned();
+    let key = head.headers.get(IDEMPOTENCY_KEY).and_then(|key| HeaderValue::from_bytes(key.as_bytes()).ok());
+    drop(head); // the values of its headers refer to the buffer in which the request was received
+    let class_name = headers.class_name;
     let payload = Arc::new(Payload { txn: headers.txn, target, key, body });
     let reply = front.driver.submit_and_wait(info, received_at, payload).await;
     if matches!(reply, Reply::DuplicateId) {
-        count_failure();
+        front.figures.answered_by_front(Some(&class_name), End::Failed);
     }
     response(reply)
 }
--- a/src/edge/settings/config.rs
+++ b/src/edge/settings/config.rs
@@ -31,6 +31,8 @@
 const OWN_MEMORY: usize = 16 << 20;
 /// The memory of one client connection without its request (bytes): its task, and hyper's buffers.
 const CONNECTION_MEMORY: usize = 16 << 10;
+/// The memory of one open request without its body (bytes): its records, its tasks, and its connection to a server.
+const OPEN_REQUEST_MEMORY: usize = 16 << 10;
 /// The inverse of the share, of the memory that is left for it, which clients may make the process hold. The rest is for
 /// lists of servers, the stores of the chat front, and memory that the allocator keeps.
 const CLIENT_MEMORY_DIVISOR: usize = 2;
@@ -213,7 +215,9 @@
     #[must_use]
     pub fn client_memory(&self) -> usize {
         let connections = self.max_client_connections() * CONNECTION_MEMORY;
-        let rest = (self.limits.memory_bytes() as usize).saturating_sub(OWN_MEMORY + connections);
+        let open_requests = self.max_open_requests() * OPEN_REQUEST_MEMORY;
+        let own = OWN_MEMORY + connections + open_requests;
+        let rest = (self.limits.memory_bytes() as usize).saturating_sub(own);
         (rest / CLIENT_MEMORY_DIVISOR).max(MIN_CLIENT_MEMORY)
     }
 
--- a/tests/memory_limit.rs
+++ b/tests/memory_limit.rs
@@ -22,6 +22,8 @@
 const BODY_BYTES: usize = 250_000;
 /// As many connections as clients may hold: a third of the descriptors.
 const CONNECTIONS: usize = 341;
+/// As many connections as the program accepts, but for a few.
+const MANY_CONNECTIONS: usize = 480;
 /// How long the clients of a flood wait for answers.
 const FLOOD_TIME: Duration = Duration::from_secs(4);
 /// Floods of a process, one after the other: what the allocator keeps of one adds to the next.
@@ -54,6 +56,15 @@
     (head, json!({"model": "ask", "messages": [{"role": "user", "content": content}]}).to_string())
 }
 
+/// A request of the platform with a body of about this length.
+fn request_of(body_bytes: usize, id: usize) -> String {
+    let text = platform(&format!("{id:016x}"), "ask", "5.000");
+    let (head, _) = text.split_once("Content-Length").unwrap();
+    let content = "x".repeat(body_bytes);
+    let body = json!({"model": "ask", "messages": [{"role": "user", "content": content}]}).to_string();
+    format!("{head}Content-Length: {}\r\n\r\n{body}", body.len())
+}
+
 /// The request with its body in chunks of this size (bytes).
 fn chunked(head: &str, body: &str, chunk_bytes: usize) -> Vec<u8> {
     let mut text = format!("{head}\r\nTransfer-Encoding: chunked\r\n\r\n").into_bytes();
@@ -169,6 +180,66 @@
     stays_within_limit("pipelined", (1..=CONNECTIONS).map(request).collect()).await;
 }
 
+/// On each connection, sends the same requests again and again behind each other, for the time of a flood. A client that
+/// does not read leaves all answers unread.
+async fn pipeline(at: SocketAddr, texts: Vec<Vec<u8>>, reads: bool) {
+    let mut clients = JoinSet::new();
+    for text in texts {
+        clients.spawn(timeout(FLOOD_TIME, async move {
+            let Ok(mut stream) = TcpStream::connect(at).await else { return };
+            let (mut reading, mut writing) = stream.split();
+            let write = async { while writing.write_all(&text).await.is_ok() {} };
+            let read = async {
+                let mut answer = [0; 4_096];
+                while reads && reading.read(&mut answer).await.is_ok_and(|length| length > 0) {}
+            };
+            tokio::join!(write, read);
+        }));
+    }
+    while clients.join_next().await.is_some() {}
+}
+
+/// A request with further header fields.
+fn with_fields(request: &str, fields: usize) -> String {
+    let request = request.replace("Connection: close\r\n", "");
+    request.replacen("\r\n", &format!("\r\n{}", "A: b\r\n".repeat(fields)), 1)
+}
+
+/// Almost as many clients as the program accepts send small requests behind each other at full speed, some with many short
+/// header fields, to either front: 480 of them took the program over its limit.
+#[tokio::test(flavor = "multi_thread")]
+async fn many_clients_that_pipeline_stay_within_the_memory_limit() {
+    let chat_port = processes::Port::new();
+    let fronts = format!(
+        "[chat]\nenabled = true\nlisten = \"{}\"\nmost_open = 1000\n[chat.models]\nkiln-ask = \"ask\"\n",
+        chat_port.address()
+    );
+    let chat = json!({"model": "kiln-ask", "messages": [{"role": "user", "content": "a".repeat(3_000)}]})
+        .to_string();
+    for (name, on_chat, body_bytes, fields, reads) in [
+        ("usual", false, 9_000, 0, false),
+        ("fields", false, 3_000, 80, false),
+        ("read-fields", false, 100, 80, true),
+        ("chat-fields", true, 0, 80, false),
+    ] {
+        let (site, process) = start(&format!("pipelining-{name}"), Some(&fronts)).await;
+        let address = if on_chat { chat_port.address() } else { site.port.address() };
+        let request = |id| if on_chat { post(&chat, "") } else { request_of(body_bytes, id) };
+        let texts: Vec<Vec<u8>> = (0..MANY_CONNECTIONS)
+            .map(|client| {
+                (1..=6).map(|at| with_fields(&request(client * 6 + at), fields)).collect::<String>()
+            })
+            .map(String::into_bytes)
+            .collect();
+        for _ in 0..2 {
+            pipeline(address, texts.clone(), reads).await;
+        }
+        let peak = process.peak_memory_mb();
+        println!("pipelining-{name}: {peak} MiB at most");
+        assert!(peak < MEMORY_MB, "{name}: {peak} MiB of {MEMORY_MB}");
+    }
+}
+
 /// The chat front parsed bodies before any limit applied: 48 bodies of 255 KB in short parts came to 285 MB.
 #[tokio::test(flavor = "multi_thread")]
 async fn chat_bodies_of_many_parts_stay_within_the_memory_limit() {
