--- a/crates/soak/src/agent.rs
+++ b/crates/soak/src/agent.rs
@@ -137,6 +137,16 @@
         })
     }
 
+    /// The pause in the middle of an answer, if by the plan the agent writes slowly.
+    fn slow_answer_time(&self, dispatcher: usize) -> Option<Duration> {
+        self.plan.faults_at(self.now_ms()).find_map(|kind| match *kind {
+            FaultKind::SlowAgent { dispatcher: target, over_ms } if target == dispatcher => {
+                Some(Duration::from_millis(over_ms))
+            }
+            _ => None,
+        })
+    }
+
     /// The answer to a call at this moment: the list if the caller does not have this revision, or an empty change once
     /// the time that the call waits is over. `None` if the call keeps waiting.
     fn answer_now(&self, call: Call) -> Option<Value> {
@@ -170,6 +180,15 @@
     }
 }
 
+/// Writes an answer, by the plan with a pause in its middle.
+async fn write_answer(stream: &mut TcpStream, text: &str, pause: Option<Duration>) -> std::io::Result<()> {
+    let Some(pause) = pause else { return stream.write_all(text.as_bytes()).await };
+    let (beginning, rest) = text.split_at(text.len() / 2);
+    stream.write_all(beginning.as_bytes()).await?;
+    sleep(pause).await;
+    stream.write_all(rest.as_bytes()).await
+}
+
 /// Answers the calls on a connection until it ends.
 async fn serve(mut stream: TcpStream, registry: Registry, dispatcher: usize) {
     let opened_ms = registry.now_ms();
@@ -189,7 +208,8 @@
                 },
             }
         };
-        if stream.write_all(plain(200, "", &answer.to_string()).as_bytes()).await.is_err() {
+        let text = plain(200, "", &answer.to_string());
+        if write_answer(&mut stream, &text, registry.slow_answer_time(dispatcher)).await.is_err() {
             return;
         }
     }
--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -24,6 +24,12 @@
 const GIVE_UP_AFTER: Duration = Duration::from_millis(1_500);
 /// Time that a client waits for the rest of a stream from its first event on; before, each read starts it again.
 const STREAM_TIMEOUT: Duration = Duration::from_secs(10);
+/// Bytes that a client reads at once, and the time until it reads again (`SlowReaders`).
+const SLOW_READ_BYTES: usize = 96;
+const SLOW_READ_INTERVAL: Duration = Duration::from_millis(100);
+/// Time left for requests without time (`NoTimeLeft`, us), and how many there are in each hundred.
+const NO_TIME: Micros = 30_000;
+const NO_TIME_IN_HUNDRED: u64 = 5;
 /// Number of shared prefixes of the requests of a class.
 const PREFIXES_PER_CLASS: u64 = 5;
 /// Bytes per write of a request that is sent in pieces.
@@ -221,6 +227,9 @@
         let leaves = rng.next_u64() % 10 < leaving_in_ten;
         let leaves_after = leaves.then(|| Duration::from_micros(rng.next_u64() % 120_000));
         let id = (self.plan.seed << 24) + self.next_request.fetch_add(1, Ordering::Relaxed) + 1;
+        let has_no_time = self.has(|kind| matches!(kind, FaultKind::NoTimeLeft { .. }));
+        let number = id - (self.plan.seed << 24) - 1;
+        let timeout = if has_no_time && number % 100 < NO_TIME_IN_HUNDRED { NO_TIME } else { timeout };
         let keeps_connection = !rng.next_u64().is_multiple_of(4);
         let is_sent_in_pieces = self.has(|kind| matches!(kind, FaultKind::Pieces { .. }));
         let is_written_over = self.slow_write_time();
@@ -268,8 +277,10 @@
                 self.open_streams.insert(id, class, self.event_log.now());
             }
         };
+        let reads_slowly = self.has(|kind| matches!(kind, FaultKind::SlowReaders { .. }));
+        let reading = AnswerReading { id, event_log: &self.event_log, until, reads_slowly };
         let outcome = tokio::select! {
-            outcome = read_answer(&mut stream, id, &self.event_log, until, first_event) => outcome,
+            outcome = read_answer(&mut stream, reading, first_event) => outcome,
             () = request.client_leaves() => None,
         };
         self.open_streams.remove(id);
@@ -285,16 +296,33 @@
     }
 }
 
-/// Reads a response and logs its events; calls `on_first_event` at the first one. Returns `None` if the client gave up waiting, or the status line is malformed.
+/// How a client reads a response.
+struct AnswerReading<'a> {
+    id: u64,
+    event_log: &'a EventLog,
+    /// Until when it waits for the first event.
+    until: Instant,
+    reads_slowly: bool,
+}
+
+/// Reads more of a response, or a few bytes after a pause.
+async fn read_more(stream: &mut TcpStream, read: &mut Vec<u8>, slowly: bool) -> std::io::Result<usize> {
+    if !slowly {
+        return stream.read_buf(read).await;
+    }
+    sleep(SLOW_READ_INTERVAL).await;
+    stream.take(SLOW_READ_BYTES as u64).read_buf(read).await
+}
+
+/// Reads a response and logs its events; calls `on_first_event` at the first one. Returns `None` if the client gave up
+/// waiting, or the status line is malformed.
 async fn read_answer(
     stream: &mut TcpStream,
-    id: u64,
-    event_log: &EventLog,
-    answer_until: Instant,
+    reading: AnswerReading<'_>,
     on_first_event: impl Fn(),
 ) -> Option<ClientOutcome> {
-    let mut read = Vec::new();
-    let (mut until, mut events) = (answer_until, 0);
+    let AnswerReading { id, event_log, mut until, reads_slowly } = reading;
+    let (mut read, mut events) = (Vec::new(), 0);
     loop {
         let head = read.windows(END_OF_HEAD.len()).position(|window| window == END_OF_HEAD);
         if let Some(head) = head {
@@ -306,7 +334,7 @@
             if events == 0 {
                 until = Instant::now() + STREAM_TIMEOUT;
             }
-            let received = count(&read, EVENT_START);
+            let received = count(&decoded(&read[head + END_OF_HEAD.len()..]), EVENT_START);
             if events == 0 && received > 0 {
                 on_first_event();
             }
@@ -318,7 +346,7 @@
                 return Some(ClientOutcome::Served);
             }
         }
-        match timeout_at(until, stream.read_buf(&mut read)).await {
+        match timeout_at(until, read_more(stream, &mut read, reads_slowly)).await {
             Ok(Ok(0) | Err(_)) if head.is_some() => return Some(ClientOutcome::Cut),
             Ok(Ok(0)) => return Some(ClientOutcome::Closed),
             Ok(Err(_)) => return Some(ClientOutcome::Reset),
@@ -332,6 +360,20 @@
     String::from_utf8_lossy(head).split(' ').nth(1)?.parse().ok()
 }
 
+/// The data of a chunked body, as far as it has come. An event may be split over chunks.
+fn decoded(mut body: &[u8]) -> Vec<u8> {
+    let mut data = Vec::with_capacity(body.len());
+    while let Some(line_end) = body.windows(2).position(|window| window == b"\r\n") {
+        let size = String::from_utf8_lossy(&body[..line_end]);
+        let Ok(size) = usize::from_str_radix(&size, 16) else { break };
+        let chunk = &body[line_end + 2..];
+        data.extend_from_slice(&chunk[..size.min(chunk.len())]);
+        let Some(rest) = chunk.get(size + 2..) else { break };
+        body = rest;
+    }
+    data
+}
+
 fn count(bytes: &[u8], pattern: &[u8]) -> usize {
     bytes.windows(pattern.len()).filter(|window| *window == pattern).count()
 }
--- a/crates/soak/src/clients/bad_clients.rs
+++ b/crates/soak/src/clients/bad_clients.rs
@@ -31,6 +31,11 @@
 const MIN_STREAM_LEFT: Micros = 500_000;
 /// Time between two waves of large bodies.
 const WAVE_INTERVAL: Duration = Duration::from_millis(50);
+/// Requests that a client sends behind each other, their header fields, and the time until the next ones.
+const PIPELINED_REQUESTS: u64 = 12;
+const PIPELINED_FIELDS: usize = 80;
+const PIPELINED_BODY_BYTES: usize = 3_000;
+const PIPELINE_INTERVAL: Duration = Duration::from_millis(5);
 /// Just under the longest body that is allowed (bytes).
 const LARGE_BODY_BYTES: usize = 250_000;
 /// Ids of large requests start here: no other request has one of them.
@@ -86,6 +91,7 @@
                     FaultKind::LargeBodies { count, chunk_bytes, .. } => {
                         clients.send_large_bodies(count, chunk_bytes, fault.to_ms).await;
                     }
+                    FaultKind::Pipelining { count, .. } => clients.pipeline(count, fault.to_ms).await,
                     FaultKind::ConnectAllTheTime { .. } => clients.connect_all_the_time(fault.to_ms).await,
                     _ => {}
                 }
@@ -134,6 +140,27 @@
         }
     }
 
+    /// Sends batches of requests behind each other on many connections, and reads none of the answers.
+    async fn pipeline(&self, count: usize, until_ms: u64) {
+        let until = self.event_log.instant(until_ms);
+        let mut clients = JoinSet::new();
+        for client in 0..count {
+            let (address, first_id) = (self.address, FIRST_LARGE_ID + ((client as u64) << 32));
+            clients.spawn(async move {
+                let Ok(mut stream) = TcpStream::connect(address).await else { return };
+                for batch in 0.. {
+                    let ids = (1..=PIPELINED_REQUESTS).map(|at| first_id + batch * PIPELINED_REQUESTS + at);
+                    let text: String = ids.map(request_of_many_fields).collect();
+                    if stream.write_all(text.as_bytes()).await.is_err() {
+                        return;
+                    }
+                    sleep(PIPELINE_INTERVAL).await;
+                }
+            });
+        }
+        sleep_until(until).await;
+    }
+
     /// Sends large bodies, in one wave after the other: what the allocator keeps of one adds to the next.
     async fn send_large_bodies(&self, count: usize, chunk_bytes: usize, until_ms: u64) {
         let waves = async {
@@ -168,6 +195,14 @@
     )
 }
 
+/// A request of usual length with many short header fields.
+fn request_of_many_fields(id: u64) -> String {
+    let head = request_head(id, Class::Idempotent, 2.0);
+    let body = format!("{{\"a\":\"{}\"}}", "x".repeat(PIPELINED_BODY_BYTES));
+    let fields = "A: b\r\n".repeat(PIPELINED_FIELDS);
+    format!("{head}{fields}Content-Length: {}\r\n\r\n{body}", body.len())
+}
+
 /// A request with a large body, in chunks unless `chunk_bytes` is 0.
 fn large_request(id: u64, chunk_bytes: usize) -> Vec<u8> {
     let head = request_head(id, Class::Idempotent, 2.0);
--- a/crates/soak/src/event_log.rs
+++ b/crates/soak/src/event_log.rs
@@ -106,6 +106,16 @@
     },
     /// A writer wrote the event of this index, from 0.
     EventWritten(usize),
+    /// A writer began to send what never makes a whole stream.
+    StreamSpoilt {
+        /// Index of the server.
+        server: usize,
+    },
+    /// The dispatcher closed the connection of a server that was slowly writing a sound answer.
+    AnswerCutShort {
+        /// Index of the server.
+        server: usize,
+    },
     /// A writer wrote the last chunk of its stream.
     StreamEnded {
         /// Index of the server.
--- a/crates/soak/src/options.rs
+++ b/crates/soak/src/options.rs
@@ -18,6 +18,7 @@
   --stopped           draw plans of stalled servers, series of signals and early kills instead
   --replaced          draw plans of upgrades, restarts and early kills under long streams, and of large bodies, instead
   --released          draw plans of releases of servers of limited capacity, with bursts and restart loops, instead
+  --peers             draw plans of endless streams, slow servers, agents and clients, and clients without time, instead
   --processes N       dispatchers in each run (12)
   --seconds N         length of each run (20)
   --parallel N        runs at the same time (4)
@@ -53,6 +54,9 @@
     /// Whether plans are drawn by [`Plan::draw_released`](crate::plan::Plan::draw_released) (releases of servers of
     /// limited capacity) instead of [`Plan::draw`](crate::plan::Plan::draw).
     pub released: bool,
+    /// Whether plans are drawn by [`Plan::draw_peers`](crate::plan::Plan::draw_peers) (endless streams, slow peers of every
+    /// role, clients without time left) instead of [`Plan::draw`](crate::plan::Plan::draw).
+    pub peers: bool,
     /// Number of dispatchers in each run, at least 1.
     pub processes: usize,
     /// Length of each run in seconds.
@@ -119,6 +123,7 @@
         let stopped = arguments.contains("--stopped");
         let replaced = arguments.contains("--replaced");
         let released = arguments.contains("--released");
+        let peers = arguments.contains("--peers");
         if let Some(unknown) = arguments.finish().first() {
             return Err(OptionsError::Unknown(unknown.to_string_lossy().into_owned()));
         }
@@ -135,6 +140,7 @@
             stopped,
             replaced,
             released,
+            peers,
             processes: processes.max(1) as usize,
             seconds,
             parallel: parallel.max(1) as usize,
--- a/crates/soak/src/oracle/idle_crowds.rs
+++ b/crates/soak/src/oracle/idle_crowds.rs
@@ -5,10 +5,10 @@
 
 use super::TOLERANCE;
 use crate::event_log::{LogEntry, Micros, Observation};
-use crate::harness::SOCKETS;
+use crate::plan::DEFAULT_SOCKETS;
 
 /// Idle connections from which on a dispatcher may lack room for others. It needs half of its sockets for servers.
-const MIN_CROWD: usize = SOCKETS / 4;
+const MIN_CROWD: usize = DEFAULT_SOCKETS / 4;
 
 /// A crowd: from when to when at least [`MIN_CROWD`] idle clients were connected.
 struct Crowd {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -38,6 +38,9 @@
     /// The memory limit of the dispatchers (MiB).
     #[serde(default = "default_memory_mb", skip_serializing_if = "is_default_memory")]
     pub memory_mb: u64,
+    /// The number of sockets that each dispatcher may use.
+    #[serde(default = "default_sockets", skip_serializing_if = "is_default_sockets")]
+    pub sockets: usize,
     /// Capacity and slow start of the servers; `None` if they serve all that comes.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub slow_start: Option<SlowStart>,
@@ -81,6 +84,49 @@
     *memory_mb == default_memory_mb()
 }
 
+/// Sockets of a dispatcher in plans that set none.
+pub const DEFAULT_SOCKETS: usize = 512;
+
+/// Sockets of stored plans that have none.
+fn default_sockets() -> usize {
+    DEFAULT_SOCKETS
+}
+
+/// Whether the number of sockets is left out of the JSON.
+fn is_default_sockets(sockets: &usize) -> bool {
+    *sockets == default_sockets()
+}
+
+/// What a writer sends instead of the rest of its stream, at the pace of events, until its connection is closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum EndlessStream {
+    /// Events in a chunk of gigabytes.
+    HugeChunk,
+    /// Events in a chunk of 100 KB.
+    LongChunk,
+    /// The size of a chunk.
+    ChunkSize,
+    /// Comments, each in a chunk.
+    Comments,
+    /// Events without data, each in a chunk.
+    EmptyEvents,
+    /// The event that ends an answer, and events behind it.
+    AfterEnd,
+}
+
+impl EndlessStream {
+    /// All of them.
+    pub const ALL: [Self; 6] = [
+        Self::HugeChunk,
+        Self::LongChunk,
+        Self::ChunkSize,
+        Self::Comments,
+        Self::EmptyEvents,
+        Self::AfterEnd,
+    ];
+}
+
 /// A series of signals to a dispatcher process. Each one includes SIGTERM; once the process has exited, a new one is
 /// started.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -223,6 +269,27 @@
         /// Index of the server.
         server: usize,
     },
+    /// A writer's streams go on for ever without being whole, from the event of this index on.
+    EndlessStreams {
+        /// Index of the server.
+        server: usize,
+        /// Number of sound events before.
+        after_events: usize,
+        /// What comes instead.
+        how: EndlessStream,
+    },
+    /// The server writes its answers slowly: a reader its body, a writer each event.
+    SlowAnswers {
+        /// Index of the server.
+        server: usize,
+        /// Time in the middle of a body or event (ms).
+        over_ms: u64,
+    },
+    /// The server reads requests a few bytes at a time.
+    SlowReads {
+        /// Index of the server.
+        server: usize,
+    },
     /// The server drains from the beginning of the fault until the end of the run, and keeps running.
     Drain {
         /// Index of the server.
@@ -272,6 +339,30 @@
         /// Index of the dispatcher.
         dispatcher: usize,
     },
+    /// The first five of each hundred requests have 30 ms left. Servers drop requests with under 100 ms without a word.
+    NoTimeLeft {
+        /// Index of the dispatcher.
+        dispatcher: usize,
+    },
+    /// Clients read their answers a few bytes at a time.
+    SlowReaders {
+        /// Index of the dispatcher.
+        dispatcher: usize,
+    },
+    /// The discovery agent writes its answers slowly.
+    SlowAgent {
+        /// Index of the dispatcher.
+        dispatcher: usize,
+        /// Time in the middle of an answer (ms).
+        over_ms: u64,
+    },
+    /// Bad clients send requests with many header fields, several behind each other.
+    Pipelining {
+        /// Index of the dispatcher.
+        dispatcher: usize,
+        /// Number of clients.
+        count: usize,
+    },
     /// Bad clients send the ids of requests whose streams are under way.
     RepeatOpenIds {
         /// Index of the dispatcher.
@@ -333,6 +424,10 @@
             | Self::Idlers { dispatcher, .. }
             | Self::Pieces { dispatcher }
             | Self::ShortTime { dispatcher }
+            | Self::NoTimeLeft { dispatcher }
+            | Self::SlowReaders { dispatcher }
+            | Self::SlowAgent { dispatcher, .. }
+            | Self::Pipelining { dispatcher, .. }
             | Self::RepeatOpenIds { dispatcher }
             | Self::SlowWriters { dispatcher, .. }
             | Self::LargeBodies { dispatcher, .. }
@@ -360,6 +455,9 @@
             | Self::CloseOnUse { server }
             | Self::AnswerTwice { server }
             | Self::NeverEnd { server }
+            | Self::EndlessStreams { server, .. }
+            | Self::SlowAnswers { server, .. }
+            | Self::SlowReads { server }
             | Self::ServerStarts { server }
             | Self::Drain { server } => Some(server),
             _ => None,
--- a/crates/soak/src/plan/draw.rs
+++ b/crates/soak/src/plan/draw.rs
@@ -2,6 +2,7 @@
 //! rule still gives the same plan.
 
 mod overlapping;
+mod peers;
 mod released;
 mod replaced;
 mod stopped;
@@ -9,7 +10,10 @@
 use rand_core::{RngCore as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
 
-use super::{default_deadline_ms, default_event_interval_ms, default_memory_mb, default_objective_ms, Plan};
+use super::{
+    default_deadline_ms, default_event_interval_ms, default_memory_mb, default_objective_ms, default_sockets,
+    Plan,
+};
 
 /// Faults of each call that the dispatcher makes on its sockets: the errnos that the man pages document for its use of
 /// the call, short reads and writes, and held monotonic clocks. Connection resets are not among them: the test servers
@@ -131,6 +135,7 @@
             kills_at_earliest: false,
             event_interval_ms: default_event_interval_ms(),
             memory_mb: default_memory_mb(),
+            sockets: default_sockets(),
             slow_start: None,
             faults: Vec::new(),
         }
--- a/crates/soak/src/servers/connection.rs
+++ b/crates/soak/src/servers/connection.rs
@@ -5,11 +5,11 @@
 use dewladder_test_peers::{chunk, field, plain};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
-use tokio::time::{sleep_until, Instant};
+use tokio::time::{sleep, sleep_until, Instant};
 
 use super::{parse_id, reset_on_close, Shared, EVENTS, POLL_INTERVAL};
 use crate::event_log::{EventLog, Micros, Observation};
-use crate::plan::FaultKind;
+use crate::plan::{EndlessStream, FaultKind};
 
 /// Time that a reader takes to read a prompt.
 const READ_DURATION: Duration = Duration::from_millis(15);
@@ -21,6 +21,13 @@
 const EVENTS_BEFORE_BREAK: usize = 2;
 /// Minimum age of a connection that is closed on use (`CloseOnUse`, ms): a younger one is in its first use.
 const MIN_AGE_TO_CLOSE_MS: u64 = 50;
+/// Bytes that a server reads at once, and the time until it reads again (`SlowReads`).
+const SLOW_READ_BYTES: usize = 64;
+const SLOW_READ_INTERVAL: Duration = Duration::from_millis(15);
+/// Servers drop requests with less time left than this without a word (`NoTimeLeft`, us).
+const MIN_REMAINING: Micros = 100_000;
+/// Longest time in the middle of an event (`SlowAnswers`): events must not come as late as a stall.
+const MAX_EVENT_TIME: Duration = Duration::from_millis(300);
 /// Longer than any run.
 const FOREVER: Duration = Duration::from_secs(600);
 /// Time after the end of a run at which nothing happens any more (ms).
@@ -134,10 +141,13 @@
             if first_byte.is_none() && self.closes_on_use() {
                 return Err(ConnectionEnd::Closed);
             }
-            match self.stream.try_read_buf(&mut self.read) {
+            match self.read_some() {
                 Ok(0) => return Err(ConnectionEnd::Closed),
-                Ok(_) => {
+                Ok(length) => {
                     first_byte.get_or_insert_with(|| self.shared.event_log.now());
+                    if length == SLOW_READ_BYTES {
+                        sleep(SLOW_READ_INTERVAL).await;
+                    }
                 }
                 Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
                 Err(_) => return Err(ConnectionEnd::Closed),
@@ -145,6 +155,17 @@
         }
     }
 
+    /// Reads what is available, or by the plan at most [`SLOW_READ_BYTES`] of it.
+    fn read_some(&mut self) -> std::io::Result<usize> {
+        if !self.shared.has(|kind| matches!(kind, FaultKind::SlowReads { .. })) {
+            return self.stream.try_read_buf(&mut self.read);
+        }
+        let mut piece = [0; SLOW_READ_BYTES];
+        let length = self.stream.try_read(&mut piece)?;
+        self.read.extend_from_slice(&piece[..length]);
+        Ok(length)
+    }
+
     /// Removes a complete request from the bytes that were read. Returns its request line, its head and the length of its
     /// body.
     fn take_message(&mut self) -> Option<(String, String, u64)> {
@@ -232,6 +253,9 @@
             return self.turn_away(id, 503).await;
         }
         self.wait_while_hanging().await?;
+        if self.shared.drops(&message.head) {
+            return self.wait(FOREVER).await;
+        }
         let Some(queued) = self.shared.take_place(message.body_length) else {
             return self.turn_away(id, 503).await;
         };
@@ -243,7 +267,7 @@
             if is_held {
                 self.log(id, Observation::ReadEnded { server: self.shared.server });
             }
-            return self.write_read_response().await;
+            return self.write_read_response(id).await;
         }
         let has_state = self.shared.states().take(id);
         if !has_state {
@@ -266,13 +290,16 @@
     }
 
     /// Writes a reader's response; by the plan, it stays incomplete (`NeverEnd`) or is sent twice (`AnswerTwice`).
-    async fn write_read_response(&mut self) -> Result<(), ConnectionEnd> {
+    async fn write_read_response(&mut self, id: u64) -> Result<(), ConnectionEnd> {
         let response = plain(202, "", "{\"cached_tokens\":0}");
         if self.shared.has(|kind| matches!(kind, FaultKind::NeverEnd { .. })) {
             self.write(&response[..response.len() - 2]).await?;
             return self.wait(FOREVER).await;
         }
-        self.write(&response).await?;
+        match self.shared.slow_answer_time() {
+            Some(time) => self.write_slowly(id, &response, time).await?,
+            None => self.write(&response).await?,
+        }
         if self.shared.has(|kind| matches!(kind, FaultKind::AnswerTwice { .. })) {
             self.wait(SECOND_RESPONSE_AFTER).await?;
             return self.write(&response).await;
@@ -280,6 +307,30 @@
         Ok(())
     }
 
+    /// Writes a text in two parts, with this time between them, or behind it if that is the beginning of a longer one. Logs
+    /// it if the other side closes meanwhile.
+    async fn write_slowly(&mut self, id: u64, text: &str, time: Duration) -> Result<(), ConnectionEnd> {
+        let (beginning, rest) = text.split_at(text.len() - text.len() / 4);
+        self.write(beginning).await?;
+        let waited = self.wait(time).await;
+        if waited.is_err() {
+            self.log(id, Observation::AnswerCutShort { server: self.shared.server });
+        }
+        waited?;
+        self.write(rest).await
+    }
+
+    /// Writes what never makes a whole stream until the other side closes.
+    async fn write_endlessly(&mut self, id: u64, how: EndlessStream) -> Result<(), ConnectionEnd> {
+        self.log(id, Observation::StreamSpoilt { server: self.shared.server });
+        let (beginning, repeated) = endless_text(how);
+        self.write(&beginning).await?;
+        loop {
+            self.write(&repeated).await?;
+            self.wait(Duration::from_millis(self.shared.plan.event_interval_ms)).await?;
+        }
+    }
+
     /// Waits while the plan has the server hang; ends the connection if the other side closes.
     async fn wait_while_hanging(&mut self) -> Result<(), ConnectionEnd> {
         while self.shared.has(|kind| matches!(kind, FaultKind::Hang { .. })) {
@@ -303,8 +354,19 @@
                 return Err(ConnectionEnd::Closed);
             }
             self.end_if_silent().await?;
-            self.log(id, Observation::EventWritten(event));
-            self.write(&chunk(&format!("data: {{\"event\":{event}}}\n\n"))).await?;
+            if let Some(how) = self.shared.endless_stream(event) {
+                return self.write_endlessly(id, how).await;
+            }
+            let text = chunk(&format!("data: {{\"event\":{event}}}\n\n"));
+            let (beginning, rest) = text.split_at(text.len() / 2);
+            if let Some(time) = self.shared.slow_answer_time() {
+                self.write_slowly(id, beginning, time.min(MAX_EVENT_TIME)).await?;
+                self.log(id, Observation::EventWritten(event));
+                self.write(rest).await?;
+            } else {
+                self.log(id, Observation::EventWritten(event));
+                self.write(&text).await?;
+            }
             self.wait(Duration::from_millis(self.shared.plan.event_interval_ms)).await?;
         }
         self.write("0\r\n\r\n").await?;
@@ -312,3 +374,45 @@
         Ok(())
     }
 }
+
+/// What a writer sends at first, and then again and again.
+fn endless_text(how: EndlessStream) -> (String, String) {
+    let event = "data: {\"event\":99}\n\n";
+    match how {
+        EndlessStream::HugeChunk => ("c0000000\r\n".to_owned(), event.to_owned()),
+        EndlessStream::LongChunk => ("186a0\r\n".to_owned(), event.to_owned()),
+        EndlessStream::ChunkSize => (String::new(), "0".to_owned()),
+        EndlessStream::Comments => (String::new(), chunk(": waiting\n\n")),
+        EndlessStream::EmptyEvents => (String::new(), chunk("id: 1\ndata:\n\n")),
+        EndlessStream::AfterEnd => (chunk("data: [DONE]\n\n"), chunk(event)),
+    }
+}
+
+impl Shared {
+    /// What comes instead of the event of this index, if by the plan the stream goes on for ever.
+    fn endless_stream(&self, event: usize) -> Option<EndlessStream> {
+        self.plan.faults_at(self.now_ms()).find_map(|kind| match *kind {
+            FaultKind::EndlessStreams { server, after_events, how } if server == self.server => {
+                (event == after_events).then_some(how)
+            }
+            _ => None,
+        })
+    }
+
+    /// The time in the middle of an answer or event, if by the plan the server writes slowly.
+    fn slow_answer_time(&self) -> Option<Duration> {
+        self.plan.faults_at(self.now_ms()).find_map(|kind| match *kind {
+            FaultKind::SlowAnswers { server, over_ms } if server == self.server => {
+                Some(Duration::from_millis(over_ms))
+            }
+            _ => None,
+        })
+    }
+
+    /// Whether by the plan the server drops a request without a word, as too little time is left.
+    fn drops(&self, head: &str) -> bool {
+        let remaining_s = field(head, "x-remaining").and_then(|text| text.parse::<f64>().ok());
+        let is_short = remaining_s.is_some_and(|seconds| seconds * 1e6 < MIN_REMAINING as f64);
+        is_short && self.plan.has(self.now_ms(), |kind| matches!(kind, FaultKind::NoTimeLeft { .. }))
+    }
+}
--- a/crates/soak/tests/sees_each_rule.rs
+++ b/crates/soak/tests/sees_each_rule.rs
@@ -20,6 +20,7 @@
         kills_at_earliest: false,
         event_interval_ms: 12,
         memory_mb: 192,
+        sockets: 512,
         slow_start: None,
         faults,
     }
--- a/crates/soak/tests/written_plans.rs
+++ b/crates/soak/tests/written_plans.rs
@@ -63,6 +63,7 @@
         kills_at_earliest: false,
         event_interval_ms: 12,
         memory_mb: 192,
+        sockets: 512,
         slow_start: None,
         faults: faults.collect(),
     }
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -51,6 +51,7 @@
         kills_at_earliest: false,
         event_interval_ms: 12,
         memory_mb: 192,
+        sockets: 512,
         slow_start: None,
         faults,
     }
