--- a/crates/router/src/learning.rs
+++ b/crates/router/src/learning.rs
@@ -96,8 +96,9 @@
     }
 }
 
-/// Whether an attempt that has failed says something about its server. One that had hardly any time, because its client
-/// waits no longer, does not by running out of it, nor by being turned away: servers also turn away what is over.
+/// Whether an attempt that has failed says something about its server. One that had hardly any time, because
+/// its client waits no longer, does not by running out of it, nor by being turned away: servers also turn
+/// away what is over.
 fn says_something(attempt: &Attempt, ended: &AttemptFinished) -> bool {
     let had_time = attempt.timeout_us >= attempt.telling_wait_us;
     match ended.outcome {
--- a/crates/router/src/timeouts.rs
+++ b/crates/router/src/timeouts.rs
@@ -7,7 +7,8 @@
 /// Multiple of the expected time that an attempt may take. The shortest latency objective is the lower bound,
 /// so that a short pause of a server does not cause retries.
 const TIMEOUT_MULTIPLE: f64 = 4.0;
-/// Share of the shortest attempt timeout after which an attempt without an answer says something about its server.
+/// Share of the shortest attempt timeout after which an attempt without an answer says something about its
+/// server.
 const TELLING_SHARE_OF_TIMEOUT: f64 = 0.5;
 /// Most doublings of the attempt timeout after failures of the request.
 const MAX_DOUBLINGS: usize = 6;
@@ -34,9 +35,10 @@
     (timeout_us * f64::from(1u32 << failures.min(MAX_DOUBLINGS))) as Micros
 }
 
-/// The least time (us) without an answer that says something about a server: a share of the shortest timeout of any
-/// attempt, or of what clients of the class wait if that is less. An attempt that ends earlier, because its client has no
-/// more time left, says nothing: the server may need longer, or drop a request that is as good as over.
+/// The least time (us) without an answer that says something about a server: a share of the shortest
+/// timeout of any attempt, or of what clients of the class wait if that is less. An attempt that ends
+/// earlier, because its client has no more time left, says nothing: the server may need longer, or drop a
+/// request that is as good as over.
 pub(crate) fn telling_wait_us(
     class: Option<&Class>,
     objective_us: f64,
--- a/crates/soak/src/bin/false_dispatcher.rs
+++ b/crates/soak/src/bin/false_dispatcher.rs
@@ -33,6 +33,8 @@
 const MAX_RUNTIME: Duration = Duration::from_secs(3_600);
 /// State that is held for a writer that does not respond is released after this time.
 const RELEASES_AFTER: Duration = Duration::from_millis(500);
+/// All streams are cut after this time, but by the dispatcher that violates `endless_stream`.
+const MAX_STREAM_TIME: Duration = Duration::from_secs(3);
 /// Descriptors that the dispatcher that violates `leak` opens for each connection and never closes.
 const LEAKED_DESCRIPTORS: usize = 4;
 
@@ -163,6 +165,9 @@
     request: &str,
     txn: &str,
 ) -> Result<(), BoxError> {
+    if behavior.breaks("refused_idle") && txn.ends_with(['3', '7']) {
+        return refuse(client).await;
+    }
     if !read_prompt(behavior, request, txn).await? {
         return refuse(client).await;
     }
@@ -214,6 +219,11 @@
 async fn read_prompt(behavior: &Behavior, request: &str, txn: &str) -> Result<bool, BoxError> {
     let mut reader = TcpStream::connect(behavior.reader(txn)).await?;
     reader.write_all(request.as_bytes()).await?;
+    if behavior.breaks("answer_cut_short") {
+        reader.readable().await?;
+        drop(reader);
+        return Ok(false);
+    }
     let (head, _) = message(&mut reader, &mut Vec::new()).await.ok_or("no answer of the reader")?;
     Ok(head.contains(" 202 "))
 }
@@ -229,10 +239,16 @@
     writer: &mut TcpStream,
     txn: &str,
 ) -> Result<(), BoxError> {
+    let ends_at = Instant::now() + MAX_STREAM_TIME;
     let mut piece = vec![0; 4_096];
     let mut all = Vec::new();
     loop {
-        let length = writer.read(&mut piece).await?;
+        let read = writer.read(&mut piece);
+        let length = if behavior.breaks("endless_stream") {
+            read.await?
+        } else {
+            timeout_at(ends_at, read).await.unwrap_or(Ok(0))?
+        };
         if length == 0 {
             return Err("the stream broke".into());
         }
--- a/crates/soak/src/clients/bad_clients.rs
+++ b/crates/soak/src/clients/bad_clients.rs
@@ -33,8 +33,8 @@
 const WAVE_INTERVAL: Duration = Duration::from_millis(50);
 /// Requests that a client sends behind each other, their header fields, and the time until the next ones.
 const PIPELINED_REQUESTS: u64 = 12;
-const PIPELINED_FIELDS: usize = 80;
-const PIPELINED_BODY_BYTES: usize = 3_000;
+const PIPELINED_FIELDS: usize = 90;
+const PIPELINED_BODY_BYTES: usize = 8_000;
 const PIPELINE_INTERVAL: Duration = Duration::from_millis(5);
 /// Just under the longest body that is allowed (bytes).
 const LARGE_BODY_BYTES: usize = 250_000;
--- a/crates/soak/src/harness/dispatcher.rs
+++ b/crates/soak/src/harness/dispatcher.rs
@@ -239,7 +239,7 @@
             FaultKind::Reload { broken, .. } => self.reload(broken).await,
             FaultKind::Signals { series, .. } => self.signal_series(series).await,
             FaultKind::LargeBodies { .. } | FaultKind::Pipelining { .. } => {
-                self.check_memory_at(fault.to_ms).await
+                self.check_memory_at(fault.to_ms).await;
             }
             _ => {}
         }
--- a/crates/soak/src/oracle/request/peers.rs
+++ b/crates/soak/src/oracle/request/peers.rs
@@ -46,14 +46,13 @@
     /// The violation if the dispatcher closed the connection of a server that was writing a sound answer, while its client
     /// waited and had time left ([`Rule::AnswerCutShort`]).
     fn answer_cut_short(&self) -> Option<Violation> {
-        let ended_at = self.entries.iter().find_map(|entry| match entry.observation {
-            Observation::ClientLeft | Observation::ExchangeEnded(_) => Some(entry.at),
-            _ => None,
-        });
+        let left = self.first(|seen| *seen == Observation::ClientLeft).unwrap_or(Micros::MAX);
+        let ended_at = self.outcome().map_or(Micros::MAX, |(at, _)| at);
         let cut = self.entries.iter().find(|entry| {
             matches!(entry.observation, Observation::AnswerCutShort { .. })
                 && entry.at + TOLERANCE < self.deadline
-                && ended_at.is_none_or(|ended_at| entry.at + TOLERANCE < ended_at)
+                && entry.at + TOLERANCE < left
+                && entry.at < ended_at
         })?;
         Some(self.violation(
             Rule::AnswerCutShort,
--- a/crates/soak/src/plan/draw/peers.rs
+++ b/crates/soak/src/plan/draw/peers.rs
@@ -60,7 +60,7 @@
         for group_ms in
             (FAULT_FREE_MS..length_ms.saturating_sub(FAULT_FREE_MS)).step_by(GROUP_INTERVAL_MS as usize)
         {
-            for _ in 0..2 {
+            for _ in 0..3 {
                 let from_ms = group_ms + self.below(800);
                 let to_ms = from_ms + self.one_of(&[600, 1_500]);
                 let dispatcher = self.index(processes);
@@ -89,14 +89,14 @@
         let servers_per_role = draws.one_of(&[2, 3, 4]);
         let plan = Self {
             servers_per_role,
-            requests_per_second: draws.one_of(&[10, 20]),
+            requests_per_second: draws.one_of(&[20, 30]),
             objective_ms: OBJECTIVE_MS,
             event_interval_ms: EVENT_INTERVAL_MS,
             kills_at_earliest: true,
             ..Self::without_faults(seed, processes, length_ms)
         };
         match seed % PLANS_PER_SINGLE_FAULT {
-            1 => Self { processes: 1, requests_per_second: 40, faults: vec![single_fault], ..plan },
+            1 => Self { processes: 1, servers_per_role: 4, faults: vec![single_fault], ..plan },
             2 => {
                 let kind = FaultKind::Pipelining { dispatcher: 0, count: PIPELINING_CLIENTS };
                 let to_ms = length_ms.saturating_sub(FAULT_FREE_MS);
--- a/crates/soak/tests/plans.rs
+++ b/crates/soak/tests/plans.rs
@@ -17,6 +17,30 @@
     }
 }
 
+/// Each fault of peers is drawn by the seeds that CI runs.
+#[test]
+fn plans_of_peers_have_every_fault_of_peers() {
+    let kinds = |is_wanted: fn(&FaultKind) -> bool| {
+        let plans = (1..=12).map(|seed| Plan::draw_peers(seed, 2, 8));
+        plans.flat_map(|plan| plan.faults).filter(|fault| is_wanted(&fault.kind)).count()
+    };
+    let wanted: [fn(&FaultKind) -> bool; 10] = [
+        |kind| matches!(kind, FaultKind::EndlessStreams { .. }),
+        |kind| matches!(kind, FaultKind::SlowAnswers { .. }),
+        |kind| matches!(kind, FaultKind::SlowReads { .. }),
+        |kind| matches!(kind, FaultKind::SlowAgent { .. }),
+        |kind| matches!(kind, FaultKind::SlowReaders { .. }),
+        |kind| matches!(kind, FaultKind::NoTimeLeft { .. }),
+        |kind| matches!(kind, FaultKind::Pipelining { .. }),
+        |kind| matches!(kind, FaultKind::Signals { .. }),
+        |kind| matches!(kind, FaultKind::Upgrade { .. }),
+        |kind| matches!(kind, FaultKind::Idlers { .. }),
+    ];
+    for (at, is_wanted) in wanted.into_iter().enumerate() {
+        assert!(kinds(is_wanted) > 0, "number {at} is never drawn");
+    }
+}
+
 #[test]
 fn every_drawn_shim_rule_can_be_parsed() {
     let mut parsed_count = 0;
--- a/crates/soak/tests/sees_each_rule.rs
+++ b/crates/soak/tests/sees_each_rule.rs
@@ -6,7 +6,7 @@
 
 use dewladder_soak::harness::{run_plan, Options};
 use dewladder_soak::oracle::{check, Rule, LIMITS};
-use dewladder_soak::plan::{Fault, FaultKind, Plan, SlowStart};
+use dewladder_soak::plan::{EndlessStream, Fault, FaultKind, Plan, SlowStart};
 
 fn plan(seed: u64, faults: Vec<Fault>) -> Plan {
     Plan {
@@ -123,6 +123,37 @@
     assert!(violated_rules("leak", 11, Vec::new()).await.contains(&Rule::Leak));
 }
 
+/// A dispatcher that relays events in a chunk of gigabytes as long as they come violates the rule; one that cuts the stream
+/// violates none.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_endless_stream_that_stays_open_is_detected() {
+    let endless = |server| {
+        let kind = FaultKind::EndlessStreams { server, after_events: 1, how: EndlessStream::HugeChunk };
+        Fault { from_ms: 500, to_ms: 4_000, kind }
+    };
+    let violated = violated_rules("endless_stream", 18, vec![endless(2), endless(3)]).await;
+    assert!(violated.contains(&Rule::EndlessStream), "{violated:?}");
+    assert_eq!(violated_rules("none", 19, vec![endless(2), endless(3)]).await, BTreeSet::new());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_is_cut_short_is_detected() {
+    let slow =
+        |server| Fault { from_ms: 500, to_ms: 4_000, kind: FaultKind::SlowAnswers { server, over_ms: 300 } };
+    let violated = violated_rules("answer_cut_short", 20, vec![slow(0), slow(1)]).await;
+    assert!(violated.contains(&Rule::AnswerCutShort), "{violated:?}");
+    // The test dispatcher tells writers the time that was left before the slow read, which violates other rules.
+    assert!(!violated_rules("none", 21, vec![slow(0), slow(1)]).await.contains(&Rule::AnswerCutShort));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refusal_on_an_idle_fleet_is_detected() {
+    let no_time = || Fault { from_ms: 0, to_ms: 4_500, kind: FaultKind::NoTimeLeft { dispatcher: 0 } };
+    assert!(violated_rules("refused_idle", 22, vec![no_time()]).await.contains(&Rule::RefusedIdle));
+    // The test dispatcher waits for servers that drop a request, which violates another rule.
+    assert!(!violated_rules("none", 23, vec![no_time()]).await.contains(&Rule::RefusedIdle));
+}
+
 /// The test dispatcher sends as much to a server that has just started as to any other. One that starts warm is not in
 /// slow start, so that the same traffic violates no rule.
 #[tokio::test(flavor = "multi_thread")]
