--- a/crates/soak/src/oracle/request.rs
+++ b/crates/soak/src/oracle/request.rs
@@ -243,7 +243,7 @@
     }
 
     /// Whether the client may have read its answer slowly, by the plan: then it finds events late that came in time.
-    fn is_read_slowly(&self, plan: &Plan) -> bool {
+    pub(super) fn is_read_slowly(&self, plan: &Plan) -> bool {
         plan.has(
             self.asked_at / MS,
             |kind| matches!(kind, FaultKind::SlowReaders { dispatcher } if *dispatcher == self.dispatcher),
