--- a/crates/soak/src/servers/connection.rs
+++ b/crates/soak/src/servers/connection.rs
@@ -143,9 +143,9 @@
             }
             match self.read_some() {
                 Ok(0) => return Err(ConnectionEnd::Closed),
-                Ok(length) => {
+                Ok(_) => {
                     first_byte.get_or_insert_with(|| self.shared.event_log.now());
-                    if length == SLOW_READ_BYTES {
+                    if self.reads_slowly() {
                         sleep(SLOW_READ_INTERVAL).await;
                     }
                 }
@@ -155,9 +155,14 @@
         }
     }
 
+    /// Whether by the plan the server reads slowly.
+    fn reads_slowly(&self) -> bool {
+        self.shared.has(|kind| matches!(kind, FaultKind::SlowReads { .. }))
+    }
+
     /// Reads what is available, or by the plan at most [`SLOW_READ_BYTES`] of it.
     fn read_some(&mut self) -> std::io::Result<usize> {
-        if !self.shared.has(|kind| matches!(kind, FaultKind::SlowReads { .. })) {
+        if !self.reads_slowly() {
             return self.stream.try_read_buf(&mut self.read);
         }
         let mut piece = [0; SLOW_READ_BYTES];
