--- a/src/edge/clients/connection.rs
+++ b/src/edge/clients/connection.rs
@@ -67,9 +67,11 @@
     /// Takes the memory for the head of a request with many fields. It is held until the front has an answer.
     fn reserve_head(&self, request: &Request<Incoming>) -> Result<Reservation, NoRoom> {
         let headers = request.headers();
-        let excess = headers.len().saturating_sub(FREE_FIELDS);
+        if headers.len() <= FREE_FIELDS {
+            return Ok(self.memory.reservation());
+        }
         let text: usize = headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
-        self.memory.reserve(if excess == 0 { 0 } else { excess * FIELD_MEMORY + text })
+        self.memory.reserve((headers.len() - FREE_FIELDS) * FIELD_MEMORY + text)
     }
 
     /// Starts to handle a request whose head has been received. The future resolves to its response.
--- a/src/edge/connections/response_framing.rs
+++ b/src/edge/connections/response_framing.rs
@@ -10,12 +10,14 @@
 
 /// Maximum length of a response head (bytes).
 pub(super) const MAX_HEAD_BYTES: usize = 32 << 10;
-/// Maximum size of a chunk, and of a body whose length is declared: the longest body of the platform's protocol (bytes).
-const MAX_CHUNK_BYTES: u64 = 256 << 10;
+/// Maximum size of a chunk, and of a body whose length is declared: far more than an answer may hold (bytes).
+const MAX_CHUNK_BYTES: u64 = 16 << 20;
+/// The longest body of the platform's protocol (bytes). A longer chunk is believed only once it has come.
+const LONG_CHUNK_BYTES: u64 = 256 << 10;
 /// Maximum number of header lines in a response head, as hyper has it.
 const MAX_HEADERS: usize = 100;
 
-/// A response that declares more data than the platform's protocol allows.
+/// A response that declares more data than any answer holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("a chunk or body is declared to be longer than {MAX_CHUNK_BYTES} bytes")]
 pub(super) struct DeclaredTooLong;
@@ -28,6 +30,8 @@
 struct WholeChunks {
     /// Bytes of the body in chunks that have ended.
     bytes: u64,
+    /// Whether the current chunk is declared to be longer than [`LONG_CHUNK_BYTES`].
+    is_in_long_chunk: bool,
     /// The part of the body that [`BodyProgress::await_whole`] waits for (bytes).
     awaited: u64,
     /// When chunks with the awaited part had ended.
@@ -51,12 +55,23 @@
         self.lock().reached_at
     }
 
+    /// Whether the last of the body's first `bytes` bytes lies in a chunk that is declared to be long and has not ended.
+    pub(super) fn is_in_long_chunk(&self, bytes: u64) -> bool {
+        let whole = self.lock();
+        whole.is_in_long_chunk && whole.bytes < bytes
+    }
+
     fn response_begins(&self) {
         *self.lock() = WholeChunks::default();
     }
 
+    fn chunk_begins(&self, chunk_bytes: u64) {
+        self.lock().is_in_long_chunk = chunk_bytes > LONG_CHUNK_BYTES;
+    }
+
     fn chunk_ends(&self, chunk_bytes: u64) {
         let mut whole = self.lock();
+        whole.is_in_long_chunk = false;
         whole.bytes += chunk_bytes;
         if whole.bytes >= whole.awaited {
             whole.reached_at.get_or_insert_with(Instant::now);
@@ -119,8 +134,11 @@
             }
             return bytes.len();
         };
-        self.position = next;
         self.progress.response_begins();
+        if let Position::Body { length, .. } = next {
+            self.progress.chunk_begins(length);
+        }
+        self.position = next;
         length - before
     }
 
@@ -146,7 +164,10 @@
                 self.position = Position::TooLong;
                 return 0;
             }
-            Some(Boundary::ChunkBegins { size }) => *chunk_bytes = size,
+            Some(Boundary::ChunkBegins { size }) => {
+                *chunk_bytes = size;
+                self.progress.chunk_begins(size);
+            }
             Some(Boundary::ChunkEnds) => self.progress.chunk_ends(*chunk_bytes),
             Some(Boundary::BodyEnds) => self.position = Position::Head(Vec::new()),
             None => {}
--- a/src/edge/connections/stream.rs
+++ b/src/edge/connections/stream.rs
@@ -135,6 +135,13 @@
         self.progress.reached_at()
     }
 
+    /// Whether the last of the first `bytes` bytes of the current response's body lies in a chunk that is declared to be
+    /// longer than a body of the platform's protocol, and has not ended.
+    #[must_use]
+    pub fn is_in_long_chunk(&self, bytes: u64) -> bool {
+        self.progress.is_in_long_chunk(bytes)
+    }
+
     /// Closes the connection, even in the middle of a response, and waits until it is closed.
     pub async fn close(self) {
         self.task.abort();
--- a/src/edge/servers/answer.rs
+++ b/src/edge/servers/answer.rs
@@ -77,7 +77,7 @@
         // Without a length or chunks, the response ends with its connection, and a break can't be told from the
         // end: the head must have been damaged.
         StatusCode::OK | StatusCode::ACCEPTED if !is_framed => Outcome::Reset,
-        StatusCode::OK if !reads => match first_event(&mut body).await {
+        StatusCode::OK if !reads => match first_event(&mut body, &handle).await {
             Some(Beginning { first, validator, event_end }) => {
                 return AttemptOutcome::OpenedStream(Box::new(OpenedStream {
                     first,
@@ -123,19 +123,25 @@
 
 /// Reads the beginning of a stream. Returns `None` if the stream broke, ended in the middle, is not one of events, or has
 /// no data where one event could have ended: then the attempt may have run, and nothing of it has been relayed.
-async fn first_event(body: &mut Incoming) -> Option<Beginning> {
-    let (mut validator, mut first) = (EventStreamValidator::default(), Vec::new());
+///
+/// An event in a chunk that is declared to be very long is relayed once the chunk has ended, or as much has come as an
+/// event may hold. A sound server writes such a chunk at once; a declared size that is never reached says nothing.
+async fn first_event(body: &mut Incoming, connection: &ConnectionHandle) -> Option<Beginning> {
+    let (mut validator, mut first, mut event_end) = (EventStreamValidator::default(), Vec::new(), 0);
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.ok()?.into_data() else { continue };
-        let event_end = validator.push(&data)?;
-        if event_end > 0 {
+        event_end = validator.push(&data)?.max(event_end);
+        let has_much = first.len() + data.len() > MAX_EVENT_BYTES;
+        if event_end > 0 && (has_much || !connection.is_in_long_chunk(event_end)) {
             let first = if first.is_empty() { data } else { [&first[..], &data].concat().into() };
             return Some(Beginning { first: Some(first), validator, event_end });
         }
-        first.extend_from_slice(&data);
-        if first.len() > MAX_EVENT_BYTES {
+        if has_much {
             return None;
         }
+        first.extend_from_slice(&data);
     }
-    Some(Beginning { first: None, validator, event_end: 0 }).filter(|_| first.is_empty())
+    let is_whole = first.is_empty() || event_end > 0;
+    let first = Some(Bytes::from(first)).filter(|first| !first.is_empty());
+    is_whole.then_some(Beginning { first, validator, event_end })
 }
