--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -282,7 +282,7 @@
         "goal": {"whole": 0.45, "worst_class": 0.3, "worst_tenant": 0.1, "worst_window": 0.15},
         "limits": {"cancel": True, "connect_timeout_s": 0.25, "cpu_us_per_request": 0.0, "cpu_us_per_s": 500000,
                    "keepalive_s": 30.0, "max_attempts": 5, "max_open": 20000, "max_retry_after_s": 1.0,
-                   "multiplex": 100, "parallel_tries": True, "peers": False, "probes": True, "retry_after": True},
+                   "multiplex": 100, "parallel_tries": True, "peers": True, "probes": True, "retry_after": True},
         "my_number": 0, "over_share_worth": 0.2, "orgs": [],
         "prices": {"connection": 0.0, "cross_zone": 0.026, "discovery": 0.0, "handshake": 0.0, "late_fail": 0.049,
                    "moves": 0.0, "origin": 0.0, "peer": 0.0025, "probe": 0.003, "waste": 0.091},
