--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -60,6 +60,18 @@
     return lines[0], headers, body
 
 
+def words(body):
+    """The words of a request, which stand at the beginning of its last message."""
+    return json.loads(body)["messages"][-1]["content"].partition(". ")[0]
+
+
+def messages(text):
+    """A prompt of 2,650 tokens of four characters: an opening of 2,150 that it shares with others, and 500 of its own."""
+    opening = "You book kilns. " + "All studios share these rules. " * 277
+    return [{"role": "system", "content": opening[:8600]},
+            {"role": "user", "content": (text + ". " + "The clay is dry. " * 130)[:2000]}]
+
+
 class Fleet:
     """Readers and writers. `states` has the server that holds a read state, by request id; `runs` lists what writers ran."""
 
@@ -68,10 +80,12 @@
         self.servers = []
         self.states = {}
         self.runs = []  # (time, server id, request id, body)
-        self.events = 6
-        self.event_s = 0.05
+        # An answer of 180 tokens, one each 70 ms, with an event after every four tokens.
+        self.events = 45
+        self.event_s = 0.28
         self.first_s = 0.05
-        self.read_s = 0.03
+        # A prompt of 2,650 tokens, read at 24,000 tokens a second.
+        self.read_s = 0.11
 
     async def add(self, kind, number, cell=0, zone="a"):
         server = Server(self, kind, f"s-{number:08x}", cell, zone)
@@ -157,7 +171,7 @@
             self.log(f"{txn} turned away (no state)")
             return await self.plain(writer, 410, {"X-Turned-Away": "1"})
         self.fleet.runs.append((time.monotonic(), self.name, txn, body))
-        self.log(f"{txn} RUN {body.decode('utf-8', 'replace')[:160]}")
+        self.log(f"{txn} RUN '{words(body)}'")
         if self.script is not None:
             handled = await self.script(self, txn, body, writer)
             if handled is not None:
@@ -433,17 +447,19 @@
 
 
 async def platform(dispatcher, txn, lane_name, remaining=6.0, body=None, leave_after=None, **labels):
-    labels = {"prompt_len": 400, "max_out": 200, **labels}
+    """A request at the platform's front."""
+    labels = {"prefix": "5c0f6e1a2b3d4c59", "prompt_len": 2650, "prefix_len": 2150, "max_out": 800, **labels}
     headers = {"X-Txn": txn, "X-Lane": lane_name, "X-Entity": "e" + txn[:6], "X-Remaining": f"{remaining:.3f}",
                "X-Labels": ",".join(f"{name}={value}" for name, value in labels.items()),
                "Content-Type": "application/json"}
-    body = body if body is not None else json.dumps({"model": lane_name, "stream": True, "messages": [
-        {"role": "user", "content": "x " * 200 + txn}]}).encode()
+    body = body if body is not None else json.dumps(
+        {"model": lane_name, "stream": True, "max_tokens": 800, "messages": messages(f"request {txn}")}).encode()
     return await call(dispatcher.listen, "POST", "/v1/chat/completions", headers, body, leave_after)
 
 
 async def chat(address, model, text, headers=None, leave_after=None, stream=True, path="/v1/chat/completions", **fields):
-    value = {"model": model, "stream": stream, "messages": [{"role": "user", "content": text}], **fields}
+    """A request at the chat front, with these words at the beginning of its own part."""
+    value = {"model": model, "stream": stream, "messages": messages(text), **fields}
     return await call(address, "POST", path, {"Content-Type": "application/json", **(headers or {})},
                       json.dumps(value).encode(), leave_after)
 
@@ -510,7 +526,7 @@
             record("the rule held")
             print("the rule held")
         code = 1 if broken else 0
-    except (CannotRun, OSError, asyncio.TimeoutError, KeyboardInterrupt) as error:
+    except (Exception, KeyboardInterrupt) as error:  # whatever goes wrong in a script says nothing about the rule
         record(f"the case could not run: {error!r}")
         print(f"the case could not run: {error!r}")
     finally:
