--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -506,15 +506,17 @@
 
 def run_case(case, folder):
     """Runs a case, which returns a list of broken rules; the exit code is that of a review case."""
-    # The end of a script by a signal must end what it has started, too.
-    signal.signal(signal.SIGTERM, lambda *_: os.kill(os.getpid(), signal.SIGINT))
     folder = os.path.abspath(folder)
     record = Record(folder)
     record("without the disruption" if not TROUBLE else "with the disruption")
     temporary = tempfile.mkdtemp(prefix="dewladder-review-")
     code = 2
     async def within_limits():
-        asyncio.get_running_loop().set_exception_handler(report_unexpected)
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        loop.set_exception_handler(report_unexpected)
+        # A script that is told to end must end what it has started, too.
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         return await asyncio.wait_for(case(record, temporary), 115.0)
 
     try:
@@ -526,7 +528,7 @@
             record("the rule held")
             print("the rule held")
         code = 1 if broken else 0
-    except (Exception, KeyboardInterrupt) as error:  # whatever goes wrong in a script says nothing about the rule
+    except (Exception, asyncio.CancelledError) as error:  # whatever goes wrong in a script says nothing about the rule
         record(f"the case could not run: {error!r}")
         print(f"the case could not run: {error!r}")
     finally:
