--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,4 +1,5 @@
 #!/bin/sh
-# Runs the case; see claim.txt. TROUBLE=0 leaves the disruption out.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. Writes record.txt beside this file.
+# TROUBLE=0 leaves the disruption out; see claim.txt.
 cd "$(dirname "$0")" || exit 2
 exec python3 -B case.py
