--- a/review/common-3/rig.py
+++ b/review/common-3/rig.py
@@ -286,12 +286,14 @@
         if admin:
             environment["ROUTER_ADMIN_ADDR"] = admin
         command = "exec target/release/dewladder serve"
+        shown = command
         if fronts:
             command += f" --fronts {fronts}"
+            shown += " --fronts FILE"
         process = subprocess.Popen(["/bin/sh", "-c", command], cwd=ROOT, env=environment, stdout=self.log, stderr=self.log,
                                    start_new_session=True)
         self.processes.append(process)
-        self.record.write(f"process {process.pid} started: {command}")
+        self.record.write(f"process {process.pid} started: {shown}")
         return process
 
     def signal(self, process, number):
