--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -7,6 +7,7 @@
 import asyncio
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -34,10 +35,22 @@
         self.file.flush()
 
 
+GIVEN_PORTS = set()
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """A port that nobody has: below those that the system gives out itself, so that none of these takes it meanwhile."""
+    while True:
+        port = random.randrange(10_000, 32_000)
+        if port in GIVEN_PORTS:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        GIVEN_PORTS.add(port)
+        return port
 
 
 async def read_message(reader):
--- a/review/common-3/rig.py
+++ b/review/common-3/rig.py
@@ -6,6 +6,7 @@
 import asyncio
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -214,10 +215,22 @@
             writer.close()
 
 
+GIVEN_PORTS = set()
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """A port that nobody has: below those that the system gives out itself, so that none of these takes it meanwhile."""
+    while True:
+        port = random.randrange(10_000, 32_000)
+        if port in GIVEN_PORTS:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        GIVEN_PORTS.add(port)
+        return port
 
 
 def lane(name, effect, aim_s=1.2, give_up_s=6.0, **more):
