--- a/crates/router/src/end_reason.rs
+++ b/crates/router/src/end_reason.rs
@@ -30,11 +30,13 @@
     Leaving,
     /// Its id may be open in another process of this dispatcher, and it must not run twice.
     IdNotExclusive,
+    /// It must not run twice, and there is no room to remember its id.
+    NoRoomForId,
 }
 
 impl EndReason {
     /// All reasons, in the order in which counts are reported.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 13] = [
         Self::Deadline,
         Self::AttemptsSpent,
         Self::NoServers,
@@ -47,6 +49,7 @@
         Self::ClassGone,
         Self::Leaving,
         Self::IdNotExclusive,
+        Self::NoRoomForId,
     ];
 
     /// The reason's name in the metrics (`STATS`).
@@ -65,6 +68,7 @@
             Self::ClassGone => "class_gone",
             Self::Leaving => "leaving",
             Self::IdNotExclusive => "id_not_exclusive",
+            Self::NoRoomForId => "no_room_for_id",
         }
     }
 }
--- a/crates/router/tests/written_forms.rs
+++ b/crates/router/tests/written_forms.rs
@@ -138,6 +138,7 @@
         "class_gone",
         "leaving",
         "id_not_exclusive",
+        "no_room_for_id",
     ];
     assert_eq!(EndReason::ALL.map(EndReason::name), names);
 }
--- a/src/edge/clients/platform.rs
+++ b/src/edge/clients/platform.rs
@@ -29,6 +29,8 @@
 const MAX_TOKENS: u64 = 1 << 20;
 /// For the estimate of a prompt's length from the length of the body.
 const CHARACTERS_PER_TOKEN: usize = 4;
+/// The answer to a request whose id belongs to another one.
+const ID_TAKEN: &str = "a request with this X-Txn is open or may have run";
 /// Headers that a request may carry only once.
 const SINGLE_HEADERS: [&str; 4] = ["x-txn", "x-lane", "x-remaining", "x-labels"];
 
@@ -112,7 +114,7 @@
         }
         Reply::Rejected { retry_in } => refusal(retry_in),
         Reply::Failed { .. } => plain_response(StatusCode::BAD_GATEWAY, "failed"),
-        Reply::DuplicateId => plain_response(StatusCode::CONFLICT, "a request with this X-Txn is open"),
+        Reply::DuplicateId => plain_response(StatusCode::CONFLICT, ID_TAKEN),
     }
 }
 
--- a/src/edge/core.rs
+++ b/src/edge/core.rs
@@ -21,7 +21,7 @@
 
 use crate::edge::core::endpoints::Endpoints;
 pub use crate::edge::core::held_state::CLOSE_PROPAGATION_TIME;
-pub use crate::edge::core::messages::{AttemptResult, ConnectionKind, Effect, Input};
+pub use crate::edge::core::messages::{AttemptResult, ConnectionKind, Effect, IdClaim, Input};
 use crate::edge::core::request_table::{RequestTable, SendRules};
 use crate::edge::core::step::{Step, Timer};
 use crate::edge::guard::Guard;
@@ -177,8 +177,8 @@
         let step = &mut self.step;
         match input {
             Input::EndpointsUpdated { kind, entries } => self.update_endpoints(kind, entries),
-            Input::RequestArrived { info, received_at, has_exclusive_id } => {
-                self.admit(info, received_at, has_exclusive_id);
+            Input::RequestArrived { info, received_at, id_claim } => {
+                self.admit(info, received_at, id_claim);
             }
             Input::StreamStarted { id, attempt } => {
                 self.requests.stream_started(id, attempt, self.classes.known(), step);
@@ -235,9 +235,8 @@
         self.step.events.push_back(Event::DeadlinesCapped(times.answer_by));
     }
 
-    /// Admits a request that was received at `received_at` (us), or refuses it. `has_exclusive_id` says whether it is
-    /// certain that its id is not open in another process.
-    fn admit(&mut self, mut info: RequestInfo, received_at: Micros, has_exclusive_id: bool) {
+    /// Admits a request that was received at `received_at` (us), or refuses it.
+    fn admit(&mut self, mut info: RequestInfo, received_at: Micros, id_claim: IdClaim) {
         let id = info.id;
         if self.requests.contains(id) {
             return;
@@ -249,7 +248,10 @@
         if !self.classes.contains(info.class) {
             return self.reject_on_arrival(id, EndReason::ClassGone);
         }
-        if self.has_peer && !has_exclusive_id && self.is_at_most_once(info.class) {
+        if id_claim == IdClaim::NoRoom {
+            return self.reject_on_arrival(id, EndReason::NoRoomForId);
+        }
+        if self.has_peer && id_claim == IdClaim::Unknown && !self.is_repeatable(info.class) {
             return self.reject_on_arrival(id, EndReason::IdNotExclusive);
         }
         if let Some(times) = self.shutdown {
@@ -261,8 +263,9 @@
         self.requests.open(info, &mut self.step);
     }
 
-    fn is_at_most_once(&self, class: u32) -> bool {
-        self.classes.known().get(&class).is_some_and(|class| class.effect == ClassEffect::AtMostOnce)
+    /// Whether the requests of a class may run any number of times, at any server.
+    fn is_repeatable(&self, class: u32) -> bool {
+        self.classes.known().get(&class).is_none_or(|class| class.effect == ClassEffect::Idempotent)
     }
 
     fn reject_on_arrival(&mut self, id: RequestId, reason: EndReason) {
--- a/src/edge/core/messages.rs
+++ b/src/edge/core/messages.rs
@@ -7,6 +7,18 @@
 };
 use dewladder_router::Handover;
 
+/// What is known of the id of a request that has arrived, and that is not a duplicate here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum IdClaim {
+    /// It is not open in another process of this dispatcher, and if the request must not run twice, it is remembered that
+    /// it may have run.
+    Exclusive,
+    /// Nothing is known of other processes.
+    Unknown,
+    /// The request must not run twice, and there is no room to remember its id.
+    NoRoom,
+}
+
 /// Something that has happened outside the reducer.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Input {
@@ -24,8 +36,8 @@
         /// When its last byte had been received (us). For the rest of a stream that broke off, this is the time of
         /// the client's own request.
         received_at: Micros,
-        /// Whether it is certain that the id is not open in another process of this dispatcher.
-        has_exclusive_id: bool,
+        /// What is known of its id.
+        id_claim: IdClaim,
     },
     /// The first event of an attempt's stream has arrived. The stream waits until [`Effect::Relay`] passes it on.
     StreamStarted {
--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -20,7 +20,7 @@
 use tokio::time::timeout_at;
 
 use crate::edge::clock::Clock;
-use crate::edge::core::{Core, Effect, Input};
+use crate::edge::core::{Core, Effect, IdClaim, Input};
 use crate::edge::driver::addresses::Addresses;
 use crate::edge::driver::attempts::Attempts;
 use crate::edge::driver::clients::{Client, Clients};
@@ -35,7 +35,8 @@
 use crate::edge::shutdown_times::ShutdownTimes;
 use crate::edge::stats::{End, Figures};
 use crate::interface::{
-    ListUpdateKind, Micros, Outcome, RequestId, RequestInfo, ServerEntry, ServerId, Settings,
+    Effect as ClassEffect, ListUpdateKind, Micros, Outcome, RequestId, RequestInfo, ServerEntry, ServerId,
+    Settings,
 };
 
 /// Time between two counts of the avoided servers (us). A count visits all listed servers, so it does not run
@@ -180,20 +181,30 @@
     }
 
     /// Registers the client of a new request. If its id belongs to an open request of this process or another one of
-    /// this dispatcher, the client gets [`Reply::DuplicateId`] at once, and there is no input for the reducer.
+    /// this dispatcher, or to one that may have run and must not run twice, the client gets [`Reply::DuplicateId`] at
+    /// once, and there is no input for the reducer.
     fn open_request(&mut self, info: RequestInfo, received_at: Micros, mut client: Client) -> Option<Input> {
-        let is_open_here = self.clients.contains(info.id);
-        let claim = if is_open_here { Claim::Taken } else { self.claims.claim(info.id) };
-        if claim == Claim::Taken {
-            client.reply(Reply::DuplicateId);
-            return None;
-        }
+        let class = self.core.classes().get(&info.class);
+        let is_repeatable = class.is_none_or(|class| class.effect == ClassEffect::Idempotent);
+        let claim = if self.clients.contains(info.id) {
+            Claim::Taken
+        } else {
+            self.claims.claim(info.id, is_repeatable, self.clock.now())
+        };
+        let id_claim = match claim {
+            Claim::Taken => {
+                client.reply(Reply::DuplicateId);
+                return None;
+            }
+            Claim::Exclusive => IdClaim::Exclusive,
+            Claim::Unknown => IdClaim::Unknown,
+            Claim::NoRoom => IdClaim::NoRoom,
+        };
         if let Some(class) = self.core.classes().get(&info.class) {
             self.figures.record().taken(&class.name);
         }
         self.clients.insert(info.id, client);
-        let has_exclusive_id = claim == Claim::Exclusive;
-        Some(Input::RequestArrived { info, received_at, has_exclusive_id })
+        Some(Input::RequestArrived { info, received_at, id_claim })
     }
 
     /// Applies an update of the list of servers to the addresses and the figures; returns it for the reducer.
@@ -345,7 +356,7 @@
                 // Keeps the figures consistent: a completed request has ended, however it came to its end.
                 self.count_end(id, End::Failed);
                 self.releases.forget(id);
-                self.claims.release(id);
+                self.claims.release(id, may_have_run, self.clock.now());
                 self.clients.complete(id, may_have_run);
             }
         }
--- a/src/edge/hot_restart.rs
+++ b/src/edge/hot_restart.rs
@@ -2,9 +2,11 @@
 //!
 //! Hot restart is on if there is an admin address and `$TMPDIR` is set. The two processes find each other by locked
 //! files ([`lock_files`]), and the older one exports the state that its router has learned to a file for the newer
-//! one ([`state_file`]). While both serve, each knows the ids of the other's open requests ([`request_claims`]) and of those that must not be repeated ([`run_records`]). `crates/hot-restart` decides which share of the limits each process has and when the newer
-//! one may serve; this module reads and writes the files and applies those decisions.
+//! one ([`state_file`]). While both serve, each knows the ids of the other's open requests ([`request_claims`]) and of those
+//! that must not be repeated ([`executed_ids`], [`run_records`]). `crates/hot-restart` decides which share of the limits each
+//! process has and when the newer one may serve; this module reads and writes the files and applies those decisions.
 
+pub mod executed_ids;
 mod lock_files;
 pub mod request_claims;
 pub mod run_records;
--- a/tests/connection_model.rs
+++ b/tests/connection_model.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeMap;
 
-use dewladder::edge::core::{AttemptResult, Core, Effect, Input};
+use dewladder::edge::core::{AttemptResult, Core, Effect, IdClaim, Input};
 use dewladder::interface::*;
 use proptest::prelude::*;
 
@@ -342,7 +342,7 @@
                 not_after,
             },
             received_at: self.now,
-            has_exclusive_id: true,
+            id_claim: IdClaim::Exclusive,
         });
     }
 }
@@ -402,7 +402,7 @@
     };
     let sent = core.step(
         SECOND,
-        Input::RequestArrived { info: request_info, received_at: SECOND, has_exclusive_id: true },
+        Input::RequestArrived { info: request_info, received_at: SECOND, id_claim: IdClaim::Exclusive },
     );
     assert!(matches!(sent[..], [Effect::Send { attempt: 0, .. }]));
     let stopped = core.step(3 * SECOND, Input::Tick);
--- a/tests/crossings_handover.rs
+++ b/tests/crossings_handover.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use dewladder::edge::core::{AttemptResult, Core, Effect as CoreEffect, Input};
+use dewladder::edge::core::{AttemptResult, Core, Effect as CoreEffect, IdClaim, Input};
 use dewladder::interface::*;
 use dewladder_test_peers::{body, chunk, event, plain, platform};
 use proptest::prelude::*;
@@ -328,8 +328,10 @@
         hint: None,
         not_after: now + 4 * SECOND,
     };
-    let mut effects = core
-        .step(now, Input::RequestArrived { info: request_info, received_at: now, has_exclusive_id: true });
+    let mut effects = core.step(
+        now,
+        Input::RequestArrived { info: request_info, received_at: now, id_claim: IdClaim::Exclusive },
+    );
     let (mut read_at, mut unacknowledged) = (None, 0);
     while now < 4 * SECOND {
         let mut next = Vec::new();
@@ -990,7 +992,7 @@
             max_tokens: 100,
             hint: None,
             not_after,
-        }, received_at: model.now, has_exclusive_id: true });
+        }, received_at: model.now, id_claim: IdClaim::Exclusive });
         for (what, draw) in steps {
             model.step(what, draw);
         }
--- a/tests/held_in_bounds.rs
+++ b/tests/held_in_bounds.rs
@@ -3,7 +3,7 @@
 
 mod stand_in;
 
-use dewladder::edge::core::{Core, Effect, Input};
+use dewladder::edge::core::{Core, Effect, IdClaim, Input};
 use dewladder::edge::dispatcher::Dispatcher;
 use dewladder::edge::settings::{Config, Fronts};
 use dewladder::interface::*;
@@ -44,7 +44,7 @@
         };
         effects.extend(core.step(
             now,
-            Input::RequestArrived { info: request_info, received_at: now, has_exclusive_id: true },
+            Input::RequestArrived { info: request_info, received_at: now, id_claim: IdClaim::Exclusive },
         ));
         for round in 0.. {
             now += 700;
--- a/tests/hot_restart_requests.rs
+++ b/tests/hot_restart_requests.rs
@@ -9,9 +9,8 @@
 use std::time::Duration;
 
 use deployment::{Deployment, Process};
-use dewladder::edge::core::{Core, Effect, Input};
+use dewladder::edge::core::{Core, Effect, IdClaim, Input};
 use dewladder::edge::discovery::listing::entries;
-use dewladder::edge::hot_restart::request_claims::{Claim, RequestClaims};
 use dewladder::edge::hot_restart::run_records::{NotRecorded, RunRecords};
 use dewladder::edge::settings::Config;
 use dewladder::interface::{ListUpdateKind, RequestId, RequestInfo};
@@ -45,8 +44,13 @@
 
 /// Opens a booking and reads until its first event.
 async fn open_booking(at: SocketAddr, id: &str) -> TcpStream {
+    open_request(at, &platform(id, "book", "5.000")).await
+}
+
+/// Sends a request and reads until its first event.
+async fn open_request(at: SocketAddr, text: &str) -> TcpStream {
     let mut stream = TcpStream::connect(at).await.unwrap();
-    stream.write_all(platform(id, "book", "5.000").as_bytes()).await.unwrap();
+    stream.write_all(text.as_bytes()).await.unwrap();
     let mut read = Vec::new();
     while !String::from_utf8_lossy(&read).contains("data: ") {
         let length =
@@ -98,51 +102,83 @@
     repeat_ids(&site, &ids, 2, "while the old process leaves").await;
     drop(open);
     new.eventually("pending", 0).await;
-    let again = timeout(Duration::from_secs(8), open_booking(site.port.address(), &ids[0])).await;
-    assert!(again.is_ok(), "an id that is not open any more is free");
+    // They have run: their ids stay taken, also those of the process that has ended.
+    repeat_ids(&site, &ids, 2, "after their clients have left").await;
+    for _ in 0..2 {
+        let ask = platform("00000000000000f1", "ask", "5.000");
+        let open = timeout(Duration::from_secs(8), open_request(site.port.address(), &ask)).await;
+        drop(open.expect("an id that is not open any more and may run again is free"));
+        new.eventually("pending", 0).await;
+    }
 }
 
-fn claims_folder(name: &str) -> PathBuf {
-    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("claims-{name}"));
-    let _ = std::fs::remove_dir_all(&folder);
-    std::fs::create_dir_all(&folder).unwrap();
-    folder
+/// The ids of bookings that ran under the class's old rules, or in a process that was killed, ran again.
+#[tokio::test(flavor = "multi_thread")]
+async fn ids_stay_known_after_a_reload_and_a_kill() {
+    let (site, old) = start("reload-kill").await;
+    let ids: Vec<String> = (0x21..=0x24).map(|id| format!("{id:016x}")).collect();
+    let mut open = Vec::new();
+    for id in &ids {
+        open.push(open_booking(site.port.address(), id).await);
+    }
+    open.truncate(2); // the clients of the other two leave
+    old.eventually("pending", 2).await;
+    let mut config: serde_json::Value =
+        serde_json::from_str(&std::fs::read_to_string(site.folder.join("config.json")).unwrap()).unwrap();
+    config["settings"]["lanes"][1]["worth"] = json!(3.0);
+    config["settings"]["lanes"][1]["effect"] = json!("idempotent");
+    site.write(&config);
+    old.send_signal("-HUP");
+    old.eventually("config_reloads", 1).await;
+    open.clear();
+    old.eventually("pending", 0).await;
+    repeat_ids(&site, &ids, 2, "after a reload").await;
+    config["settings"]["lanes"][1]["effect"] = json!("at_most_once");
+    site.write(&config);
+    old.send_signal("-HUP");
+    old.eventually("config_reloads", 2).await;
+    repeat_ids(&site, &ids, 2, "after a second reload").await;
+    let mut ids = ids;
+    ids.push(format!("{:016x}", 0x25));
+    open.push(open_booking(site.port.address(), &ids[4]).await);
+    old.send_signal("-KILL");
+    old.wait_for_exit().await;
+    let new = site.start().await;
+    new.until_ready().await;
+    repeat_ids(&site, &ids, 2, "after a kill").await;
 }
 
-#[test]
-fn an_id_is_claimed_by_one_process_until_it_releases_it_or_ends() {
-    let (folder, listen) = (claims_folder("both"), "127.0.0.1:80".parse().unwrap());
-    let (mut one, mut other) =
-        (RequestClaims::shared(&folder, listen), RequestClaims::shared(&folder, listen));
-    let mut elsewhere = RequestClaims::shared(&folder, "127.0.0.1:81".parse().unwrap());
-    for id in [0, 1, 2, u64::MAX, u64::MAX / 2].map(RequestId) {
-        assert_eq!(
-            one.claim(id),
-            if id.0 == u64::MAX / 2 { Claim::Taken } else { Claim::Exclusive },
-            "{id:?}"
-        );
-        assert_eq!((one.claim(id), other.claim(id)), (Claim::Taken, Claim::Taken), "{id:?}");
-        assert_eq!(elsewhere.claim(id), if id.0 == u64::MAX / 2 { Claim::Taken } else { Claim::Exclusive });
+/// A request that was refused never ran: it may come again under its id, and is served.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refused_id_that_comes_again_is_served() {
+    let (site, _process) = start("refused").await;
+    let (at, id) = (site.port.address(), format!("{:016x}", 0x31));
+    site.fleet.drain(true);
+    let refused = timeout(Duration::from_secs(8), until_close(at, &platform(&id, "book", "0.050"))).await;
+    assert_eq!(status(&refused.unwrap()), 503);
+    site.fleet.drain(false);
+    let text = platform(&id, "book", "5.000");
+    let mut head = String::new();
+    for _ in 0..1_000 {
+        // Refused again until the program has the new list.
+        let mut stream = TcpStream::connect(at).await.unwrap();
+        stream.write_all(text.as_bytes()).await.unwrap();
+        let mut bytes = [0; 64];
+        let length = timeout(Duration::from_secs(8), stream.read(&mut bytes)).await.unwrap().unwrap();
+        head = String::from_utf8_lossy(&bytes[..length]).into_owned();
+        if status(&head) != 503 {
+            break;
+        }
     }
-    other.release(RequestId(1)); // not its own
-    assert_eq!(other.claim(RequestId(1)), Claim::Taken);
-    one.release(RequestId(1));
-    assert_eq!((other.claim(RequestId(1)), one.claim(RequestId(1))), (Claim::Exclusive, Claim::Taken));
-    assert_eq!(other.claim(RequestId(0)), Claim::Taken, "its neighbours stay claimed");
-    drop(one);
-    assert_eq!(other.claim(RequestId(2)), Claim::Exclusive);
+    assert_eq!(status(&head), 200, "an id whose request never ran is free: {head}");
+    assert_eq!(site.fleet.started().iter().filter(|request| request.id == id).count(), 1);
 }
 
-#[test]
-fn claims_that_could_not_be_made_are_made_once_the_folder_can_be_used() {
-    let (folder, listen) = (claims_folder("late"), "127.0.0.1:80".parse().unwrap());
-    std::fs::remove_dir_all(&folder).unwrap();
-    let mut one = RequestClaims::shared(&folder, listen);
-    assert_eq!((one.claim(RequestId(1)), one.claim(RequestId(1))), (Claim::Unknown, Claim::Taken));
+fn claims_folder(name: &str) -> PathBuf {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("claims-{name}"));
+    let _ = std::fs::remove_dir_all(&folder);
     std::fs::create_dir_all(&folder).unwrap();
-    assert_eq!(one.claim(RequestId(2)), Claim::Exclusive);
-    let mut other = RequestClaims::shared(&folder, listen);
-    assert_eq!((other.claim(RequestId(1)), other.claim(RequestId(2))), (Claim::Taken, Claim::Taken));
+    folder
 }
 
 /// Where nothing is known of the other process, a request that must not run twice is refused, and only then.
@@ -161,7 +197,7 @@
     let listed = entries(&config.known, &config.names).into_iter().map(|(entry, _)| entry).collect();
     core.step(SECOND, Input::EndpointsUpdated { kind: ListUpdateKind::Full, entries: listed });
     let mut next_id = 0;
-    let mut is_sent = |core: &mut Core, class: u32, has_exclusive_id: bool| {
+    let mut is_sent = |core: &mut Core, class: u32, id_claim: IdClaim| {
         next_id += 1;
         let info = RequestInfo {
             id: RequestId(next_id),
@@ -174,20 +210,21 @@
             hint: None,
             not_after: 2 * SECOND,
         };
-        let effects =
-            core.step(SECOND, Input::RequestArrived { info, received_at: SECOND, has_exclusive_id });
+        let effects = core.step(SECOND, Input::RequestArrived { info, received_at: SECOND, id_claim });
         effects.iter().any(|effect| matches!(effect, Effect::Send { .. }))
     };
-    for (has_peer, class, exclusive, sent) in [
-        (false, "book", true, true),
-        (false, "book", false, true),
-        (true, "book", true, true),
-        (true, "book", false, false),
-        (true, "ask", false, true),
+    for (has_peer, class, id_claim, sent) in [
+        (false, "book", IdClaim::Exclusive, true),
+        (false, "book", IdClaim::Unknown, true),
+        (true, "book", IdClaim::Exclusive, true),
+        (true, "book", IdClaim::Unknown, false),
+        (true, "ask", IdClaim::Unknown, true),
+        (false, "book", IdClaim::NoRoom, false),
+        (true, "book", IdClaim::NoRoom, false),
     ] {
         core.step(SECOND, Input::LimitShareChanged { share: 0.5, max_open_requests: 100, has_peer });
-        let result = is_sent(&mut core, number(class), exclusive);
-        assert_eq!(result, sent, "peer {has_peer}, class {class}, exclusive {exclusive}");
+        let result = is_sent(&mut core, number(class), id_claim);
+        assert_eq!(result, sent, "peer {has_peer}, class {class}, {id_claim:?}");
     }
 }
 
--- a/tests/request_histories.rs
+++ b/tests/request_histories.rs
@@ -5,7 +5,7 @@
 use dewladder::edge::core::history_reports::{HistoryReports, ReportReason};
 use dewladder::edge::core::request::Request;
 use dewladder::edge::core::request_history::{RequestHistory, Transition};
-use dewladder::edge::core::{ConnectionKind, Core, Effect, Input};
+use dewladder::edge::core::{ConnectionKind, Core, Effect, IdClaim, Input};
 use dewladder::interface::*;
 use dewladder_router::settings::from_key_values;
 use server_processes::{Layout, Site};
@@ -52,7 +52,7 @@
             not_after: 4 * SECOND,
         },
         received_at: SECOND,
-        has_exclusive_id: true,
+        id_claim: IdClaim::Exclusive,
     }
 }
 
--- a/tests/shutdown_bounds.rs
+++ b/tests/shutdown_bounds.rs
@@ -9,7 +9,7 @@
 
 use deployment::{Deployment, Process};
 use dewladder::edge::clock::Clock;
-use dewladder::edge::core::{Core, Input};
+use dewladder::edge::core::{Core, IdClaim, Input};
 use dewladder::edge::discovery::listing::entries;
 use dewladder::edge::heartbeat::{Heartbeat, MAX_HOLD_UP};
 use dewladder::edge::settings::Config;
@@ -65,7 +65,7 @@
         |core: &Core| core.transitions().counts().find(|(name, _)| name == "answered.leaving").unwrap().1;
     let before = refused(core);
     let info = request(id, received_at + 10_000 * MS);
-    core.step(now, Input::RequestArrived { info, received_at, has_exclusive_id: true });
+    core.step(now, Input::RequestArrived { info, received_at, id_claim: IdClaim::Exclusive });
     refused(core) > before
 }
 
--- a/tests/transitions.rs
+++ b/tests/transitions.rs
@@ -1,6 +1,6 @@
 //! Attempts are counted by outcome, requests by the reason of their end, and violations of the rules by rule.
 
-use dewladder::edge::core::{AttemptResult, Core, Effect, Input};
+use dewladder::edge::core::{AttemptResult, Core, Effect, IdClaim, Input};
 use dewladder::edge::guard::Rule;
 use dewladder::edge::stats::Record;
 use dewladder::edge::transitions::OUTCOMES;
@@ -30,7 +30,7 @@
             not_after,
         },
         received_at: SECOND,
-        has_exclusive_id: true,
+        id_claim: IdClaim::Exclusive,
     }
 }
 
--- a/tests/wall_clock.rs
+++ b/tests/wall_clock.rs
@@ -1,7 +1,7 @@
 //! Slow start with a wrong local clock. Start times of servers are given by the clock of discovery; the dispatcher's
 //! own wall clock may differ from it by an hour, in either direction.
 
-use dewladder::edge::core::{Core, Effect as CoreEffect, Input};
+use dewladder::edge::core::{Core, Effect as CoreEffect, IdClaim, Input};
 use dewladder::interface::*;
 use dewladder_router::settings::from_key_values;
 
@@ -67,8 +67,10 @@
             hint: None,
             not_after: now + 4 * SECOND,
         };
-        let mut effects =
-            core.step(now, Input::RequestArrived { info: request, received_at: now, has_exclusive_id: true });
+        let mut effects = core.step(
+            now,
+            Input::RequestArrived { info: request, received_at: now, id_claim: IdClaim::Exclusive },
+        );
         effects.extend(core.step(now, Input::Tick));
         while !effects.is_empty() {
             let mut next = Vec::new();
