--- a/crates/idempotency/src/admission.rs
+++ b/crates/idempotency/src/admission.rs
@@ -1,10 +1,13 @@
 //! Decides about an incoming request: it runs, joins a run in flight, gets a replay, or is rejected or deferred.
 
-use crate::entry::EntryState;
+use crate::entry::{Entry, EntryState};
+use crate::fingerprint::Fingerprint;
 use crate::recording::RESERVED_BYTES;
 use crate::retry_budget::RetryBudgetPolicy;
 use crate::store::IdempotencyStore;
-use crate::types::{Admission, DeferReason, IncomingRequest, Outcome, RejectReason, RequestIdentity};
+use crate::types::{
+    Admission, DeferReason, Delivery, IncomingRequest, Outcome, RejectReason, RequestIdentity,
+};
 use crate::Micros;
 
 /// How a repeat is handled, by the state of the entry that it repeats.
@@ -20,6 +23,18 @@
     NeverRan,
 }
 
+/// What a request is to the entries with its identity.
+enum Match {
+    /// There is none, or the request is not marked as a retry.
+    None,
+    /// It repeats the request of this entry.
+    Repeat(u32),
+    /// It has the body of a request whose client may still be getting its answer.
+    Pending,
+    /// It has the body of a request that may have run and that may be another client's.
+    Unclear,
+}
+
 impl IdempotencyStore {
     /// Decides about a request of a client. `random` spreads the times at which deferred clients retry.
     pub fn admit(&mut self, now: Micros, request: &IncomingRequest, random: u64) -> Admission {
@@ -37,8 +52,14 @@
         // Without an identity, repeats cannot be recognised. A request marked as a retry still counts against the
         // retry budget.
         let Some(identity) = request.identity else { return self.run_unrecorded(request, random) };
-        if let Some(index) = self.entries.find(request, identity, self.now) {
-            return self.admit_repeat(index, request, random);
+        match self.find_match(request, identity) {
+            Match::Repeat(index) => return self.admit_repeat(index, request, random),
+            Match::Pending | Match::Unclear if !request.at_most_once => {
+                return self.run_unrecorded(request, random);
+            }
+            Match::Pending => return Admission::AwaitDelivery,
+            Match::Unclear => return Admission::Reject(RejectReason::UnclearOwner),
+            Match::None => {}
         }
         // Shortly after the start, the first attempt may have run before the start, so that a missing entry does not
         // prove that the request never ran.
@@ -49,6 +70,41 @@
         self.admit_first(request, identity, random)
     }
 
+    /// Finds the request that this one repeats. A key names one request.
+    fn find_match(&self, request: &IncomingRequest, identity: RequestIdentity) -> Match {
+        let mut entries = self.entries.find_all(request.tenant, identity, self.now);
+        match identity {
+            RequestIdentity::Key(_) => entries.next().map_or(Match::None, |(index, _)| Match::Repeat(index)),
+            RequestIdentity::Body { .. } if !request.is_retry => Match::None,
+            RequestIdentity::Body { sender, .. } => self.find_match_by_body(sender, entries.collect()),
+        }
+    }
+
+    /// Finds the request that a retry with the body of these entries repeats. Its own first attempt may be any of them, or may
+    /// never have come.
+    ///
+    /// - If none may have run, the retry may run, whichever of them it repeats.
+    /// - If no other request had the body, and the client of this one, which is the same sender, was seen to lose its
+    ///   connection before it had the answer, the retry is that client's.
+    /// - Otherwise nothing proves that an answer is the retry's own, and running it could be a second run.
+    fn find_match_by_body(&self, sender: Fingerprint, entries: Vec<(u32, &Entry)>) -> Match {
+        let may_have_run = entries.iter().filter(|(_, entry)| entry.may_have_executed());
+        if may_have_run.count() == 0 {
+            let latest = entries.iter().max_by_key(|(_, entry)| entry.sequence);
+            return latest.map_or(Match::None, |&(index, _)| Match::Repeat(index));
+        }
+        if let [(index, entry)] = entries[..] {
+            let is_own = entry.sender == sender.hash_bits() && !entry.shares_body && entry.is_undelivered();
+            if is_own || entry.has_failed() {
+                return Match::Repeat(index);
+            }
+        }
+        if entries.iter().any(|(_, entry)| entry.may_have_executed() && entry.may_be_delivered()) {
+            return Match::Pending;
+        }
+        Match::Unclear
+    }
+
     /// Decides about a request that has no entry.
     fn admit_first(
         &mut self,
@@ -134,6 +190,7 @@
             return self.defer(DeferReason::TooManyReaders, random);
         }
         entry.readers += 1;
+        entry.delivery = Delivery::Pending;
         if is_replay {
             self.stats.replayed += 1;
         } else {
@@ -153,6 +210,7 @@
         // Readers of the previous run find it gone, and do not count as readers of the new one.
         entry.run += 1;
         entry.readers = 1;
+        entry.delivery = Delivery::Pending;
         entry.state = EntryState::Waiting;
         if !self.entries.make_room(RESERVED_BYTES) {
             // The request still may run, but does not now, which is what a refused outcome says.
--- a/crates/idempotency/src/entry.rs
+++ b/crates/idempotency/src/entry.rs
@@ -2,7 +2,7 @@
 
 use crate::fingerprint::Fingerprint;
 use crate::recording::Recording;
-use crate::types::{IncomingRequest, Outcome, RequestIdentity, RunInfo};
+use crate::types::{Delivery, IncomingRequest, Outcome, RequestIdentity, RunInfo};
 use crate::Micros;
 
 /// Bytes that one entry takes in the index, the timing wheel and the eviction lists.
@@ -38,6 +38,12 @@
     pub(crate) identity: Fingerprint,
     /// Whether `identity` is the fingerprint of a key.
     pub(crate) is_keyed: bool,
+    /// The [hash](Fingerprint::hash_bits) of who sent the request; 0 if `identity` is the fingerprint of a key.
+    pub(crate) sender: u64,
+    /// Another request had the same body while this one was remembered; always false with a key.
+    pub(crate) shares_body: bool,
+    /// Whether the latest client of the run got its answer.
+    pub(crate) delivery: Delivery,
     pub(crate) body: Fingerprint,
     pub(crate) at_most_once: bool,
     pub(crate) tenant: u32,
@@ -65,6 +71,9 @@
         Self {
             identity: identity.fingerprint(),
             is_keyed: identity.is_key(),
+            sender: identity.sender().map_or(0, Fingerprint::hash_bits),
+            shares_body: false,
+            delivery: Delivery::Pending,
             body: request.body,
             at_most_once: request.at_most_once,
             tenant: request.tenant,
@@ -102,6 +111,21 @@
         }
     }
 
+    /// Whether the client of the run has left and is known to have lost its connection before it had the answer.
+    pub(crate) fn is_undelivered(&self) -> bool {
+        self.readers == 0 && self.delivery == Delivery::Lost
+    }
+
+    /// Whether a client of the run may still be getting its answer.
+    pub(crate) fn may_be_delivered(&self) -> bool {
+        !self.has_failed() && (self.readers > 0 || self.delivery == Delivery::Pending)
+    }
+
+    /// Whether the run has ended without an answer that could be given to another client.
+    pub(crate) fn has_failed(&self) -> bool {
+        matches!(self.state, EntryState::Ended { outcome, .. } if outcome != Outcome::Completed)
+    }
+
     /// Whether the answer no longer keeps its first byte, so that no new reader can start on it.
     pub(crate) fn is_pass_through(&self) -> bool {
         self.answer.as_ref().is_some_and(|answer| answer.is_pass_through())
--- a/crates/idempotency/src/entry_table.rs
+++ b/crates/idempotency/src/entry_table.rs
@@ -99,33 +99,23 @@
         (entry.run == id.run && entry.state != EntryState::Free).then_some(entry)
     }
 
-    /// Finds the entry that a request repeats. Of several entries with the same body, it takes one that runs without
-    /// a reader, or else the latest that may have run: if the request were matched to an entry that never ran, it
-    /// could run twice.
-    pub(crate) fn find(
+    /// The entries of a tenant that have this identity and have not expired.
+    pub(crate) fn find_all(
         &self,
-        request: &IncomingRequest,
+        tenant: u32,
         identity: RequestIdentity,
         now: Micros,
-    ) -> Option<u32> {
-        if !identity.is_key() && !request.is_retry {
-            return None;
-        }
+    ) -> impl Iterator<Item = (u32, &Entry)> {
         let fingerprint = identity.fingerprint();
-        let matches = |index: &&u32| {
-            let entry = self.entry(**index);
+        let candidates = self.index.iter_hash(fingerprint.hash_bits());
+        candidates.map(|&index| (index, self.entry(index))).filter(move |(_, entry)| {
             // An expired entry does not match, even if the timing wheel has not fired for it yet.
             let is_expired = entry.expires_us().is_some_and(|expires_us| expires_us <= now);
             entry.identity == fingerprint
                 && entry.is_keyed == identity.is_key()
-                && entry.tenant == request.tenant
+                && entry.tenant == tenant
                 && !is_expired
-        };
-        let rank = |index: &u32| {
-            let entry = self.entry(*index);
-            (entry.is_running() && entry.readers == 0, entry.may_have_executed(), entry.sequence)
-        };
-        self.index.iter_hash(fingerprint.hash_bits()).filter(matches).copied().max_by_key(rank)
+        })
     }
 
     /// Whether an account may add an entry; evicts entries that can be forgotten without harm to make room for it.
@@ -179,10 +169,27 @@
         let entries = &self.entries;
         let hash = |&index: &u32| entries[index as usize].identity.hash_bits();
         self.index.insert_unique(identity.fingerprint().hash_bits(), index, hash);
+        if !identity.is_key() {
+            self.mark_shared_body(index);
+        }
         self.begin_run(index);
         index
     }
 
+    /// Marks a new entry and the others with its body, if there are any. All of several others are marked already.
+    fn mark_shared_body(&mut self, index: u32) {
+        let Entry { identity, tenant, .. } = *self.entry(index);
+        let is_other = |other: &u32| {
+            let entry = self.entry(*other);
+            *other != index && !entry.is_keyed && entry.identity == identity && entry.tenant == tenant
+        };
+        let other = self.index.iter_hash(identity.hash_bits()).copied().find(is_other);
+        if let Some(other) = other {
+            self.entry_mut(other).shares_body = true;
+            self.entry_mut(index).shares_body = true;
+        }
+    }
+
     /// Starts a run with an empty recording. The entry is charged for the recording's reserved bytes at once, so
     /// that its readers never wait for memory.
     pub(crate) fn begin_run(&mut self, index: u32) {
--- a/crates/idempotency/src/lib.rs
+++ b/crates/idempotency/src/lib.rs
@@ -1,6 +1,7 @@
 //! Idempotency of requests that clients repeat: a state machine without I/O.
 //!
-//! A repeat is recognised by the client's idempotency key, or by its body where the client library marks its retries.
+//! A repeat is recognised by the client's idempotency key, or by its body where the client library marks its retries. A body
+//! names a request only if no other one had it, and if its client was seen to lose its connection before it had the answer.
 //! A repeat joins the request that is in flight, gets a replay of the kept answer from its first byte, runs because
 //! the first attempt provably never ran, or is rejected. [`IdempotencyStore`] decides which; `docs/design/ledger.md`
 //! discusses the alternatives.
@@ -32,7 +33,7 @@
 pub use retry_budget::RetryBudgetPolicy;
 pub use store::IdempotencyStore;
 pub use types::{
-    Admission, DeferReason, Effect, EntryId, IncomingRequest, Outcome, ReadResult, RejectReason,
+    Admission, DeferReason, Delivery, Effect, EntryId, IncomingRequest, Outcome, ReadResult, RejectReason,
     RequestIdentity, RunInfo, Stats,
 };
 
--- a/crates/idempotency/src/store.rs
+++ b/crates/idempotency/src/store.rs
@@ -6,7 +6,7 @@
 use crate::policy::Policy;
 use crate::recording::RESERVED_BYTES;
 use crate::tenants::Tenants;
-use crate::types::{Effect, EntryId, Outcome, ReadResult, RunInfo, Stats};
+use crate::types::{Delivery, Effect, EntryId, Outcome, ReadResult, RunInfo, Stats};
 use crate::Micros;
 
 /// The store. The caller reports events through the methods that take `now`, and then fetches the actions to take
@@ -189,6 +189,14 @@
         }
     }
 
+    /// Reports whether the client of a run got its answer, once that has been decided. For a run that is recognized by its
+    /// body, this decides whether a retry may be given the answer.
+    pub fn delivery_ended(&mut self, id: EntryId, delivery: Delivery) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.delivery = delivery;
+        }
+    }
+
     /// Reports that a reader has left, after the end of the answer or before. When the last reader of a run in flight
     /// leaves, the run is canceled: at once, or after [`Policy::linger_us`] if it is at-most-once.
     pub fn reader_left(&mut self, now: Micros, id: EntryId) {
--- a/crates/idempotency/src/types.rs
+++ b/crates/idempotency/src/types.rs
@@ -8,20 +8,33 @@
 pub enum RequestIdentity {
     /// Fingerprint of the idempotency key that the client sent.
     Key(Fingerprint),
-    /// Fingerprint of the body, used where the client library marks its retries. Two different requests may have the
-    /// same body.
-    Body(Fingerprint),
+    /// Fingerprint of the body, used where the client library marks its retries. Requests of different clients may have
+    /// the same body, so it names a request only where nothing else can be meant.
+    Body {
+        /// The fingerprint of the body.
+        body: Fingerprint,
+        /// The fingerprint of what all tries of one client library have in common beside the body, such as its
+        /// credentials. Requests that differ in it are of different clients.
+        sender: Fingerprint,
+    },
 }
 
 impl RequestIdentity {
     pub(crate) fn fingerprint(self) -> Fingerprint {
-        let (Self::Key(fingerprint) | Self::Body(fingerprint)) = self;
+        let (Self::Key(fingerprint) | Self::Body { body: fingerprint, .. }) = self;
         fingerprint
     }
 
     pub(crate) fn is_key(self) -> bool {
         matches!(self, Self::Key(_))
     }
+
+    pub(crate) fn sender(self) -> Option<Fingerprint> {
+        match self {
+            Self::Key(_) => None,
+            Self::Body { sender, .. } => Some(sender),
+        }
+    }
 }
 
 /// A request as it arrives from a client.
@@ -68,6 +81,9 @@
     RunUnrecorded,
     /// The entry of this identity belongs to a request with another body, or with another `at_most_once`.
     KeyReused,
+    /// The request has the body of another one whose client may still get its answer. The caller submits it again once
+    /// that may have been decided; until then it must not run.
+    AwaitDelivery,
     /// The request must not run, now or later.
     Reject(RejectReason),
     /// The request did not run, and the client may retry it later.
@@ -86,6 +102,8 @@
     AlreadyAnswered,
     /// An earlier attempt may have run; whether it did is unknown.
     MayHaveExecuted,
+    /// A request with the same body may have run, and nothing proves whose it is.
+    UnclearOwner,
     /// The store started so recently that an earlier attempt may predate it, so the store cannot know whether the
     /// request ran.
     RecentStart,
@@ -126,6 +144,17 @@
     },
 }
 
+/// Whether the client of a run got its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Delivery {
+    /// The client may still be getting it.
+    Pending,
+    /// Its connection broke before it had all of it.
+    Lost,
+    /// All of it was written to its connection, which was not seen to break.
+    Made,
+}
+
 /// What a reader finds at its offset in the answer.
 #[derive(Debug, PartialEq, Eq)]
 pub enum ReadResult<'a> {
--- a/src/edge/clients/answer_reader.rs
+++ b/src/edge/clients/answer_reader.rs
@@ -9,6 +9,7 @@
 use dewladder_idempotency::{EntryId, Outcome};
 use http_body::{Body, Frame};
 
+use crate::edge::clients::delivery::PendingAnswer;
 use crate::edge::clients::shared_store::{AnswerRead, SharedStore};
 use crate::edge::servers::Cut;
 use crate::interface::{Micros, RequestId};
@@ -45,6 +46,12 @@
         self.id
     }
 
+    /// Tracks whether the client of this reader gets the answer.
+    #[must_use]
+    pub fn pending_answer(&self) -> PendingAnswer {
+        PendingAnswer::new(self.store.clone(), self.id)
+    }
+
     /// The id under which the request was sent to servers, and when it began to run (us). Both are the same
     /// for all readers of this answer.
     #[must_use]
--- a/src/edge/clients/chat/requests.rs
+++ b/src/edge/clients/chat/requests.rs
@@ -19,8 +19,9 @@
 use crate::edge::clients::chat::server_request::AcceptedRequest;
 use crate::edge::clients::chat::state::{ChatFront, Model, Tenant};
 use crate::edge::clients::chat::whole_answer;
+use crate::edge::clients::delivery::AnswerTracker;
 use crate::edge::clients::error_response::{json_response, not_admitted, set_request_id, ErrorResponse};
-use crate::edge::clients::idempotency::{Decision, Idempotency, TenantRef};
+use crate::edge::clients::idempotency::{Decision, Idempotency, SharedRecord, TenantRef};
 use crate::edge::clients::memory_budget::Reservation;
 use crate::edge::clients::recorder::Run;
 use crate::edge::clients::request_body::{read_body, BodyError};
@@ -51,6 +52,15 @@
     is_own_run: bool,
 }
 
+/// The records of a request outside the store of this process.
+#[derive(Clone, Copy)]
+struct Records {
+    /// For other processes of this dispatcher.
+    shared: Option<SharedRecord>,
+    /// For other instances of the cluster.
+    replicated: Option<RecordId>,
+}
+
 impl ChatFront {
     /// Handles a request that generates an answer.
     ///
@@ -86,8 +96,11 @@
         let incoming = described_request.map_err(|error| {
             ErrorResponse::bad_request("invalid_value", error.to_string()).with_param("Idempotency-Key")
         })?;
-        let record = Idempotency::record_id(&head.headers, &tenant.name).filter(|_| model.at_most_once);
-        self.run_idempotently(idempotency, &incoming, &accepted, record).await
+        let records = Records {
+            shared: Idempotency::shared_record(&head.headers, &tenant.name, &incoming, &request.body),
+            replicated: Idempotency::record_id(&head.headers, &tenant.name).filter(|_| model.at_most_once),
+        };
+        self.run_idempotently(idempotency, &incoming, &accepted, records).await
     }
 
     /// Reserves the memory of what this body is parsed to: the parsed value, and the prompts and input items that are
@@ -189,11 +202,11 @@
         idempotency: &Idempotency,
         incoming: &IncomingRequest,
         accepted: &AcceptedRequest<'_>,
-        record: Option<RecordId>,
+        records: Records,
     ) -> Result<Response<Body>, ErrorResponse> {
-        let replica = self.quorum.clone().zip(record);
+        let replica = self.quorum.clone().zip(records.replicated);
         for _ in 0..MAX_SUBMISSIONS {
-            let (mut reader, is_own_run) = match idempotency.admit(incoming, record) {
+            let (mut reader, is_own_run) = match idempotency.admit(incoming, records.shared).await {
                 Decision::Run(reader) => {
                     self.start_run(idempotency, &reader, accepted, replica.clone())?;
                     (reader, true)
@@ -202,8 +215,13 @@
                 Decision::RunUnrecorded => return self.run_unrecorded(accepted).await,
                 Decision::NotAdmitted(admission) => return Err(not_admitted(admission)),
             };
+            let pending_answer = reader.pending_answer();
             match reader.start().await {
-                AnswerStart::Streaming => return self.answer_recorded(accepted, reader, is_own_run).await,
+                AnswerStart::Streaming => {
+                    let mut response = self.answer_recorded(accepted, reader, is_own_run).await?;
+                    response.extensions_mut().insert(AnswerTracker::new(pending_answer));
+                    return Ok(response);
+                }
                 AnswerStart::Ended(Outcome::Refused { retry_after_us }) => {
                     return Err(ErrorResponse::refused(retry_after_us));
                 }
--- a/src/edge/clients/client_stream.rs
+++ b/src/edge/clients/client_stream.rs
@@ -86,9 +86,14 @@
         let (before, had_room) = (into.filled().len(), into.remaining() > 0);
         let read = ready!(self.stream()?.poll_read(context, into));
         let length = into.filled().len() - before;
-        let has_ended = read.is_err() || (had_room && length == 0);
-        if let Some(guard) = self.guard.as_ref().filter(|_| has_ended) {
-            guard.slot.client_closed();
+        if let Some(guard) = &self.guard {
+            match &read {
+                Err(_) => guard.slot.connection_broken(),
+                Ok(()) if length > 0 => guard.slot.client_sent(),
+                Ok(()) if had_room && has_error(self.stream.as_ref()) => guard.slot.connection_broken(),
+                Ok(()) if had_room => guard.slot.client_closed(),
+                Ok(()) => {}
+            }
         }
         Poll::Ready(read.map(|()| length))
     }
@@ -113,7 +118,7 @@
                     return Ok(PipelinedRead::Closed);
                 }
                 Err(error) => {
-                    slot.client_closed();
+                    slot.connection_broken();
                     return Err(error);
                 }
             }
@@ -170,9 +175,24 @@
         self.read_ahead.consume(consumed);
     }
 
+    /// Notices a client that has closed its connection before the end of its answer is written: it can't have all of it.
+    fn check_early_close(&self) {
+        let (Some(UninterruptedStream(stream)), Some(guard)) = (&self.stream, &self.guard) else { return };
+        if !guard.slot.has_undelivered_answer() {
+            return;
+        }
+        let peeked = SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]);
+        if matches!(peeked, Ok(0)) {
+            guard.slot.answer_lost();
+        }
+    }
+
     fn record_write(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if let Some(guard) = &self.guard {
             guard.slot.written(Instant::now(), written.is_pending());
+            if matches!(written, Poll::Ready(Err(_))) {
+                guard.slot.answer_lost();
+            }
         }
         written
     }
@@ -190,7 +210,9 @@
         let shutdown_complete_tx = self.shutdown_complete_tx.clone();
         let deadline = Instant::now() + LINGER_TIMEOUT;
         let task = tokio::spawn(async move {
-            let _ = timeout_at(deadline, drain(stream)).await;
+            if let Ok(Err(_)) = timeout_at(deadline, drain(stream)).await {
+                guard.slot.answer_lost();
+            }
             drop((guard, shutdown_complete_tx));
         });
         slot.set_lingering_task(task.abort_handle());
@@ -199,7 +221,16 @@
 
 async fn drain(mut stream: UninterruptedStream) -> io::Result<()> {
     stream.shutdown().await?;
-    tokio::io::copy(&mut stream.take(MAX_LINGER_BYTES), &mut tokio::io::sink()).await.map(drop)
+    tokio::io::copy(&mut (&mut stream).take(MAX_LINGER_BYTES), &mut tokio::io::sink()).await?;
+    if has_error(Some(&stream)) {
+        return Err(io::ErrorKind::ConnectionReset.into());
+    }
+    Ok(())
+}
+
+/// Whether the connection was reset after the client had closed its sending side, which reads don't tell.
+fn has_error(stream: Option<&UninterruptedStream>) -> bool {
+    stream.is_some_and(|UninterruptedStream(stream)| !matches!(stream.take_error(), Ok(None)))
 }
 
 impl AsyncRead for ClientStream {
@@ -237,6 +268,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.check_early_close();
         let written = self.stream()?.poll_write(context, bytes);
         self.record_write(written)
     }
@@ -258,6 +290,7 @@
         context: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.check_early_close();
         let written = self.stream()?.poll_write_vectored(context, parts);
         self.record_write(written)
     }
--- a/src/edge/clients/connection.rs
+++ b/src/edge/clients/connection.rs
@@ -23,6 +23,7 @@
 
 use crate::edge::clients::client_stream::ClientStream;
 use crate::edge::clients::connection_slot::{ConnectionSlot, TakenRequest};
+use crate::edge::clients::delivery::{AnswerTracker, PendingAnswer};
 use crate::edge::clients::framing::{BodyFraming, MAX_HEAD_BYTES};
 use crate::edge::clients::memory_budget::{MemoryBudget, NoRoom, Reservation};
 use crate::edge::clients::plain_response::{over_capacity_response, plain_response};
@@ -100,11 +101,13 @@
                 front.call(request).await?
             };
             drop(head_memory);
+            let tracker = response.extensions_mut().remove::<AnswerTracker>();
+            let pending_answer = tracker.and_then(|tracker| tracker.take());
             let is_shutting_down = *phase.borrow() > Phase::Serving;
             if framing != BodyFraming::KnownLength || over_capacity || is_shutting_down {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
-            Ok(response.map(|body| AnswerBody { body, _open_request: open_request }))
+            Ok(response.map(|body| AnswerBody { body, has_ended: false, pending_answer, open_request }))
         }
     }
 }
@@ -168,7 +171,20 @@
 /// The body of a response. The request is open until this is dropped.
 struct AnswerBody {
     body: Body,
-    _open_request: OpenRequest,
+    /// Whether the end of the body has been returned.
+    has_ended: bool,
+    /// `None` if nobody needs to know whether the client gets the answer.
+    pending_answer: Option<PendingAnswer>,
+    open_request: OpenRequest,
+}
+
+impl Drop for AnswerBody {
+    fn drop(&mut self) {
+        let is_whole = self.has_ended || http_body::Body::is_end_stream(&self.body);
+        if let Some(answer) = self.pending_answer.take().filter(|_| is_whole) {
+            self.open_request.0.answer_handed_over(answer.hand_over());
+        }
+    }
 }
 
 impl http_body::Body for AnswerBody {
@@ -179,7 +195,9 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Self::Data>, Self::Error>>> {
-        Pin::new(&mut self.body).poll_frame(context)
+        let frame = Pin::new(&mut self.body).poll_frame(context);
+        self.has_ended |= matches!(frame, Poll::Ready(None));
+        frame
     }
 
     fn is_end_stream(&self) -> bool {
--- a/src/edge/clients/connection_slot.rs
+++ b/src/edge/clients/connection_slot.rs
@@ -8,6 +8,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
+use crate::edge::clients::delivery::HandedOverAnswer;
 use crate::edge::clients::framing::{BodyFraming, RequestFraming};
 use crate::edge::clients::memory_budget::{MemoryBudget, Reservation};
 
@@ -82,6 +83,8 @@
     accept_delay: Duration,
     /// Woken once the open request has been answered, as bytes of the next one are buffered already.
     answered_waker: Option<Waker>,
+    /// The latest answer, if it matters whether the client gets it and that has not been decided.
+    handed_over: Option<HandedOverAnswer>,
 }
 
 /// What a connection is doing.
@@ -154,6 +157,7 @@
             is_write_blocked: false,
             accept_delay: Duration::ZERO,
             answered_waker: None,
+            handed_over: None,
         };
         Self { state: Mutex::new(state), task: Mutex::new(None), over_capacity }
     }
@@ -260,14 +264,46 @@
         }
     }
 
-    /// Records that the client has closed its sending side or that the connection has broken.
+    /// Records that all of an answer has been handed over to be written, and that it matters whether the client gets it.
+    pub fn answer_handed_over(&self, answer: HandedOverAnswer) {
+        // Dropped after the lock has been released.
+        let _previous = self.state().handed_over.replace(answer);
+    }
+
+    /// Records that bytes have been received: the client has the latest answer, as it sends one request at a time.
+    pub fn client_sent(&self) {
+        let _delivered = self.state().handed_over.take();
+    }
+
+    /// Records that the client has closed its sending side.
     pub fn client_closed(&self) {
         let mut state = self.state();
-        if state.close != CloseState::Lingering {
-            state.close = CloseState::ClientClosed;
+        state.mark_client_closed();
+        let answer = state.handed_over.take();
+        let is_unwritten = state.is_write_blocked;
+        drop(state);
+        if let Some(answer) = answer.filter(|_| is_unwritten) {
+            answer.lost();
         }
     }
 
+    /// Records that the connection has broken.
+    pub fn connection_broken(&self) {
+        self.state().mark_client_closed();
+        self.answer_lost();
+    }
+
+    /// Whether it matters if the client gets the latest answer, and that has not been decided.
+    pub fn has_undelivered_answer(&self) -> bool {
+        self.state().handed_over.is_some()
+    }
+
+    /// Records that the latest answer did not reach the client.
+    pub fn answer_lost(&self) {
+        let answer = self.state().handed_over.take();
+        answer.into_iter().for_each(HandedOverAnswer::lost);
+    }
+
     /// Whether the connection needs a lingering close: if bytes from the client are unread or still arrive
     /// when its socket is closed, the client gets a reset, which can destroy an answer on its way. Bytes may
     /// arrive until the client has closed its sending side. An evicted connection lingers only within a
@@ -348,6 +384,13 @@
         }
     }
 
+    /// No further bytes can come from the client.
+    fn mark_client_closed(&mut self) {
+        if self.close != CloseState::Lingering {
+            self.close = CloseState::ClientClosed;
+        }
+    }
+
     fn is_serving(&self) -> bool {
         matches!(self.request, RequestState::Serving { .. })
     }
--- a/src/edge/clients/error_response.rs
+++ b/src/edge/clients/error_response.rs
@@ -127,6 +127,7 @@
 pub fn not_admitted(admission: Admission) -> ErrorResponse {
     match admission {
         Admission::KeyReused => key_reused(),
+        Admission::AwaitDelivery => being_answered(),
         Admission::Reject(reason) => rejected(reason),
         Admission::Defer { retry_after_us, reason } => deferred(reason).with_retry_after(retry_after_us),
         Admission::Run(_) | Admission::Join(_) | Admission::RunUnrecorded => ErrorResponse::failed(false),
@@ -139,12 +140,23 @@
     ErrorResponse { never_retry: true, ..error.with_param("Idempotency-Key") }
 }
 
+/// The error of a request with the body of another one that is being answered, and that it may repeat. It is no refusal, as
+/// that request may run.
+fn being_answered() -> ErrorResponse {
+    let message = "a request with this body is being answered: come again, or send an Idempotency-Key";
+    ErrorResponse::new(StatusCode::CONFLICT, "in_progress", message).with_retry_after(US_PER_SECOND)
+}
+
 fn rejected(reason: RejectReason) -> ErrorResponse {
     let (code, message) = match reason {
         RejectReason::AlreadyAnswered => {
             ("already_answered", "this request has run; its answer is not kept any more")
         }
         RejectReason::MayHaveExecuted => ("may_have_run", "this request may have run; it is not run again"),
+        RejectReason::UnclearOwner => (
+            "may_have_run",
+            "a request with this body may have run, maybe another one: send an Idempotency-Key",
+        ),
         RejectReason::RecentStart => {
             ("may_have_run", "this request may have run before a restart; it is not run again")
         }
--- a/src/edge/clients/idempotency.rs
+++ b/src/edge/clients/idempotency.rs
@@ -4,18 +4,19 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
+use std::time::Duration;
 
 use axum::http::HeaderMap;
 use dewladder_chat::RequestKind;
 use dewladder_idempotency::{
-    canonical_json, Admission, DeferReason, EntryId, Fingerprinter, IncomingRequest, Outcome, Policy,
-    RejectReason, RequestIdentity, Stats,
+    canonical_json, Admission, DeferReason, EntryId, Fingerprint, Fingerprinter, IncomingRequest, Outcome,
+    Policy, RejectReason, RequestIdentity, Stats,
 };
 use dewladder_replica::RecordId;
 use dewladder_router::mix;
 use log::{info, warn};
 use serde_json::Value;
-use tokio::time::{sleep_until, Instant};
+use tokio::time::{sleep, sleep_until, Instant};
 
 use crate::edge::clients::answer_reader::AnswerReader;
 use crate::edge::clients::recorder::{Recorder, Run};
@@ -33,6 +34,17 @@
 /// Minimum and maximum time between two passes over the store's deadlines (us).
 const MIN_MAINTENANCE_INTERVAL_US: Micros = 20_000;
 const MAX_MAINTENANCE_INTERVAL_US: Micros = 1_000_000;
+/// Time between two looks at whether another client has got its answer.
+const DELIVERY_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// For how long a request waits at most until it is known whether another client has got its answer.
+const MAX_DELIVERY_WAIT: Duration = Duration::from_secs(2);
+/// The prefix of the names by which records know requests by their bodies. No key begins with it.
+const BODY_RECORD_PREFIX: &str = "\n";
+/// Headers that are the same in all tries of one client library, and may differ between clients.
+const SENDER_HEADERS: [&str; 2] = ["authorization", "user-agent"];
+/// The prefix of further such headers, but for those that count retries and tell timeouts.
+const LIBRARY_HEADER_PREFIX: &str = "x-stainless-";
+const LIBRARY_TIMEOUT_SUFFIX: &str = "timeout";
 /// When a request may be sent again that did not run because nothing was known of other processes (us).
 const UNKNOWN_RETRY_US: Micros = 1_000_000;
 /// Minimum time between two log lines about the store (us).
@@ -70,6 +82,15 @@
     NotAdmitted(Admission),
 }
 
+/// The record of a request for other processes.
+#[derive(Clone, Copy, Debug)]
+pub struct SharedRecord {
+    /// The id under which other processes would find it.
+    pub id: RecordId,
+    /// Whether the request may repeat one that another process has recorded.
+    pub may_repeat: bool,
+}
+
 /// Handles repeated requests of one front.
 pub struct Idempotency {
     store: Arc<SharedStore>,
@@ -94,13 +115,22 @@
     }
 
     /// Records that a run begins; see [`RunRecords::begin`].
-    fn begin(&self, id: EntryId, record: RecordId) -> Result<(), NotRecorded> {
+    fn begin(&self, id: EntryId, record: SharedRecord) -> Result<(), NotRecorded> {
         let mut recorded = self.lock();
-        recorded.records.begin(id.index(), record, Instant::now())?;
+        if record.may_repeat {
+            recorded.records.begin(id.index(), record.id, Instant::now())?;
+        } else {
+            recorded.records.begin_first(id.index(), record.id)?;
+        }
         recorded.runs.insert(id.index(), id);
         Ok(())
     }
 
+    /// Whether another process may have run a request with this record.
+    fn may_have_run_elsewhere(&self, record: RecordId) -> bool {
+        self.lock().records.may_be_known_elsewhere(record, Instant::now())
+    }
+
     /// Removes the record of a run that never ran.
     fn never_ran(&self, id: EntryId) {
         let mut recorded = self.lock();
@@ -169,12 +199,52 @@
         let identity = match read_key(headers)? {
             Some(key) => Some(RequestIdentity::Key(self.fingerprinter.fingerprint("key", &[name, key]))),
             // Without a key, repeats are recognised only from libraries that count their retries.
-            None if at_most_once && retry_count.is_some() => Some(RequestIdentity::Body(body)),
+            None if at_most_once && retry_count.is_some() => {
+                Some(RequestIdentity::Body { body, sender: self.sender(headers) })
+            }
             None => None,
         };
         Ok(IncomingRequest { tenant: tenant.number, at_most_once, identity, body, is_retry })
     }
 
+    /// The fingerprint of the headers that all tries of one client have in common.
+    fn sender(&self, headers: &HeaderMap) -> Fingerprint {
+        let is_common = |name: &str| {
+            SENDER_HEADERS.contains(&name)
+                || (name.starts_with(LIBRARY_HEADER_PREFIX) && !name.ends_with(LIBRARY_TIMEOUT_SUFFIX))
+        };
+        let is_count =
+            |name: &str| self.retry_headers.iter().any(|counted| counted.eq_ignore_ascii_case(name));
+        let mut common: Vec<(&str, &[u8])> = headers
+            .iter()
+            .map(|(name, value)| (name.as_str(), value.as_bytes()))
+            .filter(|(name, _)| is_common(name) && !is_count(name))
+            .collect();
+        common.sort_unstable();
+        let parts: Vec<&[u8]> = common.iter().flat_map(|(name, value)| [name.as_bytes(), value]).collect();
+        self.fingerprinter.fingerprint("sender", &parts)
+    }
+
+    /// The record of a request for other processes of this dispatcher; `None` if they would not recognize a repeat of it.
+    #[must_use]
+    pub fn shared_record(
+        headers: &HeaderMap,
+        tenant: &str,
+        incoming: &IncomingRequest,
+        body: &Value,
+    ) -> Option<SharedRecord> {
+        match incoming.identity.filter(|_| incoming.at_most_once)? {
+            RequestIdentity::Key(_) => {
+                Self::record_id(headers, tenant).map(|id| SharedRecord { id, may_repeat: true })
+            }
+            RequestIdentity::Body { .. } => {
+                let text = String::from_utf8_lossy(&canonical_json(body)).into_owned();
+                let id = RecordId::of(tenant, &format!("{BODY_RECORD_PREFIX}{text}"));
+                Some(SharedRecord { id, may_repeat: incoming.is_retry })
+            }
+        }
+    }
+
     /// The id of a request's record at other instances; `None` for a request without a key, which they would
     /// not recognise.
     #[must_use]
@@ -182,12 +252,26 @@
         header(headers, KEY_HEADER).map(|key| RecordId::of(tenant, key))
     }
 
-    /// Decides what to do with a request. `record` is the id of its record if it must not run twice and other processes
-    /// would recognize a repeat of it.
-    #[must_use]
-    pub fn admit(&self, request: &IncomingRequest, record: Option<RecordId>) -> Decision {
+    /// Decides what to do with a request. `record` is its record if it must not run twice and other processes would
+    /// recognize a repeat of it. Waits for a while if another client with the same body may be getting its answer.
+    pub async fn admit(&self, request: &IncomingRequest, record: Option<SharedRecord>) -> Decision {
+        let deadline = Instant::now() + MAX_DELIVERY_WAIT;
+        loop {
+            match self.store.admit(request) {
+                Admission::AwaitDelivery if Instant::now() < deadline => sleep(DELIVERY_POLL_INTERVAL).await,
+                admission => return self.decide(request, admission, record),
+            }
+        }
+    }
+
+    fn decide(
+        &self,
+        request: &IncomingRequest,
+        admission: Admission,
+        record: Option<SharedRecord>,
+    ) -> Decision {
         let reader = |id| AnswerReader::new(self.store.clone(), id);
-        match self.store.admit(request) {
+        match admission {
             Admission::Run(id) => match self.record_run(id, record) {
                 Ok(()) => Decision::Run(reader(id)),
                 Err(admission) => {
@@ -196,14 +280,31 @@
                     Decision::NotAdmitted(admission)
                 }
             },
-            Admission::Join(id) => Decision::Join(reader(id)),
+            Admission::Join(id) => {
+                let reader = reader(id);
+                if self.is_unclear_elsewhere(request, record) {
+                    drop(reader.pending_answer()); // the client of the run has not got its answer yet
+                    return Decision::NotAdmitted(Admission::Reject(RejectReason::UnclearOwner));
+                }
+                Decision::Join(reader)
+            }
             Admission::RunUnrecorded => Decision::RunUnrecorded,
             admission => Decision::NotAdmitted(admission),
         }
     }
 
+    /// Whether another process may have run a request with the body of this one, so that it is not clear whose answer is
+    /// known here.
+    fn is_unclear_elsewhere(&self, request: &IncomingRequest, record: Option<SharedRecord>) -> bool {
+        let is_known_by_body = matches!(request.identity, Some(RequestIdentity::Body { .. }));
+        match (&self.shared_records, record) {
+            (Some(records), Some(record)) if is_known_by_body => records.may_have_run_elsewhere(record.id),
+            _ => false,
+        }
+    }
+
     /// Records for other processes that a run begins. The error is the admission of a request that must not run.
-    fn record_run(&self, id: EntryId, record: Option<RecordId>) -> Result<(), Admission> {
+    fn record_run(&self, id: EntryId, record: Option<SharedRecord>) -> Result<(), Admission> {
         let (Some(records), Some(record)) = (&self.shared_records, record) else { return Ok(()) };
         records.begin(id, record).map_err(|not_recorded| match not_recorded {
             NotRecorded::RunsElsewhere => Admission::Reject(RejectReason::MayHaveExecuted),
--- a/src/edge/clients/mod.rs
+++ b/src/edge/clients/mod.rs
@@ -8,7 +8,7 @@
 //!
 //! The fronts are `platform` and `chat`. The chat front also handles repeated requests: `idempotency` decides
 //! what to do with one, `recorder` records the answer of a run in the `shared_store`, and an `answer_reader`
-//! for each client reads it from there.
+//! for each client reads it from there. The connection tells by `delivery` whether the client got it.
 
 pub mod accept_queue;
 pub mod answer_reader;
@@ -20,6 +20,7 @@
 pub mod connection_limits;
 pub mod connection_slot;
 mod connection_steering;
+pub mod delivery;
 pub mod error_response;
 pub mod framing;
 pub mod idempotency;
--- a/src/edge/hot_restart/run_records.rs
+++ b/src/edge/hot_restart/run_records.rs
@@ -1,5 +1,5 @@
-//! Records of requests that must not run twice and that clients may repeat by a key, for other processes of this
-//! dispatcher: the store that recognizes repeats is known to one process only, and a repeat may come to the other one, or
+//! Records of requests that must not run twice and that clients may repeat, by a key or by their body, for other processes
+//! of this dispatcher: the store that recognizes repeats is known to one process only, and a repeat may come to the other one, or
 //! to one that was started after the first has ended.
 //!
 //! Each process writes the records of the requests that run, or may have run, to a file of its own, which it keeps locked.
@@ -63,6 +63,19 @@
     /// The request must not run; its record has been removed.
     pub fn begin(&mut self, slot: u32, record: RecordId, now: Instant) -> Result<(), NotRecorded> {
         let found = self.write(slot, record).and_then(|()| self.is_known_elsewhere(record, now));
+        self.accept_unless_found(slot, found)
+    }
+
+    /// Writes the record of a request that is no repeat, whatever other processes have recorded.
+    ///
+    /// # Errors
+    /// The request must not run; its record has been removed.
+    pub fn begin_first(&mut self, slot: u32, record: RecordId) -> Result<(), NotRecorded> {
+        let written = self.write(slot, record);
+        self.accept_unless_found(slot, written.map(|()| false))
+    }
+
+    fn accept_unless_found(&mut self, slot: u32, found: io::Result<bool>) -> Result<(), NotRecorded> {
         let refusal = match found {
             Ok(false) => return Ok(()),
             Ok(true) => NotRecorded::RunsElsewhere,
@@ -75,6 +88,11 @@
         Err(refusal)
     }
 
+    /// Whether another process has this record, or may have it because the files can't be read.
+    pub fn may_be_known_elsewhere(&mut self, record: RecordId, now: Instant) -> bool {
+        self.is_known_elsewhere(record, now).unwrap_or(true)
+    }
+
     /// Looks which processes have ended, from when on their records count for as long as requests are remembered.
     pub fn refresh(&mut self, now: Instant) {
         // What can't be read now is looked at again later.
--- a/tests/run_records.rs
+++ b/tests/run_records.rs
@@ -57,3 +57,18 @@
     tokio::time::advance(Duration::from_secs(2)).await;
     assert_eq!(new.begin(0, id("a"), Instant::now()), Ok(()), "expired");
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_first_try_is_recorded_whatever_others_have_recorded() {
+    let (folder, listen) = (records_folder("runs-first"), "127.0.0.1:80".parse().unwrap());
+    let process = |started| RunRecords::new(&folder, listen, started, Duration::from_secs(10));
+    let (mut one, mut other) = (process(1), process(2));
+    let id = RecordId::of("tenant", "a");
+    assert!(!one.may_be_known_elsewhere(id, Instant::now()));
+    assert_eq!((one.begin_first(0, id), other.begin_first(0, id)), (Ok(()), Ok(())));
+    assert!(one.may_be_known_elsewhere(id, Instant::now()));
+    assert_eq!(one.begin(1, id, Instant::now()), Err(NotRecorded::RunsElsewhere));
+    std::fs::remove_dir_all(&folder).unwrap();
+    assert!(one.may_be_known_elsewhere(id, Instant::now()));
+    assert_eq!(process(3).begin_first(0, id), Err(NotRecorded::Unknown));
+}
