Chat: a repeat of a deduplicated request does not go out under a new id

Cause: ChatFront::model took only classes with at_most_once for such that must not run twice. Change: every class but idempotent ones. The same class gives one choice a request, as each choice is a request with an id of its own.

--- a/src/edge/clients/chat/state.rs
+++ b/src/edge/clients/chat/state.rs
@@ -33,7 +33,7 @@
     pub(super) class: Class,
     /// The number by which the router knows the class.
     pub(super) class_number: u32,
-    /// A request for this model that may have run must not be sent again.
+    /// A request for this model that may have run must not be sent again under another id: servers would not drop it.
     pub(super) at_most_once: bool,
 }
 
@@ -141,7 +141,7 @@
     pub(super) fn model(&self, name: &str) -> Result<Model, ErrorResponse> {
         let class_name = self.models.get(name).ok_or_else(model_not_found)?;
         let (class_number, class) = self.driver.class(class_name).ok_or_else(model_not_found)?;
-        let at_most_once = class.effect == Effect::AtMostOnce;
+        let at_most_once = class.effect != Effect::Idempotent;
         Ok(Model { class, class_number, at_most_once })
     }
 
--- a/tests/repeats.rs
+++ b/tests/repeats.rs
@@ -188,6 +188,30 @@
     assert_eq!(site.fleet.runs_of("one"), 2);
 }
 
+/// Servers drop repeats of a deduplicated class by their ids. A repeat of a client's request goes out under a new id, so that a
+/// keyed one took effect a second time.
+#[tokio::test]
+async fn a_repeat_of_a_deduplicated_request_does_not_run_under_a_new_id() {
+    let site = FleetSite::with_settings(Shape::default(), "", IDEMPOTENCY_ON, |config| {
+        let class = &mut config["settings"]["lanes"][0];
+        class["effect"] = "deduplicated".into();
+        class["group"] = "zone".into();
+        class["dedup_window_s"] = 0.5.into();
+    })
+    .await;
+    for (what, headers) in
+        [("keyed", "Idempotency-Key: k1\r\n"), ("counted", "x-stainless-retry-count: 1\r\n")]
+    {
+        site.fleet.script([Fault::Cuts(2)]);
+        let first_headers = headers.replace("count: 1", "count: 0");
+        let first = until_close(site.chat, &chat_request("kiln-ask", what, true, &first_headers)).await;
+        assert!(body(&first).0.contains("stream_cut"), "{what}: {first}");
+        let again = until_close(site.chat, &chat_request("kiln-ask", what, true, headers)).await;
+        assert_eq!((status(&again), error_code(&again)), (409, "may_have_run".into()), "{what}");
+        assert_eq!(site.fleet.runs_of(what), 1, "{what}");
+    }
+}
+
 /// A dispatcher that has just started can't know which requests ran before, and a full store of idempotency records
 /// evicts no record of a `book` request.
 #[tokio::test]
