Test: an instance's pause is looked for until it is counted, not once

By reading: the admin address has a thread of its own and answers with the view that the cluster's loop last published; right after SIGCONT it may answer before that loop has ticked. All others may still have the instance alive then, so that nothing made the test wait. The test now asks up to 3,000 times, as its other conditions do; a pause that is never counted still fails it. The race itself was not caught in a trace.

--- a/tests/processes/mod.rs
+++ b/tests/processes/mod.rs
@@ -50,6 +50,20 @@
         names.map(|member| member["name"].as_str().unwrap().to_owned()).collect()
     }
 
+    /// Waits until a counter of this instance is not 0. The admin address has a thread of its own: just after a pause it may
+    /// answer before the instance has noticed the pause.
+    pub async fn wait_until_counted(&self, counter: &str) {
+        let mut counts = Value::Null;
+        for _ in 0..3_000 {
+            counts = self.members().await["counts"].clone();
+            if counts[counter].as_u64() >= Some(1) {
+                return;
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        panic!("{counter} is never counted: {counts}");
+    }
+
     /// Sends a signal, given as an option of `kill`, such as `-TERM`.
     pub fn signal(&self, signal: &str) {
         let id = self.child.id().expect("the process runs").to_string();
