--- a/src/edge/clients/client_stream.rs
+++ b/src/edge/clients/client_stream.rs
@@ -17,6 +17,7 @@
 
 use crate::edge::clients::connection_limits::SlotGuard;
 use crate::edge::clients::connection_slot::ConnectionSlot;
+use crate::edge::clients::pipeline_turns::Ticket;
 use crate::edge::clients::read_ahead::ReadAhead;
 use crate::edge::tcp::UninterruptedStream;
 
@@ -34,6 +35,8 @@
     stream: Option<UninterruptedStream>,
     guard: Option<SlotGuard>,
     read_ahead: ReadAhead,
+    /// The place in the queue for a turn to begin the next buffered request, if it waits for one.
+    turn_ticket: Option<Ticket>,
     /// Whether the socket has been read directly, without waiting for the event queue, since the open request
     /// was complete; see [`read_socket_directly`](Self::read_socket_directly).
     has_checked_socket: bool,
@@ -59,7 +62,7 @@
     pub fn new(stream: TcpStream, guard: SlotGuard, shutdown_complete_tx: mpsc::Sender<()>) -> Self {
         let read_ahead = ReadAhead::new(&guard.limits.memory);
         let (stream, guard) = (Some(UninterruptedStream(stream)), Some(guard));
-        Self { stream, guard, read_ahead, has_checked_socket: false, shutdown_complete_tx }
+        Self { stream, guard, read_ahead, turn_ticket: None, has_checked_socket: false, shutdown_complete_tx }
     }
 
     /// Sets the socket options. Errors are ignored: the connection works without them.
@@ -167,6 +170,12 @@
         Poll::Ready(Ok(()))
     }
 
+    /// Ready if the next buffered request may be begun now.
+    fn poll_turn(&mut self, context: &Context<'_>) -> Poll<()> {
+        let Some(guard) = &self.guard else { return Poll::Ready(()) };
+        guard.limits.pipeline_turns.poll_begin(&mut self.turn_ticket, context)
+    }
+
     /// Returns the next request, or as much of it as is buffered, from the read-ahead buffer.
     fn read_buffered(&mut self, slot: &ConnectionSlot, into: &mut ReadBuf<'_>) {
         let buffered = self.read_ahead.peek(into.remaining());
@@ -244,6 +253,10 @@
     ) -> Poll<io::Result<()>> {
         let Some(slot) = self.slot() else { return Poll::Ready(Ok(())) };
         while slot.serves_complete_request() {
+            // The first bytes behind the request are read at once: they may be the client's close.
+            if !self.read_ahead.is_empty() && !self.read_ahead.has_overflowed() {
+                ready!(self.poll_turn(context));
+            }
             match self.read_pipelined(context)? {
                 PipelinedRead::Buffered => {}
                 PipelinedRead::Closed => return Poll::Ready(Ok(())),
@@ -257,6 +270,9 @@
         if self.read_ahead.is_empty() {
             return self.poll_request(&slot, context, into);
         }
+        if slot.waits_for_request() {
+            ready!(self.poll_turn(context));
+        }
         self.read_buffered(&slot, into);
         Poll::Ready(Ok(()))
     }
--- a/src/edge/clients/connection_limits.rs
+++ b/src/edge/clients/connection_limits.rs
@@ -11,6 +11,7 @@
 
 use crate::edge::clients::connection_slot::{lock, Activity, ConnectionSlot};
 use crate::edge::clients::memory_budget::MemoryBudget;
+use crate::edge::clients::pipeline_turns::PipelineTurns;
 
 /// Connections over capacity that are kept open until their request has been refused; any more are closed at
 /// once.
@@ -83,6 +84,8 @@
     max_connections: Arc<AtomicUsize>,
     /// The budget for what clients make the process hold, over all connections.
     pub memory: MemoryBudget,
+    /// The turns in which requests are begun that clients have sent behind each other.
+    pub pipeline_turns: PipelineTurns,
     slots: Arc<Mutex<Slots>>,
 }
 
@@ -91,7 +94,12 @@
     /// taken from `memory`.
     #[must_use]
     pub fn new(max_connections: usize, memory: MemoryBudget) -> Self {
-        Self { max_connections: Arc::new(AtomicUsize::new(max_connections)), memory, slots: Arc::default() }
+        Self {
+            max_connections: Arc::new(AtomicUsize::new(max_connections)),
+            memory,
+            pipeline_turns: PipelineTurns::default(),
+            slots: Arc::default(),
+        }
     }
 
     /// Sets the limit from now on. Connections beyond it stay until [`evict_excess`](Self::evict_excess).
--- a/src/edge/clients/connection_slot.rs
+++ b/src/edge/clients/connection_slot.rs
@@ -174,6 +174,12 @@
         state.is_serving() && !state.framing.is_within_request()
     }
 
+    /// Whether no request has begun.
+    #[must_use]
+    pub fn waits_for_request(&self) -> bool {
+        self.state().request == RequestState::Waiting
+    }
+
     /// Records received bytes, up to the end of the current request. Returns how many of the bytes that is.
     pub fn received(&self, now: Instant, bytes: &[u8]) -> usize {
         let mut state = self.state();
--- a/src/edge/clients/mod.rs
+++ b/src/edge/clients/mod.rs
@@ -2,7 +2,7 @@
 //! that clients use.
 //!
 //! A connection passes through these modules: `listener` accepts it (`accept_queue`, `closing_listener`),
-//! `connection_limits` gives it a slot (`connection_slot`), `client_stream` reads and writes it (`framing`, `read_ahead`), and
+//! `connection_limits` gives it a slot (`connection_slot`), `client_stream` reads and writes it (`framing`, `read_ahead`, `pipeline_turns`), and
 //! `connection` hands its requests to a front. What clients make the process hold on this way is taken from one
 //! `memory_budget`.
 //!
@@ -26,6 +26,7 @@
 pub mod idempotency;
 pub mod listener;
 pub mod memory_budget;
+pub mod pipeline_turns;
 pub mod plain_response;
 pub mod platform;
 mod read_ahead;
