Soak: ids that come again after their end, and words that clients share

The oracle has one more rule, ForeignAnswer; RunTwice covers ids after their end and bookings by their words, Dropped an id that stays taken although it was refused. Words whose clients lose links are not those of first tries that never come: nothing on the wire tells these apart (open).

--- a/crates/soak/src/campaign.rs
+++ b/crates/soak/src/campaign.rs
@@ -87,6 +87,7 @@
     let others: Vec<u64> = settings.seeds.clone().filter(|seed| !seeds.contains(seed)).collect();
     seeds.extend(others);
     let draw = match settings {
+        Settings { repeated: true, .. } => Plan::draw_repeated,
         Settings { peers: true, .. } => Plan::draw_peers,
         Settings { released: true, .. } => Plan::draw_released,
         Settings { replaced: true, .. } => Plan::draw_replaced,
--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -2,6 +2,8 @@
 //! plan says.
 
 mod bad_clients;
+mod booking_clients;
+mod ended_ids;
 mod half_requests;
 
 use std::net::SocketAddr;
@@ -19,6 +21,8 @@
 use crate::event_log::{Class, ClientOutcome, EventLog, Micros, Observation};
 use crate::plan::{prompt_tokens, FaultKind, Plan};
 use bad_clients::{BadClients, OpenStreams};
+use booking_clients::BookingClients;
+use ended_ids::EndedRequests;
 
 /// Time that a client waits for a response beyond the request's timeout. Also the timeout of its connect.
 const GIVE_UP_AFTER: Duration = Duration::from_millis(1_500);
@@ -54,6 +58,9 @@
     next_request: Arc<AtomicU64>,
     pool: ConnectionPool,
     open_streams: OpenStreams,
+    ended_requests: EndedRequests,
+    /// The address of the dispatcher's chat front; `None` if it is off.
+    chat_address: Option<SocketAddr>,
 }
 
 /// Kept connections that are idle.
@@ -159,10 +166,22 @@
         event_log: EventLog,
         dispatcher: usize,
         address: SocketAddr,
+        chat_address: Option<SocketAddr>,
         next_request: Arc<AtomicU64>,
     ) -> Self {
         let (pool, open_streams) = (ConnectionPool::default(), OpenStreams::default());
-        Self { plan, event_log, dispatcher, address, next_request, pool, open_streams }
+        let ended_requests = EndedRequests::default();
+        Self {
+            plan,
+            event_log,
+            dispatcher,
+            address,
+            next_request,
+            pool,
+            open_streams,
+            ended_requests,
+            chat_address,
+        }
     }
 
     /// Whether a fault that satisfies `is_kind` is in force for this dispatcher.
@@ -189,8 +208,14 @@
             dispatcher: self.dispatcher,
             address: self.address,
             open_streams: self.open_streams.clone(),
+            ended_requests: self.ended_requests.clone(),
         };
         let bad_clients = tokio::spawn(bad_clients.run());
+        let booking_clients = self.chat_address.map(|address| {
+            let (plan, event_log) = (self.plan.clone(), self.event_log.clone());
+            let clients = BookingClients { plan, event_log, dispatcher: self.dispatcher, address };
+            tokio::spawn(clients.run())
+        });
         while self.event_log.now() / 1_000 < until_ms {
             let is_burst = self.has(|kind| matches!(kind, FaultKind::Burst { .. }));
             let interval_us = if is_burst { interval_us / 2 } else { interval_us };
@@ -205,6 +230,9 @@
         // Clients that sent half a request log whether the dispatcher ended it in time.
         drop(idle_clients.await);
         drop(bad_clients.await);
+        if let Some(booking_clients) = booking_clients {
+            drop(booking_clients.await);
+        }
         self.pool.clear();
     }
 
@@ -287,9 +315,11 @@
         let Some(outcome) = outcome else {
             drop(stream);
             self.event_log.write(id, Observation::ClientLeft);
+            self.ended_requests.push(id, class, self.event_log.now());
             return;
         };
         self.event_log.write(id, Observation::ExchangeEnded(outcome));
+        self.ended_requests.push(id, class, self.event_log.now());
         if request.keeps_connection && outcome == ClientOutcome::Served {
             self.pool.put(stream);
         }
--- a/crates/soak/src/clients/bad_clients.rs
+++ b/crates/soak/src/clients/bad_clients.rs
@@ -11,6 +11,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, sleep_until, timeout};
 
+use super::ended_ids::{self, EndedRequests};
 use super::{status_of, Class, END_OF_HEAD};
 use crate::event_log::{EventLog, Micros, Observation};
 use crate::plan::{FaultKind, Plan};
@@ -24,7 +25,7 @@
 const UNKNOWN_PATH_REQUEST: &[u8] =
     b"GET /unknown HTTP/1.1\r\nHost: backend.local\r\nConnection: close\r\n\r\n";
 /// How long a bad client waits for an answer.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(3);
+pub(super) const ANSWER_TIMEOUT: Duration = Duration::from_secs(3);
 /// A connection that is not established after this time is given up: its first packet was dropped, or lost.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// A stream with less time left than this is not repeated: its id may be free before the repeat arrives.
@@ -75,6 +76,7 @@
     pub(super) dispatcher: usize,
     pub(super) address: SocketAddr,
     pub(super) open_streams: OpenStreams,
+    pub(super) ended_requests: EndedRequests,
 }
 
 impl BadClients {
@@ -90,6 +92,10 @@
                 sleep_until(clients.event_log.instant(fault.from_ms)).await;
                 match fault.kind {
                     FaultKind::RepeatOpenIds { .. } => clients.repeat_open_ids(fault.to_ms).await,
+                    FaultKind::RepeatEndedIds { .. } => {
+                        let BadClients { event_log, address, ended_requests, .. } = clients;
+                        ended_ids::repeat(event_log, address, ended_requests, fault.to_ms).await;
+                    }
                     FaultKind::LargeBodies { count, chunk_bytes, .. } => {
                         clients.send_large_bodies(count, chunk_bytes, fault.to_ms).await;
                     }
@@ -193,7 +199,7 @@
 }
 
 /// The head of a request up to the headers that describe its body.
-fn request_head(id: u64, class: Class, remaining_s: f64) -> String {
+pub(super) fn request_head(id: u64, class: Class, remaining_s: f64) -> String {
     format!(
         "POST /v1/chat/completions HTTP/1.1\r\nHost: backend.local\r\nX-Txn: {id:016x}\r\nX-Lane: {}\r\n\
          X-Org: acme\r\nX-Remaining: {remaining_s:.3}\r\nX-Labels: prompt_len=100,max_out=8\r\n",
@@ -232,7 +238,7 @@
 
 /// Sends a request on a new connection. Returns the status of the answer once its connection has ended; `None` if it
 /// ended before a whole head.
-async fn status_of_answer(address: SocketAddr, text: &[u8]) -> Option<u16> {
+pub(super) async fn status_of_answer(address: SocketAddr, text: &[u8]) -> Option<u16> {
     let mut stream = TcpStream::connect(address).await.ok()?;
     let (mut reading, mut writing) = stream.split();
     let mut read = Vec::new();
--- a/crates/soak/src/event_log.rs
+++ b/crates/soak/src/event_log.rs
@@ -69,6 +69,32 @@
         /// The status of the response.
         status: Option<u16>,
     },
+    /// A bad client sent this id again after its request had ended.
+    EndedIdSent,
+    /// It got this status; `None` if its connection was closed instead.
+    EndedIdAnswered {
+        /// The status of the response.
+        status: Option<u16>,
+    },
+    /// A client of the chat front wrote the last byte of a booking, or of a retry of it.
+    BookingSent {
+        /// The number of the client; each books once.
+        client: u64,
+        /// What it books with.
+        words: String,
+    },
+    /// A client of the chat front received the head of an answer to its booking.
+    BookingAnswered {
+        /// The number of the client.
+        client: u64,
+        /// The id of the request that was answered.
+        run: u64,
+    },
+    /// A writer began to run a booking of the chat front under this id.
+    BookingRan {
+        /// What was booked with.
+        words: String,
+    },
     /// A client received the end of its response, or the connection ended instead.
     ExchangeEnded(ClientOutcome),
     /// A client closed its connection before the response was complete.
--- a/crates/soak/src/harness.rs
+++ b/crates/soak/src/harness.rs
@@ -120,6 +120,7 @@
             event_log.clone(),
             dispatcher.index,
             dispatcher.address,
+            dispatcher.chat_address,
             next_request.clone(),
         );
         tasks.spawn(clients.run(plan.length_ms));
--- a/crates/soak/src/harness/dispatcher.rs
+++ b/crates/soak/src/harness/dispatcher.rs
@@ -36,14 +36,16 @@
 pub(super) struct Dispatcher {
     pub(super) index: usize,
     pub(super) address: SocketAddr,
+    /// The address of its chat front; `None` if it is off.
+    pub(super) chat_address: Option<SocketAddr>,
     launch: Launch,
     plan: Arc<Plan>,
     event_log: EventLog,
     folder: PathBuf,
     /// The valid content of its configuration file.
     settings: Value,
-    /// Bound to the dispatcher's address but not listening: it reserves the address while processes start and end.
-    _reserved: Socket,
+    /// Bound to the dispatcher's addresses but not listening: they reserve the addresses while processes start and end.
+    _reserved: Vec<Socket>,
     processes: Mutex<Vec<Process>>,
     /// Held during each planned end or replacement of processes, so that only one is in progress.
     lifecycle: Mutex<()>,
@@ -68,8 +70,17 @@
         let folder = folder.join(format!("n{index}"));
         let shared = folder.join("shared");
         std::fs::create_dir_all(&shared)?;
-        let reserved = reserve_address()?;
-        let address = reserved.local_addr()?.as_socket().ok_or(std::io::ErrorKind::AddrNotAvailable)?;
+        let (reserved, address) = reserve_address()?;
+        let mut reserved = vec![reserved];
+        let (mut chat_address, mut fronts) = (None, None);
+        if plan.has_chat_clients() {
+            let (reserved_for_chat, address) = reserve_address()?;
+            reserved.push(reserved_for_chat);
+            chat_address = Some(address);
+            let path = folder.join("fronts.toml");
+            std::fs::write(&path, chat_front(address))?;
+            fronts = Some(path);
+        }
         let settings = settings(agent, address, index, plan, server_list);
         let config = folder.join("config.json");
         std::fs::write(&config, settings.to_string())?;
@@ -77,12 +88,14 @@
             program: options.program.clone(),
             shim: options.shim.clone(),
             config,
+            fronts,
             folder: shared,
             environment: options.environment.clone(),
         };
         Ok(Self {
             index,
             address,
+            chat_address,
             launch,
             plan: plan.clone(),
             event_log: event_log.clone(),
@@ -312,12 +325,21 @@
 
 /// Binds a socket to a free port without listening, so that nothing else takes the port. Processes can listen on the
 /// port, as `SO_REUSEPORT` is set.
-fn reserve_address() -> std::io::Result<Socket> {
+fn reserve_address() -> std::io::Result<(Socket, SocketAddr)> {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
     socket.set_reuse_port(true)?;
     socket.set_reuse_address(true)?;
     socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into())?;
-    Ok(socket)
+    let address = socket.local_addr()?.as_socket().ok_or(std::io::ErrorKind::AddrNotAvailable)?;
+    Ok((socket, address))
+}
+
+/// The settings of a chat front that recognizes repeats, and lets bookings go on for a while whose clients have left.
+fn chat_front(address: SocketAddr) -> String {
+    format!(
+        "[chat]\nenabled = true\nlisten = \"{address}\"\nmost_open = 1000\n[chat.models]\nkiln-book = \"book\"\n\
+         [chat.repeats]\nenabled = true\nafter_start_s = 0.0\nlinger_s = 5.0\nbudget_most_saved = 100000\n"
+    )
 }
 
 /// The content of a dispatcher's configuration file.
--- a/crates/soak/src/options.rs
+++ b/crates/soak/src/options.rs
@@ -19,6 +19,7 @@
   --replaced          draw plans of upgrades, restarts and early kills under long streams, and of large bodies, instead
   --released          draw plans of releases of servers of limited capacity, with bursts and restart loops, instead
   --peers             draw plans of endless streams, slow servers, agents and clients, and clients without time, instead
+  --repeated          draw plans of ids that come again after their end, and of words that clients share, instead
   --processes N       dispatchers in each run (12)
   --seconds N         length of each run (20)
   --parallel N        runs at the same time (4)
@@ -57,6 +58,9 @@
     /// Whether plans are drawn by [`Plan::draw_peers`](crate::plan::Plan::draw_peers) (endless streams, slow peers of every
     /// role, clients without time left) instead of [`Plan::draw`](crate::plan::Plan::draw).
     pub peers: bool,
+    /// Whether plans are drawn by [`Plan::draw_repeated`](crate::plan::Plan::draw_repeated) (ids after their end, shared
+    /// words) instead of [`Plan::draw`](crate::plan::Plan::draw).
+    pub repeated: bool,
     /// Number of dispatchers in each run, at least 1.
     pub processes: usize,
     /// Length of each run in seconds.
@@ -124,6 +128,7 @@
         let replaced = arguments.contains("--replaced");
         let released = arguments.contains("--released");
         let peers = arguments.contains("--peers");
+        let repeated = arguments.contains("--repeated");
         if let Some(unknown) = arguments.finish().first() {
             return Err(OptionsError::Unknown(unknown.to_string_lossy().into_owned()));
         }
@@ -141,6 +146,7 @@
             replaced,
             released,
             peers,
+            repeated,
             processes: processes.max(1) as usize,
             seconds,
             parallel: parallel.max(1) as usize,
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -1,5 +1,6 @@
 //! The oracle: checks a run against the rules, using only its plan and its event log.
 
+mod bookings;
 mod idle_crowds;
 mod outages;
 mod planned_kills;
@@ -47,6 +48,8 @@
     Dropped,
     /// A request ran, or may have run, more often than its class allows.
     RunTwice,
+    /// A client of the chat front was given the answer to another client's booking.
+    ForeignAnswer,
     /// A server received new work too long after its drain was reported.
     SentToDraining,
     /// A server in slow start got more work than it takes.
@@ -77,9 +80,10 @@
 
 impl Rule {
     /// All rules.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 16] = [
         Self::Dropped,
         Self::RunTwice,
+        Self::ForeignAnswer,
         Self::SentToDraining,
         Self::SlowStart,
         Self::SentAfterClientLeft,
@@ -159,6 +163,7 @@
         }
     }
     violations.extend(slow_start::check(plan, entries));
+    violations.extend(bookings::check(entries));
     violations.extend(entries.iter().filter_map(|entry| check_process(entry, &excuses)));
     violations.sort_by_key(|violation| violation.at);
     violations
--- a/crates/soak/src/oracle/request.rs
+++ b/crates/soak/src/oracle/request.rs
@@ -32,18 +32,23 @@
     /// When its connection was established, if it is the first request on it.
     connected_at: Option<Micros>,
     entries: Vec<&'a LogEntry>,
+    /// What was observed from when a bad client sent the id again, after the request had ended.
+    repeat_entries: Vec<&'a LogEntry>,
 }
 
 impl<'a> RequestHistory<'a> {
     /// Builds the history of a request from its entries; `None` if its client never sent it completely.
-    pub(super) fn new(id: u64, entries: Vec<&'a LogEntry>) -> Option<Self> {
+    pub(super) fn new(id: u64, mut entries: Vec<&'a LogEntry>) -> Option<Self> {
+        let is_repeat = |entry: &&LogEntry| entry.observation == Observation::EndedIdSent;
+        let repeated_from = entries.iter().position(is_repeat).unwrap_or(entries.len());
+        let repeat_entries = entries.split_off(repeated_from);
         let asked =
             entries.iter().find(|entry| matches!(entry.observation, Observation::RequestSent { .. }))?;
         let Observation::RequestSent { dispatcher, class, timeout, connected_at } = asked.observation else {
             return None;
         };
         let (asked_at, deadline) = (asked.at, asked.at + timeout);
-        Some(Self { id, dispatcher, class, asked_at, deadline, connected_at, entries })
+        Some(Self { id, dispatcher, class, asked_at, deadline, connected_at, entries, repeat_entries })
     }
 
     /// Checks all rules about the request and adds what it violates to `violations`.
@@ -57,6 +62,7 @@
         let outages = excuses.outages;
         self.check_answer(plan, excuses, violations);
         self.check_repeated_ids(violations);
+        self.check_ended_ids(outages, violations);
         self.check_runs(limits, violations);
         self.check_attempts_after_leaving(plan, outages, violations);
         self.check_held_states(excuses, limits, violations);
@@ -99,6 +105,31 @@
         }
     }
 
+    /// Checks that an id whose request was refused is served when it comes again, or refused once more
+    /// ([`Rule::Dropped`]). The id of a process that was killed may stay taken.
+    fn check_ended_ids(&self, outages: &PlannedOutages, violations: &mut Vec<Violation>) {
+        let Some(&sent) = self.repeat_entries.first() else { return };
+        let was_refused = matches!(self.outcome(), Some((_, ClientOutcome::Refused)));
+        let is_taken = |entry: &&&LogEntry| {
+            matches!(entry.observation, Observation::EndedIdAnswered { status: Some(409) })
+        };
+        let Some(answer) = self.repeat_entries.iter().find(is_taken).filter(|_| was_refused) else { return };
+        if !self.may_have_run() && !outages.any_within(self.dispatcher, self.asked_at, sent.at) {
+            let what = "the id of a request that had been refused stayed taken";
+            violations.push(self.violation(Rule::Dropped, answer.at, what));
+        }
+    }
+
+    /// Whether a writer may have run the request.
+    fn may_have_run(&self) -> bool {
+        let arrived = |entry: &&LogEntry| {
+            matches!(entry.observation, Observation::AttemptArrived { is_reader: false, .. })
+        };
+        let turned_away = |entry: &&LogEntry| matches!(entry.observation, Observation::TurnedAway { .. });
+        self.entries.iter().copied().filter(arrived).count()
+            > self.entries.iter().copied().filter(turned_away).count()
+    }
+
     /// Checks that the request did not run more often than its class allows ([`Rule::RunTwice`]).
     fn check_runs(&self, limits: &Limits, violations: &mut Vec<Violation>) {
         if self.class == Class::Idempotent {
@@ -106,7 +137,8 @@
         }
         // The first attempt at a writer that was not rejected. It may have run, so every later attempt is a repeat.
         let mut first_run: Option<Micros> = None;
-        for (at, entry) in self.entries.iter().enumerate() {
+        let entries: Vec<&LogEntry> = self.entries.iter().chain(&self.repeat_entries).copied().collect();
+        for (at, entry) in entries.iter().enumerate() {
             let Observation::AttemptArrived { server, is_reader: false, .. } = entry.observation else {
                 continue;
             };
@@ -118,13 +150,13 @@
                     violations.push(self.violation(Rule::RunTwice, entry.at, what));
                 }
             }
-            let later = &self.entries[at..];
+            let later = &entries[at..];
             let turned_away = Observation::TurnedAway { server };
             if !later.iter().any(|after| after.observation == turned_away) {
                 first_run.get_or_insert(entry.at);
             }
         }
-        let runs = self.entries.iter();
+        let runs = entries.iter();
         let runs = runs.filter(|entry| matches!(entry.observation, Observation::WriteBegan { .. })).count();
         if runs > 1 && self.class == Class::AtMostOnce {
             let what = format!("{runs} writers began to run it");
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -368,6 +368,16 @@
         /// Index of the dispatcher.
         dispatcher: usize,
     },
+    /// Bad clients send the ids of requests that have ended.
+    RepeatEndedIds {
+        /// Index of the dispatcher.
+        dispatcher: usize,
+    },
+    /// Clients book at the chat front, several of them with the same words; links die, and some first tries never come.
+    SharedWords {
+        /// Index of the dispatcher.
+        dispatcher: usize,
+    },
     /// Clients take this long to write a request.
     SlowWriters {
         /// Index of the dispatcher.
@@ -429,6 +439,8 @@
             | Self::SlowAgent { dispatcher, .. }
             | Self::Pipelining { dispatcher, .. }
             | Self::RepeatOpenIds { dispatcher }
+            | Self::RepeatEndedIds { dispatcher }
+            | Self::SharedWords { dispatcher }
             | Self::SlowWriters { dispatcher, .. }
             | Self::LargeBodies { dispatcher, .. }
             | Self::ConnectAllTheTime { dispatcher }
@@ -483,6 +495,12 @@
         rules.join(";")
     }
 
+    /// Whether any dispatcher has clients that book at its chat front.
+    #[must_use]
+    pub fn has_chat_clients(&self) -> bool {
+        self.faults.iter().any(|fault| matches!(fault.kind, FaultKind::SharedWords { .. }))
+    }
+
     /// The faults that are in force at a time (ms since the start of the run).
     pub fn faults_at(&self, now_ms: u64) -> impl Iterator<Item = &FaultKind> {
         let in_force = self.faults.iter().filter(move |fault| fault.is_in_force(now_ms));
--- a/crates/soak/src/plan/draw.rs
+++ b/crates/soak/src/plan/draw.rs
@@ -4,6 +4,7 @@
 mod overlapping;
 mod peers;
 mod released;
+mod repeated;
 mod replaced;
 mod stopped;
 
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -28,6 +28,8 @@
     pub shim: Option<PathBuf>,
     /// The configuration file.
     pub config: PathBuf,
+    /// The file that turns on the chat front; `None` leaves it off.
+    pub fronts: Option<PathBuf>,
     /// `$TMPDIR` and working directory, shared by all processes of the dispatcher and kept between them.
     pub folder: PathBuf,
     /// Additional environment variables; the process inherits none.
@@ -72,6 +74,9 @@
     fn command(&self, shim_rules: &str, log_file: &Path) -> Command {
         let mut command = Command::new(&self.program);
         command.arg("serve").arg("--config").arg(&self.config).env_clear();
+        if let Some(fronts) = &self.fronts {
+            command.arg("--fronts").arg(fronts);
+        }
         command.env("TMPDIR", &self.folder).envs(self.environment.iter().cloned());
         command.current_dir(&self.folder).stdin(Stdio::null()).stderr(Stdio::piped()).kill_on_drop(true);
         if let Some(shim) = self.shim.as_ref().filter(|_| !shim_rules.is_empty()) {
--- a/crates/soak/src/servers.rs
+++ b/crates/soak/src/servers.rs
@@ -275,6 +275,9 @@
     }
 }
 
+/// What the words of bookings at the chat front begin with; a writer logs the words of a request that has some.
+pub const WORDS_PREFIX: &str = "words-";
+
 /// Parses the hexadecimal request id of `X-Txn`; 0 if it is missing or malformed.
 #[must_use]
 pub fn parse_id(text: &str) -> u64 {
--- a/crates/soak/src/servers/connection.rs
+++ b/crates/soak/src/servers/connection.rs
@@ -7,7 +7,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, sleep_until, Instant};
 
-use super::{parse_id, reset_on_close, Shared, EVENTS, POLL_INTERVAL};
+use super::{parse_id, reset_on_close, Shared, EVENTS, POLL_INTERVAL, WORDS_PREFIX};
 use crate::event_log::{EventLog, Micros, Observation};
 use crate::plan::{EndlessStream, FaultKind};
 
@@ -78,6 +78,8 @@
     head: String,
     /// Length of its body (bytes).
     body_length: u64,
+    /// The words of a booking at the chat front.
+    words: Option<String>,
     /// When its first byte was available.
     first_byte: Micros,
 }
@@ -126,12 +128,12 @@
         let mut was_stalled = false;
         let mut first_byte = (!self.read.is_empty()).then(|| self.shared.event_log.now());
         loop {
-            if let Some((request_line, head, body_length)) = self.take_message() {
+            if let Some((request_line, head, body_length, words)) = self.take_message() {
                 if was_stalled {
                     self.end_if_closed()?;
                 }
                 let first_byte = first_byte.unwrap_or_else(|| self.shared.event_log.now());
-                return Ok(Message { request_line, head, body_length, first_byte });
+                return Ok(Message { request_line, head, body_length, words, first_byte });
             }
             if self.stream.readable().await.is_err() {
                 return Err(ConnectionEnd::Closed);
@@ -171,9 +173,9 @@
         Ok(length)
     }
 
-    /// Removes a complete request from the bytes that were read. Returns its request line, its head and the length of its
-    /// body.
-    fn take_message(&mut self) -> Option<(String, String, u64)> {
+    /// Removes a complete request from the bytes that were read. Returns its request line, its head, the length of its
+    /// body and the words of a booking.
+    fn take_message(&mut self) -> Option<(String, String, u64, Option<String>)> {
         let head_end = self.read.windows(END_OF_HEAD.len()).position(|window| window == END_OF_HEAD)?;
         let head = String::from_utf8_lossy(&self.read[..head_end]).into_owned();
         let body_length =
@@ -182,9 +184,10 @@
         if self.read.len() < end {
             return None;
         }
+        let words = words_of(&self.read[head_end + END_OF_HEAD.len()..end]);
         self.read.drain(..end);
         let request_line = head.lines().next().unwrap_or("").to_owned();
-        Some((request_line, head, body_length))
+        Some((request_line, head, body_length, words))
     }
 
     /// Ends the connection if the other side has closed it already: a process that was stalled sees the request and
@@ -279,8 +282,11 @@
             return self.turn_away(id, 410).await;
         }
         self.log(id, Observation::WriteBegan { server: self.shared.server });
+        if let Some(words) = &message.words {
+            self.log(id, Observation::BookingRan { words: words.clone() });
+        }
         self.wait(FIRST_EVENT_AFTER + delay).await?;
-        self.write_stream(id).await
+        self.write_stream(id, message.words.is_some()).await
     }
 
     /// Logs the arrival of an attempt. Its end is logged when the result is dropped.
@@ -351,7 +357,7 @@
     }
 
     /// Writes a writer's stream, which is cut (`Break`) if the plan says so.
-    async fn write_stream(&mut self, id: u64) -> Result<(), ConnectionEnd> {
+    async fn write_stream(&mut self, id: u64, is_booking: bool) -> Result<(), ConnectionEnd> {
         self.write(STREAM_HEAD).await?;
         for event in 0..EVENTS {
             let breaks = |kind: &FaultKind| matches!(kind, FaultKind::Break { .. });
@@ -362,7 +368,7 @@
             if let Some(how) = self.shared.endless_stream(event) {
                 return self.write_endlessly(id, how).await;
             }
-            let text = chunk(&format!("data: {{\"event\":{event}}}\n\n"));
+            let text = chunk(&event_text(event, is_booking));
             let (beginning, rest) = text.split_at(text.len() / 2);
             if let Some(time) = self.shared.slow_answer_time() {
                 self.write_slowly(id, beginning, time.min(MAX_EVENT_TIME)).await?;
@@ -374,12 +380,31 @@
             }
             self.wait(Duration::from_millis(self.shared.plan.event_interval_ms)).await?;
         }
-        self.write("0\r\n\r\n").await?;
+        let end = if is_booking { chunk("data: [DONE]\n\n") } else { String::new() };
+        self.write(&(end + "0\r\n\r\n")).await?;
         self.log(id, Observation::StreamEnded { server: self.shared.server });
         Ok(())
     }
 }
 
+/// The words of a booking at the chat front, if this is the body of one.
+fn words_of(body: &[u8]) -> Option<String> {
+    let body = String::from_utf8_lossy(body);
+    let from = body.find(WORDS_PREFIX)?;
+    body[from..].split('"').next().map(str::to_owned)
+}
+
+/// An event of a stream; those of bookings are parsed by the chat front.
+fn event_text(event: usize, is_booking: bool) -> String {
+    if !is_booking {
+        return format!("data: {{\"event\":{event}}}\n\n");
+    }
+    let finish = if event + 1 == EVENTS { "\"stop\"" } else { "null" };
+    format!(
+        "data: {{\"choices\":[{{\"index\":0,\"delta\":{{\"content\":\"w{event} \"}},\"finish_reason\":{finish}}}]}}\n\n"
+    )
+}
+
 /// What a writer sends at first, and then again and again.
 fn endless_text(how: EndlessStream) -> (String, String) {
     let event = "data: {\"event\":99}\n\n";
--- a/tests/one_busy_client.rs
+++ b/tests/one_busy_client.rs
@@ -52,7 +52,7 @@
         post(&body.to_string(), "").replace("Connection: close\r\n", "")
     }
     fn unknown_model(id: usize) -> String {
-        chat(id).replace("kiln-ask", &format!("m{:07}", id))
+        chat(id).replace("kiln-ask", &format!("m{id:07}"))
     }
     vec![
         ("small", false, small),
