--- a/crates/idempotency/tests/retries_by_body.rs
+++ b/crates/idempotency/tests/retries_by_body.rs
@@ -193,3 +193,16 @@
         assert_eq!(store.admit(LATER, &retry, 0), expected);
     }
 }
+
+/// Two at-most-once requests have the same body; the first may have run and the second never ran. Guards against a
+/// retry of the first being matched to the second and admitted: the request could run twice.
+#[test]
+fn a_retry_with_the_body_of_two_requests_is_not_matched_to_the_one_that_never_ran() {
+    let mut store = store(Policy::default());
+    add(&mut store, Failed);
+    add(&mut store, Refused);
+    for at in [MS, LATER] {
+        let retry = store.admit(at, &request(OWN_SENDER, true), 0);
+        assert_eq!(retry, Admission::Reject(RejectReason::UnclearOwner));
+    }
+}
--- a/src/edge/clients/idempotency.rs
+++ b/src/edge/clients/idempotency.rs
@@ -2,8 +2,7 @@
 //! an earlier run or is refused. `crates/idempotency` makes these decisions; `recorder` records the answers
 //! of runs and `answer_reader` reads them.
 
-use std::collections::HashMap;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 
 use axum::http::HeaderMap;
@@ -20,6 +19,8 @@
 
 use crate::edge::clients::answer_reader::AnswerReader;
 use crate::edge::clients::recorder::{Recorder, Run};
+pub use crate::edge::clients::shared_records::SharedRecord;
+use crate::edge::clients::shared_records::SharedRecords;
 use crate::edge::clients::shared_store::SharedStore;
 use crate::edge::clock::Clock;
 use crate::edge::driver::DriverHandle;
@@ -38,8 +39,6 @@
 const DELIVERY_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// For how long a request waits at most until it is known whether another client has got its answer.
 const MAX_DELIVERY_WAIT: Duration = Duration::from_secs(2);
-/// The prefix of the names by which records know requests by their bodies. No key begins with it.
-const BODY_RECORD_PREFIX: &str = "\n";
 /// Headers that are the same in all tries of one client library, and may differ between clients.
 const SENDER_HEADERS: [&str; 2] = ["authorization", "user-agent"];
 /// The prefix of further such headers, but for those that count retries and tell timeouts.
@@ -82,15 +81,6 @@
     NotAdmitted(Admission),
 }
 
-/// The record of a request for other processes.
-#[derive(Clone, Copy, Debug)]
-pub struct SharedRecord {
-    /// The id under which other processes would find it.
-    pub id: RecordId,
-    /// Whether the request may repeat one that another process has recorded.
-    pub may_repeat: bool,
-}
-
 /// Handles repeated requests of one front.
 pub struct Idempotency {
     store: Arc<SharedStore>,
@@ -101,62 +91,10 @@
     shared_records: Option<Arc<SharedRecords>>,
 }
 
-/// The records of runs for other processes, with the run of each slot.
-struct SharedRecords(Mutex<RecordedRuns>);
-
-struct RecordedRuns {
-    records: RunRecords,
-    runs: HashMap<u32, EntryId>,
-}
-
-impl SharedRecords {
-    fn lock(&self) -> MutexGuard<'_, RecordedRuns> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Records that a run begins; see [`RunRecords::begin`].
-    fn begin(&self, id: EntryId, record: SharedRecord) -> Result<(), NotRecorded> {
-        let mut recorded = self.lock();
-        if record.may_repeat {
-            recorded.records.begin(id.index(), record.id, Instant::now())?;
-        } else {
-            recorded.records.begin_first(id.index(), record.id)?;
-        }
-        recorded.runs.insert(id.index(), id);
-        Ok(())
-    }
-
-    /// Whether another process may have run a request with this record.
-    fn may_have_run_elsewhere(&self, record: RecordId) -> bool {
-        self.lock().records.may_be_known_elsewhere(record, Instant::now())
-    }
-
-    /// Removes the record of a run that never ran.
-    fn never_ran(&self, id: EntryId) {
-        let mut recorded = self.lock();
-        if recorded.runs.get(&id.index()) == Some(&id) {
-            recorded.runs.remove(&id.index());
-            recorded.records.remove(id.index());
-        }
-    }
-
-    /// Removes the records of runs that the store does not remember any more.
-    fn forget_expired(&self, store: &SharedStore) {
-        let mut recorded = self.lock();
-        let RecordedRuns { records, runs } = &mut *recorded;
-        runs.retain(|&slot, &mut id| {
-            let is_remembered = store.update(|store, _| store.remembers(id));
-            if !is_remembered {
-                records.remove(slot);
-            }
-            is_remembered
-        });
-    }
-}
-
 impl Idempotency {
     /// Creates an empty store and spawns the task that maintains its deadlines. The task ends when the last
-    /// `Arc` is dropped. `records` are those for other processes of this dispatcher; `secret` keys the fingerprints of idempotency keys and bodies.
+    /// `Arc` is dropped. `records` are those for other processes of this dispatcher; `secret` keys the fingerprints of
+    /// idempotency keys and bodies.
     #[must_use]
     pub fn start(
         policy: Policy,
@@ -166,12 +104,11 @@
         secret: u64,
     ) -> Arc<Self> {
         let now = clock.now();
-        let recorded = records.map(|records| RecordedRuns { records, runs: HashMap::new() });
         let idempotency = Arc::new(Self {
             store: Arc::new(SharedStore::new(policy, clock, now, mix(secret ^ now))),
             fingerprinter: Fingerprinter::new(&[secret.to_le_bytes(), now.to_le_bytes()].concat()),
             retry_headers,
-            shared_records: recorded.map(|recorded| Arc::new(SharedRecords(Mutex::new(recorded)))),
+            shared_records: records.map(|records| Arc::new(SharedRecords::new(records))),
         });
         tokio::spawn(maintain(Arc::downgrade(&idempotency), now));
         idempotency
@@ -237,11 +174,7 @@
             RequestIdentity::Key(_) => {
                 Self::record_id(headers, tenant).map(|id| SharedRecord { id, may_repeat: true })
             }
-            RequestIdentity::Body { .. } => {
-                let text = String::from_utf8_lossy(&canonical_json(body)).into_owned();
-                let id = RecordId::of(tenant, &format!("{BODY_RECORD_PREFIX}{text}"));
-                Some(SharedRecord { id, may_repeat: incoming.is_retry })
-            }
+            RequestIdentity::Body { .. } => Some(SharedRecord::of_body(tenant, body, incoming.is_retry)),
         }
     }
 
@@ -346,8 +279,7 @@
     /// Handles the store's passed deadlines. Returns when to call this again (us).
     fn advance(&self) -> Micros {
         if let Some(records) = &self.shared_records {
-            records.forget_expired(&self.store);
-            records.lock().records.refresh(Instant::now());
+            records.maintain(&self.store);
         }
         self.store.update(|store, now| {
             store.advance(now);
--- a/src/edge/clients/mod.rs
+++ b/src/edge/clients/mod.rs
@@ -2,8 +2,8 @@
 //! that clients use.
 //!
 //! A connection passes through these modules: `listener` accepts it (`accept_queue`, `closing_listener`),
-//! `connection_limits` gives it a slot (`connection_slot`), `client_stream` reads and writes it (`framing`, `read_ahead`, `pipeline_turns`), and
-//! `connection` hands its requests to a front. What clients make the process hold on this way is taken from one
+//! `connection_limits` gives it a slot (`connection_slot`), `client_stream` reads and writes it (`framing`, `read_ahead`,
+//! `pipeline_turns`), and `connection` hands its requests to a front. What clients make the process hold on this way is taken from one
 //! `memory_budget`.
 //!
 //! The fronts are `platform` and `chat`. The chat front also handles repeated requests: `idempotency` decides
@@ -33,4 +33,5 @@
 pub mod recorder;
 pub mod request_body;
 pub mod request_timing;
+mod shared_records;
 mod shared_store;
--- a/src/edge/hot_restart/executed_ids.rs
+++ b/src/edge/hot_restart/executed_ids.rs
@@ -10,27 +10,21 @@
 //! two processes at most. The process that takes over the file of one that has ended continues its table; in the other
 //! file, a process reads the one bucket in which an id would be.
 
+mod table;
+
 use std::fs::{File, OpenOptions, TryLockError};
 use std::io;
 use std::os::unix::fs::FileExt as _;
 use std::path::PathBuf;
 
-use dewladder_router::mix;
 use log::warn;
 
+pub use crate::edge::hot_restart::executed_ids::table::RETENTION;
+use crate::edge::hot_restart::executed_ids::table::{
+    bucket_of, used_id, Position, Record, Table, BUCKETS, BUCKET_BYTES, RECORD_BYTES,
+};
 use crate::interface::{Micros, RequestId};
 
-/// How long an id is kept at least after its request has ended (us).
-pub const RETENTION: Micros = 600_000_000;
-/// Number of buckets of a table.
-const BUCKETS: usize = 256;
-/// Maximum number of ids in a bucket. All buckets together hold 65,536 ids in 1 MiB.
-pub const BUCKET_IDS: usize = 256;
-/// The length of a record in a file: the id, and whether it is in use (bytes).
-const RECORD_BYTES: usize = 16;
-/// The length of a bucket in a file (bytes).
-const BUCKET_BYTES: usize = BUCKET_IDS * RECORD_BYTES;
-
 /// A process's view of the ids of a dispatcher. See the [module](self).
 #[derive(Debug, Default)]
 pub struct ExecutedIds {
@@ -50,33 +44,6 @@
     NoRoom,
 }
 
-/// The ids that this process has recorded, and those in the file that it has taken over.
-#[derive(Debug, Default)]
-struct Table {
-    /// Empty until the first id is recorded.
-    buckets: Vec<Vec<Record>>,
-}
-
-/// The place of an id in a bucket.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Record {
-    id: u64,
-    /// From when the place may be used for another id (us): [`FREE`], [`OPEN`] or [`RETENTION`] after the request's end.
-    reusable_at: Micros,
-}
-
-/// The place holds no id.
-const FREE: Micros = 0;
-/// The request is open.
-const OPEN: Micros = Micros::MAX;
-
-/// The position of a record: its bucket, and its place there.
-#[derive(Clone, Copy, Debug)]
-struct Position {
-    bucket: usize,
-    place: usize,
-}
-
 /// The files of both processes of a dispatcher.
 #[derive(Debug)]
 struct Files {
@@ -144,7 +111,7 @@
     /// Removes the id of a request that never ran: it may come again.
     pub fn remove(&mut self, id: RequestId) {
         let Some(position) = self.table.find(id) else { return };
-        self.table.record_mut(position).reusable_at = FREE;
+        self.table.free(position);
         if let Some(files) = &mut self.files {
             // If this fails, the whole table is written when the next id is claimed.
             let result = files.write(position, self.table.record(position));
@@ -158,102 +125,6 @@
     }
 }
 
-impl Table {
-    fn record(&self, position: Position) -> Record {
-        self.buckets[position.bucket][position.place]
-    }
-
-    fn record_mut(&mut self, position: Position) -> &mut Record {
-        &mut self.buckets[position.bucket][position.place]
-    }
-
-    fn find(&self, id: RequestId) -> Option<Position> {
-        let bucket = bucket_of(id);
-        let is_wanted = |record: &Record| record.id == id.0 && record.is_used();
-        let place = self.buckets.get(bucket)?.iter().position(is_wanted)?;
-        Some(Position { bucket, place })
-    }
-
-    /// Adds an open id; `None` if there is no room for it.
-    fn insert(&mut self, id: RequestId, now: Micros) -> Option<Position> {
-        if self.buckets.is_empty() {
-            self.buckets = vec![Vec::new(); BUCKETS];
-        }
-        let bucket = bucket_of(id);
-        let records = &mut self.buckets[bucket];
-        let reusable = (0..records.len()).min_by_key(|&place| records[place].reusable_at);
-        let place = match reusable.filter(|&place| records[place].reusable_at <= now) {
-            Some(place) if records.len() == BUCKET_IDS || !records[place].is_used() => place,
-            _ if records.len() < BUCKET_IDS => {
-                records.push(Record::NONE);
-                records.len() - 1
-            }
-            _ => return None,
-        };
-        records[place] = Record { id: id.0, reusable_at: OPEN };
-        Some(Position { bucket, place })
-    }
-
-    /// Adds the ids of a process that has ended, as far as there is room.
-    fn merge(&mut self, bytes: &[u8], now: Micros) {
-        for id in bytes.chunks_exact(RECORD_BYTES).filter_map(used_id) {
-            if self.find(id).is_none() && self.insert(id, now).is_some() {
-                self.end(id, now);
-            }
-        }
-    }
-
-    /// Starts the retention of an id whose request has ended.
-    fn end(&mut self, id: RequestId, now: Micros) {
-        if let Some(position) = self.find(id) {
-            self.record_mut(position).reusable_at = now.saturating_add(RETENTION);
-        }
-    }
-
-    /// Writes all ids to a file whose own ids have been merged.
-    fn write_to(&self, file: &File) -> io::Result<()> {
-        for (bucket, records) in self.buckets.iter().enumerate().filter(|(_, records)| !records.is_empty()) {
-            let mut bytes = [0; BUCKET_BYTES];
-            for (place, record) in bytes.chunks_exact_mut(RECORD_BYTES).zip(records) {
-                place.copy_from_slice(&record.to_bytes());
-            }
-            file.write_all_at(&bytes, Position { bucket, place: 0 }.offset())?;
-        }
-        Ok(())
-    }
-}
-
-impl Record {
-    const NONE: Self = Self { id: 0, reusable_at: FREE };
-
-    fn is_used(self) -> bool {
-        self.reusable_at != FREE
-    }
-
-    fn to_bytes(self) -> [u8; RECORD_BYTES] {
-        let id = if self.is_used() { self.id } else { 0 };
-        (u128::from(id) | u128::from(self.is_used()) << 64).to_le_bytes()
-    }
-}
-
-impl Position {
-    /// The offset of the record in the file.
-    fn offset(self) -> u64 {
-        (self.bucket * BUCKET_BYTES + self.place * RECORD_BYTES) as u64
-    }
-}
-
-/// The id of a record in a file, if the record is in use.
-fn used_id(record: &[u8]) -> Option<RequestId> {
-    let (id, is_used) = record.split_at(RECORD_BYTES / 2);
-    let id = u64::from_le_bytes(id.try_into().ok()?);
-    is_used.iter().any(|&byte| byte != 0).then_some(RequestId(id))
-}
-
-fn bucket_of(id: RequestId) -> usize {
-    (mix(id.0) % BUCKETS as u64) as usize
-}
-
 impl Files {
     /// Makes the own file hold the whole table: locks a file first if none is locked, and continues the table that it holds.
     /// Returns the index of the own file.
