--- a/tests/third_deployment.rs
+++ b/tests/third_deployment.rs
@@ -11,7 +11,10 @@
 use stand_in::{platform, until_close, Agent, Behavior, Server};
 use tokio::sync::{oneshot, watch};
 
-const ID: &str = "00000000000000a7";
+/// The id of a request, by its number in the test: it is new for each.
+fn id(number: usize) -> String {
+    format!("00000000000000{number:02x}")
+}
 
 fn class_settings(name: &str, effect: &str, priority_weight: f64) -> Value {
     json!({"name": name, "aim_s": 0.4, "give_up_s": 1.0, "effect": effect, "group": "all", "worth": priority_weight})
@@ -59,8 +62,8 @@
     let running = tokio::spawn(dispatcher.run(at, async {
         let _ = ended.await;
     }));
-    for class in ["leisurely", "once-only", "Pikku_2.b"] {
-        let answer = until_close(front, &platform(ID, class, "0.900")).await;
+    for (number, class) in ["leisurely", "once-only", "Pikku_2.b"].into_iter().enumerate() {
+        let answer = until_close(front, &platform(&id(1 + number), class, "0.900")).await;
         assert!(answer.starts_with("HTTP/1.1 200 "), "{class}: {answer}");
     }
     assert_eq!(
@@ -69,17 +72,17 @@
         "each request is read by the reader and written by the writer"
     );
     // Class names of other deployments are unknown.
-    for class in ["ask", "book", "lukema-kysely", "asetus-muutos"] {
-        let answer = until_close(front, &platform(ID, class, "0.900")).await;
+    for (number, class) in ["ask", "book", "lukema-kysely", "asetus-muutos"].into_iter().enumerate() {
+        let answer = until_close(front, &platform(&id(11 + number), class, "0.900")).await;
         assert!(answer.starts_with("HTTP/1.1 400 "), "{class}: {answer}");
     }
     // An at-most-once request is not retried: the setting `effect` decides, not the class's name.
     writer.set_behavior(Behavior::Close);
-    let answer = until_close(front, &platform(ID, "once-only", "0.900")).await;
+    let answer = until_close(front, &platform(&id(21), "once-only", "0.900")).await;
     assert!(answer.starts_with("HTTP/1.1 502 "), "{answer}");
     assert_eq!(writer.posts(), 4, "not sent exactly once");
     let before = writer.posts();
-    until_close(front, &platform(ID, "leisurely", "0.900")).await;
+    until_close(front, &platform(&id(22), "leisurely", "0.900")).await;
     assert!(writer.posts() >= before + 2, "not retried: {before} requests before, {} after", writer.posts());
     let _ = end.send(());
     running.await.unwrap().unwrap();
