Chat: no record is computed where there is no other process to read it

A booking whose library counts its retries had its body hashed for other processes also where there can be none: a cost on each such request. Two tests of upgrades share their start.

--- a/src/edge/clients/chat/requests.rs
+++ b/src/edge/clients/chat/requests.rs
@@ -97,7 +97,7 @@
             ErrorResponse::bad_request("invalid_value", error.to_string()).with_param("Idempotency-Key")
         })?;
         let records = Records {
-            shared: Idempotency::shared_record(&head.headers, &tenant.name, &incoming, &request.body),
+            shared: idempotency.shared_record(&head.headers, &tenant.name, &incoming, &request.body),
             replicated: Idempotency::record_id(&head.headers, &tenant.name).filter(|_| model.at_most_once),
         };
         self.run_idempotently(idempotency, &incoming, &accepted, records).await
--- a/src/edge/clients/idempotency.rs
+++ b/src/edge/clients/idempotency.rs
@@ -162,14 +162,17 @@
         self.fingerprinter.fingerprint("sender", &parts)
     }
 
-    /// The record of a request for other processes of this dispatcher; `None` if they would not recognize a repeat of it.
+    /// The record of a request for other processes of this dispatcher; `None` if there can't be any, or they would not
+    /// recognize a repeat of it.
     #[must_use]
     pub fn shared_record(
+        &self,
         headers: &HeaderMap,
         tenant: &str,
         incoming: &IncomingRequest,
         body: &Value,
     ) -> Option<SharedRecord> {
+        self.shared_records.as_ref()?;
         match incoming.identity.filter(|_| incoming.at_most_once)? {
             RequestIdentity::Key(_) => {
                 Self::record_id(headers, tenant).map(|id| SharedRecord { id, may_repeat: true })
--- a/tests/hot_restart_requests.rs
+++ b/tests/hot_restart_requests.rs
@@ -226,6 +226,18 @@
     )
 }
 
+/// A deployment with a chat front that recognizes repeats, whose streams take 2 s, and its first process.
+async fn start_with_chat(name: &str) -> (Deployment, processes::Port, Process) {
+    let shape = Shape { events: 100, pause: Duration::from_millis(20), ..Shape::default() };
+    let site = Deployment::new(&format!("requests-{name}"), shape).await;
+    let chat_port = processes::Port::new();
+    site.write(&site.config());
+    std::fs::write(site.folder.join("fronts.toml"), fronts(chat_port.address())).unwrap();
+    let process = site.start().await;
+    process.until_ready().await;
+    (site, chat_port, process)
+}
+
 /// Sends a keyed booking, and reads the answer, or only its first event.
 async fn keyed(at: SocketAddr, key: &str, first_event_only: bool) -> String {
     read_booking(at, key, &format!("Idempotency-Key: {key}\r\n"), first_event_only).await
@@ -259,14 +271,8 @@
 /// key: the booking ran a second time, as the store of repeats is known to one process only.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_keyed_booking_does_not_run_again_in_the_process_that_replaces_its_own() {
-    let shape = Shape { events: 100, pause: Duration::from_millis(20), ..Shape::default() };
-    let site = Deployment::new("requests-keys", shape).await;
-    let chat_port = processes::Port::new();
+    let (site, chat_port, old) = start_with_chat("keys").await;
     let at = chat_port.address();
-    site.write(&site.config());
-    std::fs::write(site.folder.join("fronts.toml"), fronts(at)).unwrap();
-    let old = site.start().await;
-    old.until_ready().await;
     let keys = ["one", "two", "three"];
     for key in keys {
         let first = keyed(at, key, true).await; // the client then closes its connection
@@ -311,14 +317,8 @@
 /// older process and the first try had come to the newer one, the booking ran a second time.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_counted_booking_does_not_run_again_in_the_process_beside_its_own() {
-    let shape = Shape { events: 100, pause: Duration::from_millis(20), ..Shape::default() };
-    let site = Deployment::new("requests-counted", shape).await;
-    let chat_port = processes::Port::new();
+    let (site, chat_port, _old) = start_with_chat("counted").await;
     let at = chat_port.address();
-    site.write(&site.config());
-    std::fs::write(site.folder.join("fronts.toml"), fronts(at)).unwrap();
-    let old = site.start().await;
-    old.until_ready().await;
     let new = site.start().await;
     new.until_ready().await;
     let words: Vec<String> = (0..16).map(|number| format!("firing-{number}-please")).collect();
