--- a/tests/hot_restart_requests.rs
+++ b/tests/hot_restart_requests.rs
@@ -331,11 +331,11 @@
         retries.spawn(async move { timeout(Duration::from_secs(8), counted(at, &words, 1, false)).await });
     }
     let answers: Vec<String> = retries.join_all().await.into_iter().map(|answer| answer.unwrap()).collect();
+    for words in &words {
+        assert_eq!(site.fleet.runs_of(words), 1, "{words}");
+    }
     let told = answers.iter().filter(|answer| status(answer) == 409).count();
     let answered = answers.iter().filter(|answer| status(answer) == 200).count();
     assert_eq!(told + answered, words.len(), "{answers:?}");
     assert!(told > 0 && answered > 0, "all retries came to the process of their first tries, or none did");
-    for words in &words {
-        assert_eq!(site.fleet.runs_of(words), 1, "{words}");
-    }
 }
--- a/tests/retries_without_key.rs
+++ b/tests/retries_without_key.rs
@@ -120,3 +120,16 @@
     assert!(status(&retry) == 200 && body(&retry).0.contains("w5 "), "{retry}");
     assert_eq!(site.fleet.runs_of(WORDS), 1);
 }
+
+/// At most one of two retries can be that of the client that lost its link.
+#[tokio::test]
+async fn two_retries_at_once_are_not_both_given_the_answer() {
+    let site = FleetSite::start(slow(), IDEMPOTENCY_ON).await;
+    talk(site.chat, &booking(0, ""), |read| read.contains("w1 ")).await;
+    let retry = booking(1, "");
+    let (one, other) = tokio::join!(until_close(site.chat, &retry), until_close(site.chat, &retry));
+    let mut statuses = [status(&one), status(&other)];
+    statuses.sort_unstable();
+    assert_eq!(statuses, [200, 409], "{one}\n{other}");
+    assert_eq!(site.fleet.runs_of(WORDS), 1);
+}
